--- /dev/null
+++ b/src/bin/program.ts
@@ -0,0 +1,67 @@
+/** What the programs share: options, settings, signals. */
+import meow from "meow";
+import type { z } from "zod";
+import { loadSettings } from "../config/loadSettings.js";
+import { InputError } from "../core/errors.js";
+
+export const ExitCode = { ok: 0, failed: 1, badInput: 2 } as const;
+
+const help = (program: string, text: string) => `
+    Usage
+      $ ${program} --settings FILE
+
+    ${text}
+
+    Options
+      --settings FILE    settings in YAML
+      --check-settings   check the settings and exit
+      --help, --version
+
+    Exit codes
+      0  stopped as asked, or the settings are good
+      1  failed while running
+      2  bad options or settings; each finding is printed with its place
+`;
+
+/** Parses the command line of a daemon and loads its settings; exits when they are bad or only to be checked. */
+export function parseDaemonOptions<T>(program: string, text: string, schema: z.ZodType<T>): T {
+    const cli = meow(help(program, text), {
+        importMeta: import.meta,
+        flags: { settings: { type: "string" }, checkSettings: { type: "boolean", default: false } },
+    });
+    if (cli.flags.settings === undefined) {
+        exitWith(ExitCode.badInput, "Option --settings is missing");
+    }
+    try {
+        const settings = loadSettings(cli.flags.settings, schema);
+        if (cli.flags.checkSettings) {
+            exitWith(ExitCode.ok, "The settings are good");
+        }
+        return settings;
+    }
+    catch (error) {
+        if (error instanceof InputError) {
+            exitWith(ExitCode.badInput, error.message);
+        }
+        throw error;
+    }
+}
+
+/** Prints `text` to standard error and exits. */
+export function exitWith(code: number, text: string): never {
+    process.stderr.write(`${text}\n`);
+    process.exit(code);
+}
+
+/** Calls `stop` on the first SIGTERM or SIGINT and exits when it has finished. */
+export function registerShutdown(stop: () => Promise<void>): void {
+    let stopping = false;
+    const handle = () => {
+        if (!stopping) {
+            stopping = true;
+            void stop().then(() => process.exit(ExitCode.ok), () => process.exit(ExitCode.failed));
+        }
+    };
+    process.on("SIGTERM", handle);
+    process.on("SIGINT", handle);
+}
--- /dev/null
+++ b/src/config/loadSettings.ts
@@ -0,0 +1,20 @@
+/** Reads a settings file. */
+import { readFileSync } from "node:fs";
+import type { z } from "zod";
+import { createInputError } from "../core/errors.js";
+import { parseYaml } from "../core/parse.js";
+
+/** Reads and checks `file`; throws an `InputError` with every finding. */
+export function loadSettings<T>(file: string, schema: z.ZodType<T>): T {
+    return parseYaml(file, readText(file), schema);
+}
+
+function readText(file: string): string {
+    try {
+        return readFileSync(file, "utf8");
+    }
+    catch (error) {
+        const message = `Cannot read the file: ${(error as Error).message}`;
+        throw createInputError([{ code: "unreadable", path: [], message, place: { file, line: 1, column: 1 } }]);
+    }
+}
--- /dev/null
+++ b/src/demo/demo.ts
@@ -0,0 +1,81 @@
+/** Runs a small cluster under mixed load and faults, and prints an account of it. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { callChat, callPlain, type CallResult } from "../standin/caller.js";
+import { type Cluster, startCluster } from "../standin/cluster.js";
+import { publishDocument } from "../standin/publish.js";
+import { createDemoDocument, demoKeys } from "./document.js";
+import { printAccount, summarize, type Summary } from "./report.js";
+
+const loadSeconds = 8;
+const callsPerSecond = 40;
+const entries = [
+    { instance: "entry-1", dataCentre: "dc-a" },
+    { instance: "entry-2", dataCentre: "dc-a" },
+    { instance: "entry-3", dataCentre: "dc-b" },
+];
+const slots = [
+    { instance: "slot-1", dataCentre: "dc-a", pool: "assistant", kind: "engine" as const },
+    { instance: "slot-2", dataCentre: "dc-a", pool: "assistant", kind: "engine" as const },
+    { instance: "slot-3", dataCentre: "dc-b", pool: "assistant", kind: "engine" as const },
+    { instance: "slot-4", dataCentre: "dc-b", pool: "assistant", kind: "engine" as const },
+    { instance: "slot-5", dataCentre: "dc-a", pool: "claims", kind: "plain" as const, serviceMs: 5 },
+    { instance: "slot-6", dataCentre: "dc-b", pool: "claims", kind: "plain" as const, serviceMs: 5 },
+];
+
+const keep = process.argv.includes("--keep");
+const cluster = await startCluster(entries, slots);
+let summary: Summary;
+try {
+    await publishDocument(cluster, createDemoDocument());
+    summary = summarize(await runLoad(cluster), cluster.slots.map(slot => slot.upstream));
+    printAccount(summary);
+    if (keep) {
+        await waitForInterrupt(cluster);
+    }
+}
+finally {
+    await cluster.stop();
+}
+process.stdout.write(`${JSON.stringify({ demo: summary.ok ? "ok" : "failed", ...summary.figures })}\n`);
+process.exit(summary.ok ? 0 : 1);
+
+async function runLoad(running: Cluster): Promise<CallResult[]> {
+    const calls: Promise<CallResult>[] = [];
+    const total = loadSeconds * callsPerSecond;
+    process.stdout.write(`Sending ${total} requests in ${loadSeconds} s.\n`);
+    for (let index = 0; index < total; index++) {
+        calls.push(sendCall(running, index));
+        if (index === Math.floor(total * 0.3)) {
+            const count = running.slots[1].proxy.freeze();
+            process.stdout.write(`Froze ${count} connections to slot-2 for good.\n`);
+        }
+        if (index === Math.floor(total * 0.6)) {
+            running.slots[2].process.kill("SIGKILL");
+            process.stdout.write("Killed slot-3.\n");
+        }
+        await sleep(1000 / callsPerSecond);
+    }
+    return Promise.all(calls);
+}
+
+function sendCall(running: Cluster, index: number): Promise<CallResult> {
+    const { url } = running.entries[index % running.entries.length];
+    const handlers = [
+        () => callChat(url, `guest ${index}`, 10 + index % 30, { key: demoKeys.reception }),
+        () => callPlain(url, "/lookups/status", `lookup ${index}`, { key: demoKeys.caseworkers }),
+        () => callChat(url, `claim ${index}`, 10 + index % 50, { key: demoKeys.batch, headers: { priority: "u=6" } }),
+        () => callPlain(url, "/claims/submit", `claim ${index}`, { key: demoKeys.caseworkers }),
+    ];
+    return handlers[index % handlers.length]();
+}
+
+async function waitForInterrupt(running: Cluster): Promise<void> {
+    const { url } = running.entries[0];
+    process.stdout.write(`
+Try these, and stop with Ctrl-C:
+  curl -N ${url}/v1/chat/completions -H 'authorization: Bearer ${demoKeys.reception}' -d '{"model":"assistant","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}'
+  curl -i ${url}/lookups/status -H 'authorization: Bearer ${demoKeys.caseworkers}' -d 'who'
+  curl -i ${url}/claims/submit -H 'authorization: Bearer ${demoKeys.reception}' -d 'refused'
+`);
+    await new Promise(resolve => process.once("SIGINT", resolve));
+}
--- /dev/null
+++ b/src/entry/attempt.ts
@@ -0,0 +1,187 @@
+/**
+ * Decides how a request proceeds: which slot it goes to, when its answer is resumed,
+ * when it may be tried elsewhere and what its caller is told at the end.
+ */
+import { RunOutcome } from "../core/types.js";
+import type { Frame } from "../wire/messages.js";
+
+export const maxAttempts = 3;
+const maxResumes = 3;
+
+const Phase = { choosing: "choosing", waiting: "waiting", streaming: "streaming", done: "done" } as const;
+type Phase = (typeof Phase)[keyof typeof Phase];
+
+export interface AttemptState {
+    phase: Phase;
+    attempt: number;
+    /** Sequence number of the next frame wanted. */
+    nextSequence: number;
+    bodyLength: number;
+    resumes: number;
+    /** Whether part of the answer has reached the caller. */
+    answered: boolean;
+    idempotent: boolean;
+    /** Time by which the answer has to be complete, in milliseconds. */
+    deadline: number;
+    /** Whether an earlier attempt may have run. */
+    mayHaveRun: boolean;
+}
+
+export type AttemptEvent =
+    | { kind: "chosen"; }
+    | { kind: "no-candidate"; }
+    | { kind: "frame"; frame: Frame; }
+    /** The connection broke, was silent too long or carried something unreadable. */
+    | { kind: "broken"; }
+    /** A connection to the slot could not be made, so that nothing was sent. */
+    | { kind: "unreachable"; }
+    | { kind: "deadline"; };
+
+export type AttemptAction =
+    | { kind: "choose"; }
+    | { kind: "send"; }
+    | { kind: "resume"; nextSequence: number; }
+    | { kind: "relay"; frame: Frame; }
+    | { kind: "drop"; }
+    | { kind: "retry"; reason: string; }
+    | { kind: "finish"; }
+    /** Ends the answer with an error, or breaks it visibly when it has begun. */
+    | { kind: "fail"; outcome: RunOutcome; status: number; title: string; retryAfterSeconds?: number; };
+
+/** Creates the state of a request that has no upstream yet. */
+export function createAttemptState(idempotent: boolean, deadline: number): AttemptState {
+    return {
+        phase: Phase.choosing,
+        attempt: 1,
+        nextSequence: 0,
+        bodyLength: 0,
+        resumes: 0,
+        answered: false,
+        idempotent,
+        deadline,
+        mayHaveRun: false,
+    };
+}
+
+type Handlers = {
+    [K in AttemptEvent["kind"]]: (
+        state: AttemptState,
+        event: Extract<AttemptEvent, { kind: K; }>,
+        now: number,
+    ) => AttemptAction[];
+};
+
+const handlers: Handlers = {
+    chosen: state => {
+        state.phase = Phase.waiting;
+        return [{ kind: "send" }];
+    },
+    "no-candidate": state => failRequest(state, RunOutcome.notRun, 503, "No upstream is available", 2),
+    frame: (state, event, now) => handleFrame(state, event.frame, now),
+    broken: (state, event, now) => handleBroken(state, now),
+    unreachable: (state, event, now) =>
+        state.resumes > 0 ?
+            handleBroken(state, now) :
+            retryElsewhere(state, RunOutcome.notRun, now, "unreachable", 502, "The slot cannot be reached"),
+    deadline: state => failRequest(state, RunOutcome.unknown, 504, "The deadline has passed"),
+};
+
+/** Applies an event to the state and returns what to do, in order. */
+export function advanceAttempt(state: AttemptState, event: AttemptEvent, now: number): AttemptAction[] {
+    if (state.phase === Phase.done) {
+        return event.kind === "frame" ? [{ kind: "drop" }] : [];
+    }
+    return handlers[event.kind](state, event as never, now);
+}
+
+function handleFrame(state: AttemptState, frame: Frame, now: number): AttemptAction[] {
+    if (
+        frame.attempt !== state.attempt ||
+        (frame.kind !== "keepalive" && frame.kind !== "failed" && frame.sequence < state.nextSequence)
+    ) {
+        return [{ kind: "drop" }];
+    }
+    if (frame.kind === "keepalive") {
+        return frame.sequence > state.nextSequence ? handleBroken(state, now) : [];
+    }
+    if (frame.kind === "failed") {
+        return handleFailed(state, frame, now);
+    }
+    if (frame.sequence > state.nextSequence) {
+        return handleBroken(state, now);
+    }
+    state.nextSequence += 1;
+    state.resumes = 0;
+    return applyFrame(state, frame);
+}
+
+function applyFrame(state: AttemptState, frame: Exclude<Frame, { kind: "failed"; }>): AttemptAction[] {
+    if (frame.kind === "accepted") {
+        return [];
+    }
+    if (frame.kind === "data") {
+        state.bodyLength += frame.data.length;
+    }
+    if (frame.kind === "end") {
+        if (frame.length !== state.bodyLength) {
+            return failRequest(state, RunOutcome.run, 502, "The answer is incomplete");
+        }
+        state.phase = Phase.done;
+        return [{ kind: "relay", frame }, { kind: "finish" }];
+    }
+    state.phase = Phase.streaming;
+    state.answered = true;
+    return [{ kind: "relay", frame }];
+}
+
+function handleFailed(state: AttemptState, frame: Extract<Frame, { kind: "failed"; }>, now: number): AttemptAction[] {
+    if (state.answered) {
+        return failRequest(state, frame.outcome, frame.status, frame.title);
+    }
+    return retryElsewhere(state, frame.outcome, now, "refused", frame.status, frame.title, frame.retryAfterSeconds);
+}
+
+function handleBroken(state: AttemptState, now: number): AttemptAction[] {
+    if (state.resumes >= maxResumes) {
+        return state.answered ?
+            failRequest(state, RunOutcome.unknown, 502, "The slot was lost") :
+            retryElsewhere(state, RunOutcome.unknown, now, "lost", 502, "The slot was lost");
+    }
+    state.resumes += 1;
+    return [{ kind: "resume", nextSequence: state.nextSequence }];
+}
+
+/** Retries at another slot when that cannot run a non-idempotent request twice. */
+function retryElsewhere(
+    state: AttemptState,
+    outcome: RunOutcome,
+    now: number,
+    reason: string,
+    status: number,
+    title: string,
+    retryAfterSeconds?: number,
+): AttemptAction[] {
+    const safe = outcome === RunOutcome.notRun || state.idempotent;
+    state.mayHaveRun = state.mayHaveRun || outcome !== RunOutcome.notRun;
+    if (!safe || state.attempt >= maxAttempts || now >= state.deadline) {
+        return failRequest(state, outcome, status, title, retryAfterSeconds);
+    }
+    state.phase = Phase.choosing;
+    state.attempt += 1;
+    state.nextSequence = 0;
+    state.bodyLength = 0;
+    state.resumes = 0;
+    return [{ kind: "retry", reason }, { kind: "choose" }];
+}
+
+function failRequest(
+    state: AttemptState,
+    outcome: RunOutcome,
+    status: number,
+    title: string,
+    retryAfterSeconds?: number,
+): AttemptAction[] {
+    state.phase = Phase.done;
+    const told = outcome === RunOutcome.notRun && state.mayHaveRun ? RunOutcome.unknown : outcome;
+    return [{ kind: "fail", outcome: told, status, title, retryAfterSeconds }];
+}
--- /dev/null
+++ b/src/entry/authenticate.ts
@@ -0,0 +1,41 @@
+/** Second filter: finds the workspace whose key the caller presents. */
+import { createHash } from "node:crypto";
+import type { ConfigDocument, Workspace } from "../config/schemas.js";
+import { createRefusal } from "../core/errors.js";
+import { RunOutcome } from "../core/types.js";
+import type { Exchange } from "./types.js";
+
+const indexes = new WeakMap<ConfigDocument, Map<string, Workspace>>();
+
+/** Sets the workspace or refuses. The lookup is by hash, so that its time does not depend on the key's content. */
+export function authenticateWorkspace(exchange: Exchange): void {
+    const { document } = exchange.config;
+    if (document === undefined) {
+        throw createRefusal("No configuration is in force yet", {
+            status: 503,
+            outcome: RunOutcome.notRun,
+            retryAfterSeconds: 5,
+        });
+    }
+    const header = exchange.message.headers.authorization ?? "";
+    const match = /^Bearer ([\x21-\x7e]{1,512})$/i.exec(header);
+    const hash = !match ? "" : hashKey(match[1]);
+    exchange.workspace = getIndex(document).get(hash);
+    if (exchange.workspace === undefined) {
+        throw createRefusal("The bearer key belongs to no workspace", { status: 401, outcome: RunOutcome.notRun });
+    }
+}
+
+/** Hashes a bearer key as documents store it. */
+export function hashKey(key: string): string {
+    return `sha256:${createHash("sha256").update(key).digest("hex")}`;
+}
+
+function getIndex(document: ConfigDocument): Map<string, Workspace> {
+    let index = indexes.get(document);
+    if (index === undefined) {
+        index = new Map(document.workspaces.flatMap(w => w.keys.map(key => [key, w] as const)));
+        indexes.set(document, index);
+    }
+    return index;
+}
--- /dev/null
+++ b/src/entry/server.ts
@@ -0,0 +1,107 @@
+/** The callers' HTTP interface: a pipe of filters from request to answer. */
+import { randomUUID } from "node:crypto";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { ConfigState } from "../config/fold.js";
+import { RefusalError } from "../core/errors.js";
+import { RunOutcome } from "../core/types.js";
+import type { Logger } from "../observe/logger.js";
+import { createAcceptFilter } from "./accept.js";
+import { authenticateWorkspace } from "./authenticate.js";
+import { type DispatchContext, dispatchRequest } from "./dispatch.js";
+import { relayProblem } from "./relay.js";
+import { routeRequest } from "./route.js";
+import type { Exchange, Filter } from "./types.js";
+
+const headersTimeoutMs = 10_000;
+const bodyTimeoutMs = 60_000;
+
+export interface EntryContext extends DispatchContext {
+    maxBodyBytes: number;
+    logger: Logger;
+    getConfig: () => ConfigState;
+    /** Whether the balancer may send requests. */
+    isReady: () => boolean;
+}
+
+export interface EntryServer {
+    server: Server;
+    /** Resolves when no request is in flight. */
+    drain: () => Promise<void>;
+}
+
+/** Creates the server; the caller listens on it. */
+export function createEntryServer(context: EntryContext): EntryServer {
+    const filters: Filter[] = [
+        createAcceptFilter(context.maxBodyBytes),
+        authenticateWorkspace,
+        routeRequest,
+        exchange => dispatchRequest(context, exchange),
+    ];
+    let inFlight = 0;
+    const idle: (() => void)[] = [];
+    const server = createServer(
+        { headersTimeout: headersTimeoutMs, requestTimeout: bodyTimeoutMs, maxHeaderSize: 16_384 },
+        (message, response) => {
+            if (message.url === "/healthz/ready") {
+                response.writeHead(context.isReady() ? 200 : 503).end();
+                return;
+            }
+            inFlight += 1;
+            void runFilters(context, filters, message, response).finally(() => {
+                inFlight -= 1;
+                if (inFlight === 0) {
+                    idle.splice(0).forEach(resolve => resolve());
+                }
+            });
+        },
+    );
+    return { server, drain: () => inFlight === 0 ? Promise.resolve() : new Promise(resolve => idle.push(resolve)) };
+}
+
+async function runFilters(
+    context: EntryContext,
+    filters: Filter[],
+    message: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
+    const exchange = createExchange(context, message, response);
+    try {
+        for (const filter of filters) {
+            await filter(exchange);
+        }
+    }
+    catch (error) {
+        refuseRequest(context, exchange, error as Error);
+    }
+}
+
+function refuseRequest(context: EntryContext, exchange: Exchange, error: Error): void {
+    if (error instanceof RefusalError) {
+        relayProblem(exchange.response, exchange.requestId, { ...error.details, title: error.message });
+        context.metrics.requests.inc({ outcome: error.details.outcome });
+        return;
+    }
+    context.logger.error("A request failed unexpectedly.", { requestId: exchange.requestId, error: error.stack });
+    relayProblem(exchange.response, exchange.requestId, {
+        status: 500,
+        outcome: RunOutcome.unknown,
+        title: "Internal error",
+    });
+    context.metrics.requests.inc({ outcome: RunOutcome.unknown });
+}
+
+function createExchange(context: EntryContext, message: IncomingMessage, response: ServerResponse): Exchange {
+    return {
+        requestId: randomUUID(),
+        receivedAt: Date.now(),
+        message,
+        response,
+        config: context.getConfig(),
+        body: Buffer.alloc(0),
+        workspace: undefined,
+        route: undefined,
+        urgency: 0,
+        idempotencyKey: undefined,
+        tokens: 0,
+    };
+}
--- /dev/null
+++ b/src/slot/start.ts
@@ -0,0 +1,91 @@
+/** Wires a slot: configuration, its upstream, the ledger and the internal server. */
+import { randomUUID } from "node:crypto";
+import { type ConfigState, createConfigState } from "../config/fold.js";
+import { streamConfig } from "../config/loadConfig.js";
+import type { SlotSettings } from "../config/settings.js";
+import { pollEvery } from "../core/streams.js";
+import { createLogClient } from "../log/client.js";
+import { createLoggers, Prefix } from "../observe/logger.js";
+import { createMetrics } from "../observe/metrics.js";
+import { streamInstances } from "../peers/loadList.js";
+import { listenOn } from "../wire/listen.js";
+import { RevokeParamsSchema } from "../wire/messages.js";
+import { createAdmission } from "./admission.js";
+import { createLedger, expireRecords } from "./ledger.js";
+import { createRunner } from "./runner.js";
+import { createSlotServer } from "./server.js";
+import { createUpstreamClient } from "./upstream.js";
+
+const expiryIntervalMs = 5000;
+const defaultLimits = { concurrency: 64, tokens: 200_000, queue: 128 };
+
+/** Starts a slot; resolves once it listens. */
+export async function startSlot(settings: SlotSettings): Promise<{ stop: () => Promise<void>; }> {
+    const { instance, environment, platform, internal } = settings;
+    const makeLogger = createLoggers("beechdock-slot", instance, settings.logLevel);
+    const logger = makeLogger(Prefix.slot);
+    const configLogger = makeLogger(Prefix.config);
+    const metrics = createMetrics();
+    const ledger = createLedger(randomUUID());
+    const admission = createAdmission(defaultLimits);
+    const runner = createRunner(ledger, admission, createUpstreamClient(settings.upstream.url));
+    let config: ConfigState = createConfigState(environment);
+
+    const markLeaving = (reason: string) => {
+        if (!ledger.leaving) {
+            ledger.leaving = true;
+            logger.info("The upstream is leaving.", { reason });
+        }
+    };
+    const server = createSlotServer({
+        settings,
+        ledger,
+        runner,
+        metrics,
+        getWeight: workspace => config.document?.workspaces.find(w => w.name === workspace)?.weight ?? 1,
+        methods: {
+            cancel: (params: unknown) => {
+                const { requestId, attempt } = RevokeParamsSchema.parse(params);
+                const record = ledger.records.get(`${requestId}/${attempt}`);
+                if (record !== undefined) {
+                    runner.cancel(record);
+                }
+                return {};
+            },
+        },
+    });
+    const port = await listenOn(server, internal.host, internal.port);
+
+    void streamConfig(
+        createLogClient(platform.log),
+        environment,
+        e => configLogger.warn("Reading the log failed.", { error: e.message }),
+    )
+        .observe(update => {
+            if (update.state.revision !== config.revision) {
+                configLogger.info("A revision is in force.", { revision: update.state.revision });
+                metrics.revision.set(update.state.revision);
+            }
+            config = update.state;
+            const pool = config.document?.pools.find(p => p.name === settings.pool);
+            admission.limits = pool ?? admission.limits;
+        });
+    void streamInstances(platform.list, e => logger.warn("Reading the instance list failed.", { error: e.message }))
+        .observe(instances => {
+            if (instances.some(i => i.instance === instance && i.state === "leaving")) {
+                markLeaving("the instance list says so");
+            }
+        });
+    void pollEvery(expiryIntervalMs, async () => expireRecords(ledger, Date.now()), () => undefined).drain();
+    logger.info("The slot listens.", { port });
+
+    return {
+        stop: async () => {
+            markLeaving("the process was told to stop");
+            await runner.drain();
+            server.close();
+            server.closeIdleConnections();
+            logger.info("The slot has stopped.");
+        },
+    };
+}
--- /dev/null
+++ b/src/standin/caller.ts
@@ -0,0 +1,105 @@
+/** A caller that checks what it gets: whole answers to its own requests, or errors that say what happened. */
+import { Agent, request } from "undici";
+import { createWords } from "./engine.js";
+
+export interface CallResult {
+    requestId: string;
+    status: number;
+    /** Outcome header; undefined when the answer broke off before its head. */
+    outcome: string | undefined;
+    /** Whether a complete and right answer came. */
+    whole: boolean;
+    /** Whether a complete but wrong answer came. */
+    wrong: boolean;
+    firstTokenMs: number | undefined;
+    totalMs: number;
+    retryAfter: string | undefined;
+    text: string;
+}
+
+export interface CallOptions {
+    key: string;
+    headers?: Record<string, string>;
+}
+
+/** New connections for every call, as behind a balancer. */
+const agent = new Agent({ pipelining: 0, headersTimeout: 0, bodyTimeout: 0 });
+
+/** Streams a chat completion and checks every token of it. */
+export async function callChat(url: string, prompt: string, tokens: number, options: CallOptions): Promise<CallResult> {
+    const chat = {
+        model: "assistant",
+        stream: true,
+        max_tokens: tokens,
+        messages: [{ role: "user", content: prompt }],
+    };
+    const expected = createWords(chat);
+    return callUrl(`${url}/v1/chat/completions`, JSON.stringify(chat), options, text => {
+        const lines = text.split("\n").filter(line => line.startsWith("data: "));
+        const words = lines.slice(0, -1).map(line => parseWord(line));
+        return lines[lines.length - 1] === "data: [DONE]" && words.join(" ") === expected.join(" ");
+    });
+}
+
+/** Calls a plain service and checks that it echoes this call's body. */
+export async function callPlain(url: string, path: string, body: string, options: CallOptions): Promise<CallResult> {
+    return callUrl(`${url}${path}`, body, options, text => {
+        const answer = JSON.parse(text) as { echo: string; path: string; };
+        return answer.echo === body && answer.path === path;
+    });
+}
+
+async function callUrl(
+    url: string,
+    body: string,
+    options: CallOptions,
+    isRight: (text: string) => boolean,
+): Promise<CallResult> {
+    const startedAt = performance.now();
+    const result: CallResult = {
+        requestId: "",
+        status: 0,
+        outcome: undefined,
+        whole: false,
+        wrong: false,
+        firstTokenMs: undefined,
+        totalMs: 0,
+        retryAfter: undefined,
+        text: "",
+    };
+    try {
+        const response = await request(url, {
+            method: "POST",
+            dispatcher: agent,
+            headers: { authorization: `Bearer ${options.key}`, "content-type": "application/json", ...options.headers },
+            body,
+        });
+        result.status = response.statusCode;
+        result.outcome = response.headers["beechdock-outcome"] as string | undefined;
+        result.requestId = String(response.headers["beechdock-request-id"]);
+        result.retryAfter = response.headers["retry-after"] as string | undefined;
+        for await (const chunk of response.body) {
+            result.firstTokenMs ??= performance.now() - startedAt;
+            result.text += (chunk as Buffer).toString();
+        }
+        if (response.statusCode === 200) {
+            result.whole = isRight(result.text);
+            result.wrong = !result.whole && !result.text.includes("event: error");
+        }
+    }
+    catch (error) {
+        result.text = (error as Error).message;
+    }
+    result.totalMs = performance.now() - startedAt;
+    return result;
+}
+
+function parseWord(line: string): string {
+    try {
+        const event = JSON.parse(line.slice("data: ".length)) as { choices: { delta: { content: string; }; }[]; };
+        return event.choices[0].delta.content;
+    }
+    catch {
+        return "";
+    }
+}
--- /dev/null
+++ b/src/standin/log.ts
@@ -0,0 +1,118 @@
+/** Stand-in for the platform's append-only log service. */
+import { type Handler, sendJson, startServer } from "./http.js";
+
+interface StoredRecord {
+    offset: number;
+    id: string;
+    time: number;
+    data: unknown;
+}
+
+interface StoredStream {
+    records: StoredRecord[];
+    next: number;
+    waiters: Set<() => void>;
+}
+
+export interface LogFaults {
+    /** Answers nothing but 503. */
+    down: boolean;
+    /** Number of coming appends that take effect but whose answer is lost. */
+    loseAnswers: number;
+    /** Delay of every call, in milliseconds. */
+    delayMs: number;
+}
+
+export interface LogStandin {
+    url: string;
+    faults: LogFaults;
+    appends: () => number;
+    /** Drops the records of a stream before `offset`, as retention does. */
+    truncate: (stream: string, offset: number) => void;
+    close: () => void;
+}
+
+const maxBatch = 1000;
+
+/** Starts the stand-in on `port`; 0 picks a free one. */
+export async function startLogStandin(port: number): Promise<LogStandin> {
+    const streams = new Map<string, StoredStream>();
+    const faults: LogFaults = { down: false, loseAnswers: 0, delayMs: 0 };
+    let appends = 0;
+    const getStream = (name: string) => {
+        const stream = streams.get(name) ?? { records: [], next: 0, waiters: new Set() };
+        streams.set(name, stream);
+        return stream;
+    };
+    const withFaults = (handler: Handler): Handler => async (message, body, response, url) => {
+        if (faults.delayMs > 0) {
+            await new Promise(resolve => setTimeout(resolve, faults.delayMs));
+        }
+        if (faults.down) {
+            sendJson(response, 503, { error: "the log is down" });
+            return;
+        }
+        await handler(message, body, response, url);
+    };
+    const append: Handler = (message, body, response, url) => {
+        const stream = getStream(url.pathname.split("/")[2]);
+        const { records } = JSON.parse(body) as { records: { id: string; data: unknown; }[]; };
+        const offset = stream.next;
+        for (const record of records) {
+            stream.records.push({ offset: stream.next++, id: record.id, time: Date.now(), data: record.data });
+        }
+        appends += 1;
+        [...stream.waiters].forEach(wake => wake());
+        if (faults.loseAnswers > 0) {
+            faults.loseAnswers -= 1;
+            response.destroy();
+            return;
+        }
+        sendJson(response, 200, { offset });
+    };
+    const read: Handler = async (message, body, response, url) => {
+        const stream = getStream(url.pathname.split("/")[2]);
+        const from = Number(url.searchParams.get("from") ?? 0);
+        const waitMs = Number(url.searchParams.get("waitMs") ?? 0);
+        if (stream.next <= from && waitMs > 0) {
+            await waitForAppend(stream, waitMs);
+        }
+        if (faults.down) {
+            sendJson(response, 503, { error: "the log is down" });
+            return;
+        }
+        const records = stream.records.filter(record => record.offset >= from).slice(0, maxBatch);
+        const oldest = stream.records[0]?.offset ?? stream.next;
+        const next = records.length > 0 ? records[records.length - 1].offset + 1 : Math.max(from, oldest);
+        sendJson(response, 200, { records, next, oldest });
+    };
+    const { server, url } = await startServer(port, {
+        "POST /streams": withFaults(append),
+        "GET /streams": withFaults(read),
+    });
+    return {
+        url,
+        faults,
+        appends: () => appends,
+        truncate: (name, offset) => {
+            const stream = getStream(name);
+            stream.records = stream.records.filter(record => record.offset >= offset);
+        },
+        close: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+}
+
+function waitForAppend(stream: StoredStream, waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+        const wake = () => {
+            clearTimeout(timer);
+            stream.waiters.delete(wake);
+            resolve();
+        };
+        const timer = setTimeout(wake, waitMs);
+        stream.waiters.add(wake);
+    });
+}
--- /dev/null
+++ b/src/standin/process.ts
@@ -0,0 +1,78 @@
+/** Starts this project's programs as child processes, for the demo, tests and benches. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+
+export interface LogLine {
+    name: string;
+    instance: string;
+    level: number;
+    msg: string;
+    port?: number;
+}
+
+export interface StandinProcess {
+    child: ChildProcess;
+    /** Log lines so far. */
+    lines: LogLine[];
+    /** Resolves with the first line, past or coming, that the predicate accepts. */
+    waitForLine: (accept: (line: LogLine) => boolean) => Promise<LogLine>;
+    kill: (signal: NodeJS.Signals) => void;
+    /** Resolves with the exit code, or undefined after a signal. */
+    exited: Promise<number | undefined>;
+}
+
+const distDirectory = fileURLToPath(new URL("../../dist/", import.meta.url));
+
+/** Starts `dist/bin/NAME.js`. */
+export function startProcess(name: string, args: string[]): StandinProcess {
+    const child = spawn(process.execPath, [`${distDirectory}bin/${name}.js`, ...args], {
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    const lines: LogLine[] = [];
+    const waiters = new Set<(line: LogLine) => void>();
+    createInterface({ input: child.stdout! }).on("line", text => {
+        const line = parseLine(text);
+        lines.push(line);
+        waiters.forEach(waiter => waiter(line));
+    });
+    return {
+        child,
+        lines,
+        waitForLine: accept => waitForLine(child, name, lines, waiters, accept),
+        kill: signal => void child.kill(signal),
+        exited: new Promise(resolve => child.once("exit", code => resolve(code ?? undefined))),
+    };
+}
+
+function waitForLine(
+    child: ChildProcess,
+    name: string,
+    lines: LogLine[],
+    waiters: Set<(line: LogLine) => void>,
+    accept: (line: LogLine) => boolean,
+): Promise<LogLine> {
+    const past = lines.find(accept);
+    if (past !== undefined) {
+        return Promise.resolve(past);
+    }
+    return new Promise((resolve, reject) => {
+        const waiter = (line: LogLine) => {
+            if (accept(line)) {
+                waiters.delete(waiter);
+                resolve(line);
+            }
+        };
+        waiters.add(waiter);
+        child.once("exit", code => reject(new Error(`${name} exited with ${code} before the awaited line`)));
+    });
+}
+
+function parseLine(text: string): LogLine {
+    try {
+        return JSON.parse(text) as LogLine;
+    }
+    catch {
+        return { name: "", instance: "", level: 0, msg: text };
+    }
+}
--- /dev/null
+++ b/src/standin/publish.ts
@@ -0,0 +1,21 @@
+/** Publishes and promotes a document with the operators' command line and waits until it is in force. */
+import { runCommand } from "../command/main.js";
+import type { Cluster } from "./cluster.js";
+
+/** Resolves when every process serves with the document and the entries know their upstreams. */
+export async function publishDocument(cluster: Cluster, document: object): Promise<void> {
+    const file = cluster.writeFile("document.yaml", document);
+    for (const argv of [["publish", file], ["promote"]]) {
+        if (await runCommand([...argv, "--log", cluster.log.url, "--author", "demo"]) !== 0) {
+            throw new Error(`beechdock ${argv[0]} failed`);
+        }
+    }
+    await Promise.all(
+        [...cluster.entries, ...cluster.slots].map(member =>
+            member.process.waitForLine(line => line.msg.endsWith("A revision is in force."))
+        ),
+    );
+    await Promise.all(
+        cluster.entries.map(entry => entry.process.waitForLine(line => line.msg.endsWith("The upstreams are known."))),
+    );
+}
--- /dev/null
+++ b/src/wire/frames.ts
@@ -0,0 +1,40 @@
+/** Encodes frames as lines of JSON-RPC notifications and decodes them again. */
+import type { Frame } from "./messages.js";
+import { FrameSchema } from "./messages.js";
+
+const prefix = "{\"jsonrpc\":\"2.0\",\"method\":\"frame\",\"params\":";
+const maxLineBytes = 8 * 1024 * 1024;
+
+export interface FrameDecoder {
+    /** Decodes the frames that `chunk` completes; throws a SyntaxError on anything else. */
+    push: (chunk: Buffer | string) => Frame[];
+}
+
+/** Encodes a frame as one line. */
+export function encodeFrame(frame: Frame): string {
+    return `${prefix}${JSON.stringify(frame)}}\n`;
+}
+
+/** Creates a decoder for one answer stream. */
+export function createFrameDecoder(): FrameDecoder {
+    let rest = "";
+    return {
+        push: chunk => {
+            const lines = (rest + chunk.toString()).split("\n");
+            rest = lines.pop() ?? "";
+            if (rest.length > maxLineBytes) {
+                throw new SyntaxError("frame line is too long");
+            }
+            return lines.filter(line => line.length > 0).map(decodeFrame);
+        },
+    };
+}
+
+function decodeFrame(line: string): Frame {
+    const message = JSON.parse(line) as { method?: string; params?: unknown; };
+    const result = FrameSchema.safeParse(message.params);
+    if (message.method !== "frame" || !result.success) {
+        throw new SyntaxError("line is not a frame notification");
+    }
+    return result.data;
+}
--- /dev/null
+++ b/src/wire/messages.ts
@@ -0,0 +1,97 @@
+/** Messages between entries and slots. Requests are JSON-RPC calls; answers are streams of frame notifications. */
+import { z } from "zod";
+import { RunOutcome } from "../core/types.js";
+import type { LoadReport } from "../core/types.js";
+
+export const RunParamsSchema = z.object({
+    requestId: z.string().max(100),
+    attempt: z.number().int().positive(),
+    /** Incarnation of the slot that the entry means to reach; absent when it knows none. */
+    incarnation: z.string().optional(),
+    workspace: z.string(),
+    method: z.string(),
+    path: z.string(),
+    headers: z.record(z.string(), z.string()),
+    /** Body bytes as a latin1 string. */
+    body: z.string(),
+    idempotent: z.boolean(),
+    idempotencyKey: z.string().max(200).optional(),
+    /** Urgency of RFC 9218: 0 is the most urgent. */
+    urgency: z.number().int().min(0).max(7),
+    /** Estimated work in tokens. */
+    tokens: z.number().nonnegative(),
+    /** Time left for the whole answer, in milliseconds. */
+    deadlineMs: z.number().positive(),
+});
+export type RunParams = z.infer<typeof RunParamsSchema>;
+
+export const ResumeParamsSchema = z.object({
+    requestId: z.string(),
+    attempt: z.number().int().positive(),
+    incarnation: z.string().optional(),
+    nextSequence: z.number().int().nonnegative(),
+});
+export type ResumeParams = z.infer<typeof ResumeParamsSchema>;
+
+export const RevokeParamsSchema = z.object({
+    requestId: z.string(),
+    attempt: z.number().int().positive(),
+    incarnation: z.string().optional(),
+});
+export type RevokeParams = z.infer<typeof RevokeParamsSchema>;
+
+export interface RevokeResult {
+    outcome: RunOutcome;
+}
+
+interface FrameBase {
+    requestId: string;
+    attempt: number;
+    /** Position in the answer; keepalive frames repeat the next one without using it. */
+    sequence: number;
+}
+
+export type Frame =
+    & FrameBase
+    & (
+        | { kind: "accepted"; incarnation: string; }
+        | { kind: "head"; status: number; headers: Record<string, string>; }
+        /** `data` holds body bytes as a latin1 string. */
+        | { kind: "data"; data: string; }
+        /** `length` is the number of body bytes of the whole answer. */
+        | { kind: "end"; length: number; load: LoadReport; }
+        | { kind: "keepalive"; }
+        | { kind: "failed"; outcome: RunOutcome; status: number; title: string; retryAfterSeconds?: number; }
+    );
+
+const base = { requestId: z.string(), attempt: z.number(), sequence: z.number() };
+const LoadReportSchema = z.object({
+    incarnation: z.string(),
+    tokensInFlight: z.number(),
+    requestsInFlight: z.number(),
+    queued: z.number(),
+    state: z.enum(["live", "leaving"]),
+    serviceMs: z.number(),
+});
+export const FrameSchema = z.discriminatedUnion("kind", [
+    z.object({ ...base, kind: z.literal("accepted"), incarnation: z.string() }),
+    z.object({ ...base, kind: z.literal("head"), status: z.number().int(), headers: z.record(z.string(), z.string()) }),
+    z.object({ ...base, kind: z.literal("data"), data: z.string() }),
+    z.object({ ...base, kind: z.literal("end"), length: z.number(), load: LoadReportSchema }),
+    z.object({ ...base, kind: z.literal("keepalive") }),
+    z.object({
+        ...base,
+        kind: z.literal("failed"),
+        outcome: z.enum(RunOutcome),
+        status: z.number().int(),
+        title: z.string(),
+        retryAfterSeconds: z.number().optional(),
+    }),
+]);
+
+/** Paths of the slot's and entry's internal interface. */
+export const InternalPath = {
+    run: "/run",
+    resume: "/resume",
+    rpc: "/rpc",
+} as const;
--- /dev/null
+++ b/src/wire/rpc.ts
@@ -0,0 +1,92 @@
+/** JSON-RPC 2.0 over kept HTTP connections, signed with the shared keys. */
+import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
+import type { IncomingMessage } from "node:http";
+import { type Dispatcher, request } from "undici";
+import { CallError } from "../core/errors.js";
+import { authHeader, signCall } from "./auth.js";
+import { InternalPath } from "./messages.js";
+
+const callTimeoutMs = 1000;
+export const maxRpcBytes = 8 * 1024 * 1024;
+
+export interface RpcIdentity {
+    environment: string;
+    internalKeys: string[];
+}
+
+export interface RpcCallOptions {
+    timeoutMs?: number;
+    dispatcher?: Dispatcher;
+}
+
+export type RpcMethods = Record<string, (params: never) => unknown>;
+
+/** Calls `method` of the process at `url` and returns its result. */
+export async function requestRpc<T>(
+    identity: RpcIdentity,
+    url: string,
+    method: string,
+    params: unknown,
+    options: RpcCallOptions = {},
+): Promise<T> {
+    const client = new JSONRPCClient(async payload => {
+        const text = await postSigned(identity, url, InternalPath.rpc, JSON.stringify(payload), options);
+        client.receive(JSON.parse(text));
+    });
+    return await client.request(method, params) as T;
+}
+
+async function postSigned(
+    identity: RpcIdentity,
+    url: string,
+    path: string,
+    body: string,
+    options: RpcCallOptions,
+): Promise<string> {
+    const response = await request(`${url}${path}`, {
+        method: "POST",
+        headers: createSignedHeaders(identity, path, body),
+        body,
+        dispatcher: options.dispatcher,
+        signal: AbortSignal.timeout(options.timeoutMs ?? callTimeoutMs),
+    });
+    const text = await response.body.text();
+    if (response.statusCode !== 200) {
+        throw new CallError(`${url} answered ${response.statusCode} to an internal call`);
+    }
+    return text;
+}
+
+/** Creates the headers of a signed internal call. */
+export function createSignedHeaders(identity: RpcIdentity, path: string, body: string): Record<string, string> {
+    const call = { environment: identity.environment, path, body };
+    return { "content-type": "application/json", [authHeader]: signCall(identity.internalKeys, call, Date.now()) };
+}
+
+/** Creates a JSON-RPC server from a table of methods. */
+export function createRpcServer(methods: RpcMethods): JSONRPCServer {
+    const server = new JSONRPCServer({ errorListener: () => undefined });
+    for (const [name, method] of Object.entries(methods)) {
+        server.addMethod(name, method as (params: unknown) => unknown);
+    }
+    return server;
+}
+
+/** Reads a request body as text; undefined when it is longer than `maxBytes` or cut short. */
+export async function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    try {
+        for await (const chunk of message) {
+            size += (chunk as Buffer).length;
+            if (size > maxBytes) {
+                return undefined;
+            }
+            chunks.push(chunk as Buffer);
+        }
+    }
+    catch {
+        return undefined;
+    }
+    return Buffer.concat(chunks, size);
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+    test: {
+        include: ["src/**/tests/*.test.ts", "tests/**/*.test.ts"],
+        testTimeout: 60_000,
+        hookTimeout: 60_000,
+        maxWorkers: 6,
+    },
+});
