--- /dev/null
+++ b/src/bench/explore.ts
@@ -0,0 +1,34 @@
+/** Explores random schedules beyond those in CI: `npm run explore -- NAME --runs N --seed S`. */
+import meow from "meow";
+
+interface ExploreModule {
+    /** Runs schedules from `seed` on and returns those that broke an invariant. */
+    exploreSchedules: (
+        runs: number,
+        seed: number,
+    ) => Promise<{ runs: number; failures: { seed: number; what: string; }[]; }>;
+}
+
+const explorations = ["maps", "requests", "config"];
+
+const cli = meow(
+    `
+    Usage
+      $ npm run explore -- ${explorations.join("|")} [--runs N] [--seed S]
+
+    Exits with 1 when a schedule breaks an invariant; prints its seed.
+`,
+    {
+        importMeta: import.meta,
+        flags: { runs: { type: "number", default: 10_000 }, seed: { type: "number", default: 1 } },
+    },
+);
+const name = cli.input[0] ?? "";
+if (!explorations.includes(name)) {
+    process.stderr.write(`${cli.help}\n`);
+    process.exit(2);
+}
+const exploration = await import(`./explore-${name}.js`) as ExploreModule;
+const result = await exploration.exploreSchedules(cli.flags.runs, cli.flags.seed);
+process.stdout.write(`${JSON.stringify(result)}\n`);
+process.exit(result.failures.length === 0 ? 0 : 1);
--- a/src/slot/runner.ts
+++ b/src/slot/runner.ts
@@ -1,8 +1,14 @@
 /** Runs admitted requests at the upstream and records their answers in the ledger. */
 import { RunOutcome } from "../core/types.js";
 import type { LoadReport } from "../core/types.js";
+import {
+    type AdmissionState,
+    admitRequest,
+    cancelWaiting,
+    releaseRequest,
+    type Waiting,
+} from "../routing/admission.js";
 import type { Frame, RunParams } from "../wire/messages.js";
-import { type AdmissionState, admitRequest, cancelWaiting, releaseRequest, type Waiting } from "./admission.js";
 import { type Ledger, recordFrame, type RunRecord } from "./ledger.js";
 import type { UpstreamClient } from "./upstream.js";
 
