--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -1,7 +1,7 @@
 /** Runs one bench: `npm run bench -- NAME [--seed N] [--json FILE] [--OPTION VALUE]`. */
 import meow from "meow";
 import { writeFileSync } from "node:fs";
-import type { BenchModule } from "./types.js";
+import type { BenchModule, BenchOptions } from "./types.js";
 
 const benches: Record<string, string> = {
     routing: "choice of upstreams against baselines",
@@ -36,7 +36,7 @@
 }
 const bench = await import(`./${name}.js`) as BenchModule;
 const { seed, json, ...flags } = cli.flags;
-const figures = { bench: name, seed, ...await bench.runBench({ seed, flags }) };
+const figures = { bench: name, seed, ...await bench.runBench({ seed, flags: flags as BenchOptions["flags"] }) };
 if (json !== undefined) {
     writeFileSync(json, `${JSON.stringify(figures, undefined, 2)}\n`);
 }
