--- /dev/null
+++ b/scripts/test.js
@@ -0,0 +1,37 @@
+/**
+ * Runs vitest. Failures that KNOWN-RED.txt lists are printed and passed over; any other failure fails the run,
+ * and so does a listed test that no longer fails.
+ */
+import { spawnSync } from "node:child_process";
+import { mkdirSync, readFileSync } from "node:fs";
+
+const resultFile = "dist/test-results.json";
+mkdirSync("dist", { recursive: true });
+const args = [
+    "vitest",
+    "run",
+    "--reporter=default",
+    "--reporter=json",
+    `--outputFile.json=${resultFile}`,
+    ...process.argv.slice(2),
+];
+const run = spawnSync("npx", args, { stdio: "inherit" });
+const result = JSON.parse(readFileSync(resultFile, "utf8"));
+
+const tests = result.testResults.flatMap(file => file.assertionResults);
+const failed = tests.filter(test => test.status === "failed").map(test => test.fullName);
+const brokenFiles = result.testResults.filter(file => file.status === "failed" && file.assertionResults.length === 0);
+const knownRed = readKnownRed();
+const unexpected = failed.filter(name => !knownRed.includes(name));
+const mended = knownRed.filter(name => tests.some(test => test.fullName === name && test.status === "passed"));
+
+knownRed.forEach(name => process.stdout.write(`known red: ${name}\n`));
+mended.forEach(name => process.stdout.write(`listed in KNOWN-RED.txt but passes; remove it: ${name}\n`));
+const passes = tests.length > 0 && unexpected.length === 0 && brokenFiles.length === 0 && mended.length === 0;
+process.exit(passes && (run.status === 0 || failed.length > 0) ? 0 : 1);
+
+/** Entries look like "- FULL TEST NAME | command and seed | what was seen | issue". */
+function readKnownRed() {
+    const lines = readFileSync("KNOWN-RED.txt", "utf8").split("\n").filter(line => line.startsWith("- "));
+    return lines.map(line => line.slice(2).split(" | ")[0].trim());
+}
