--- /dev/null
+++ b/src/bench/capacityModules.ts
@@ -0,0 +1,129 @@
+/** Slopes of decision modules, called directly: time by size, on this machine's processor. */
+import { createConfigState, foldConfig } from "../config/fold.js";
+import { type ConfigDocument, DocumentSchema } from "../config/schemas.js";
+import { safeParseYaml } from "../core/parse.js";
+import { createRandom } from "../core/random.js";
+import type { InstanceRecord } from "../core/types.js";
+import { chooseUpstream } from "../routing/choose.js";
+import { createUpstreamTable, updateInstances } from "../routing/table.js";
+import { beginRun, createLedger } from "../slot/ledger.js";
+import type { RunParams } from "../wire/messages.js";
+import type { Measurement } from "./capacity.js";
+
+const microseconds = 1000;
+
+/** Measures every module at several sizes. */
+export function measureModules(seed: number): Measurement[] {
+    return [measureChoose(seed), measureDocument(), measureLedger()];
+}
+
+function measureChoose(seed: number): Measurement {
+    const points = [10, 20, 40, 80, 160].map(x => {
+        const table = createUpstreamTable();
+        updateInstances(table, Array.from({ length: x }, (value, index) => createInstance(index)));
+        const random = createRandom(seed);
+        const choice = {
+            pool: "pool",
+            dataCentre: "dc-0",
+            spill: "when-full" as const,
+            tokens: 100,
+            excluded: new Set<string>(),
+        };
+        return { x, y: measureCall(2000, () => chooseUpstream(table, choice, 0, random.next)) };
+    });
+    return { name: "choose", xName: "upstreams in an entry's subset", yName: "microseconds a choice", points };
+}
+
+function measureDocument(): Measurement {
+    const points = [20, 40, 80, 160, 340].map(x => {
+        const text = JSON.stringify(createDocument(x));
+        const parsed = safeParseYaml("document", text, DocumentSchema);
+        if (!parsed.success) {
+            throw new Error("the document of the bench is bad");
+        }
+        const record = {
+            kind: "promote" as const,
+            id: "1",
+            environment: "production",
+            base: 0,
+            author: "a",
+            document: parsed.data,
+        };
+        const accept = () =>
+            foldConfig(createConfigState("production"), { ...record, document: DocumentSchema.parse(record.document) });
+        return { x, y: measureCall(20, accept) };
+    });
+    return { name: "document", xName: "workspaces", yName: "microseconds to accept a revision", points };
+}
+
+function measureLedger(): Measurement {
+    const points = [2000, 4000, 8000, 16_000, 32_000].map(x => {
+        globalThis.gc?.();
+        const before = process.memoryUsage().heapUsed;
+        const ledger = createLedger("i");
+        for (let index = 0; index < x; index++) {
+            beginRun(ledger, createRun(index), 0);
+        }
+        const used = process.memoryUsage().heapUsed - before;
+        return { x: ledger.records.size, y: used / 1024 };
+    });
+    return { name: "ledger", xName: "run records", yName: "KB of heap", points };
+}
+
+/** Mean time of a call in microseconds, after a warm-up of the same length. */
+function measureCall(count: number, call: () => void): number {
+    const repeat = () => {
+        for (let index = 0; index < count; index++) {
+            call();
+        }
+    };
+    repeat();
+    const startedAt = performance.now();
+    repeat();
+    return (performance.now() - startedAt) * microseconds / count;
+}
+
+function createInstance(index: number): InstanceRecord {
+    return {
+        instance: `slot-${index}`,
+        role: "slot",
+        dataCentre: `dc-${index % 4}`,
+        url: `http://127.0.0.1:${20_000 + index}`,
+        state: "live",
+        pool: "pool",
+    };
+}
+
+/** Creates a document with `workspaces` workspaces and, in proportion, the target's 26 models. */
+export function createDocument(workspaces: number): ConfigDocument {
+    const models = Math.max(1, Math.round(workspaces * 26 / 340));
+    const hash = `sha256:${"a".repeat(64)}`;
+    return DocumentSchema.parse({
+        workspaces: Array.from(
+            { length: workspaces },
+            (value, index) => ({ name: `workspace-${index}`, keys: [hash], weight: 1 }),
+        ),
+        pools: Array.from({ length: models }, (value, index) => ({ name: `model-${index}`, kind: "engine" })),
+        routes: Array.from({ length: models }, (value, index) => ({
+            path: "/v1/chat/completions",
+            model: `model-${index}`,
+            pool: `model-${index}`,
+        })),
+    });
+}
+
+function createRun(index: number): RunParams {
+    return {
+        requestId: `request-${index}`,
+        attempt: 1,
+        workspace: "w",
+        method: "POST",
+        path: "/",
+        headers: {},
+        body: "",
+        idempotent: true,
+        urgency: 3,
+        tokens: 100,
+        deadlineMs: 1000,
+    };
+}
--- /dev/null
+++ b/src/bench/usage.ts
@@ -0,0 +1,21 @@
+/** Processor time and memory of a process, as the kernel counts them. */
+import { readFileSync } from "node:fs";
+
+const ticksPerSecond = 100;
+const bytesPerKilobyte = 1024;
+
+export interface Usage {
+    cpuSeconds: number;
+    rssBytes: number;
+}
+
+/** Reads what the process has used so far. */
+export function readUsage(pid: number): Usage {
+    const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+    const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+    const rss = /VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1] ?? "0";
+    return {
+        cpuSeconds: (Number(fields[11]) + Number(fields[12])) / ticksPerSecond,
+        rssBytes: Number(rss) * bytesPerKilobyte,
+    };
+}
--- a/src/standin/cluster.ts
+++ b/src/standin/cluster.ts
@@ -63,7 +63,7 @@
 }
 
 export const environment = "production";
-const internalKeys = ["standin-internal-key-1", "standin-internal-key-2"];
+export const internalKeys = ["standin-internal-key-1", "standin-internal-key-2"];
 const defaultEngine: EngineOptions = { firstTokenMs: 20, tokenMs: 10 };
 
 /** Starts the platform's stand-ins, then all slots and entries; resolves once they listen. */
--- a/src/standin/proxy.ts
+++ b/src/standin/proxy.ts
@@ -13,6 +13,8 @@
     reset: () => void;
     setDelay: (ms: number) => void;
     connections: () => number;
+    /** Bytes forwarded so far, both ways together. */
+    bytes: () => number;
     close: () => void;
 }
 
@@ -27,6 +29,11 @@
     const links = new Set<Link>();
     let isCut = false;
     let delayMs = 0;
+    let bytes = 0;
+    const note = (chunk: Buffer) => {
+        bytes += chunk.length;
+        return delayMs;
+    };
     const server = createServer(client => {
         if (isCut) {
             client.destroy();
@@ -34,8 +41,8 @@
         }
         const link: Link = { client, server: connect(targetPort, "127.0.0.1"), frozen: false };
         links.add(link);
-        forwardData(link, link.client, link.server, () => delayMs);
-        forwardData(link, link.server, link.client, () => delayMs);
+        forwardData(link, link.client, link.server, note);
+        forwardData(link, link.server, link.client, note);
         const end = () => {
             links.delete(link);
             link.client.destroy();
@@ -85,6 +92,7 @@
             delayMs = ms;
         },
         connections: () => links.size,
+        bytes: () => bytes,
         close: () => {
             server.close();
             reset();
@@ -92,14 +100,14 @@
     };
 }
 
-function forwardData(link: Link, from: Socket, to: Socket, getDelay: () => number): void {
+function forwardData(link: Link, from: Socket, to: Socket, note: (chunk: Buffer) => number): void {
     const write = (chunk: Buffer) => {
         if (!link.frozen) {
             to.write(chunk);
         }
     };
     from.on("data", chunk => {
-        const delayMs = getDelay();
+        const delayMs = note(chunk);
         if (delayMs > 0) {
             setTimeout(write, delayMs, chunk);
         }
