Sample the event loop's delay once a second

Cause: prom-client's default samples every 10 ms; an idle process woke 100 times a second. Ruled out: probes (the slot makes none).

--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -16,7 +16,7 @@
 /** Creates the metrics of a process together with the runtime's own. */
 export function createMetrics(): Metrics {
     const registry = new Registry();
-    collectDefaultMetrics({ register: registry });
+    collectDefaultMetrics({ register: registry, eventLoopMonitoringPrecision: 1000 });
     const registers = [registry];
     return {
         registry,
