Keep an unreachable resumption from counting as never sent

Cause: a late frame of the old connection reset the count of resumes, by which the attempt machine told a first connection from a resumption; a resumption that could not connect then passed for "nothing was sent" and a non-idempotent request ran twice. Change: the state notes whether the present attempt may have reached its slot.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -18,6 +18,8 @@
     nextSequence: number;
     bodyLength: number;
     resumes: number;
+    /** Whether a connection to the slot of the present attempt may have carried the run. */
+    sent: boolean;
     /** Whether part of the answer has reached the caller. */
     answered: boolean;
     idempotent: boolean;
@@ -56,6 +58,7 @@
         nextSequence: 0,
         bodyLength: 0,
         resumes: 0,
+        sent: false,
         answered: false,
         idempotent,
         deadline,
@@ -80,7 +83,7 @@
     frame: (state, event, now) => handleFrame(state, event.frame, now),
     broken: (state, event, now) => handleBroken(state, now),
     unreachable: (state, event, now) =>
-        state.resumes > 0 ?
+        state.sent ?
             handleBroken(state, now) :
             retryElsewhere(state, RunOutcome.notRun, now, "unreachable", 502, "The slot cannot be reached"),
     deadline: state => failRequest(state, RunOutcome.unknown, 504, "The deadline has passed"),
@@ -101,6 +104,7 @@
     ) {
         return [{ kind: "drop" }];
     }
+    state.sent = true;
     if (frame.kind === "keepalive") {
         return frame.sequence > state.nextSequence ? handleBroken(state, now) : [];
     }
@@ -142,6 +146,7 @@
 }
 
 function handleBroken(state: AttemptState, now: number): AttemptAction[] {
+    state.sent = true;
     if (state.resumes >= maxResumes) {
         return state.answered ?
             failRequest(state, RunOutcome.unknown, 502, "The slot was lost") :
@@ -171,6 +176,7 @@
     state.nextSequence = 0;
     state.bodyLength = 0;
     state.resumes = 0;
+    state.sent = false;
     return [{ kind: "retry", reason }, { kind: "choose" }];
 }
 
