Prove not-run over schedules of faults, and bound the slot's records and answers

Cause: a further copy of a known run was refused as not-run although the run had begun; a run that named no incarnation could run again after a restart; idle upstream connections were kept as long as the upstream proposed; answer buffers and records were unbounded; a silent upstream was never noticed. Change: copies of a run get its answer, runs without an incarnation are refused, a refusal for leaving leaves a tombstone, a revocation without room for a tombstone says unknown. Readers pull frames as fast as they take them; reading from the upstream pauses past the bound; delivered frames and answers of ended runs are dropped, and a resumption below them fails. A silence limit aborts the upstream call. Ruled out: answering unknown to a run that names an earlier process: its connection was made after that process had ended.

--- a/src/slot/ledger.ts
+++ b/src/slot/ledger.ts
@@ -1,13 +1,38 @@
 /**
  * Run records of a slot: which request ran, which was refused for good, and the buffered answer of each.
  * All functions change the given ledger and return what the caller has to do.
+ *
+ * A `not-run` from here is a proof. A run that names this process is either begun at once or revoked by a
+ * tombstone that outlives every copy of it. A run that names an earlier process was sent on a connection to this
+ * process, hence after the earlier one had ended, which therefore can't have received a copy of it.
  */
 import { RunOutcome } from "../core/types.js";
 import type { Frame, ResumeParams, RevokeParams, RunParams } from "../wire/messages.js";
 
-/** How long a finished answer or a tombstone is kept, in milliseconds. */
+/**
+ * How long a finished answer or a tombstone is kept, in milliseconds. Longer than the time for which a copy of a
+ * call is accepted after the call that revokes it, which is twice the window of the call's signature.
+ */
 export const retentionMs = 120_000;
 
+/** Memory of a frame beside its data, in bytes. */
+const frameOverheadBytes = 256;
+
+export interface LedgerLimits {
+    /** Bytes of one answer that wait for a reader before reading from the upstream pauses. */
+    answerBytes: number;
+    /** Bytes of all answers before those of ended runs are dropped and reading pauses. */
+    totalBytes: number;
+    /** Records, tombstones included, before new runs are refused. */
+    records: number;
+}
+
+export const defaultLedgerLimits: LedgerLimits = {
+    answerBytes: 1024 * 1024,
+    totalBytes: 64 * 1024 * 1024,
+    records: 20_000,
+};
+
 const RunState = { running: "running", ended: "ended", revoked: "revoked" } as const;
 type RunState = (typeof RunState)[keyof typeof RunState];
 
@@ -15,8 +40,14 @@
     requestId: string;
     attempt: number;
     state: RunState;
-    /** Frames from sequence 0 on. */
+    /** Frames from sequence `first` on. */
     frames: Frame[];
+    /** Sequence of the oldest frame that is kept; earlier ones have been delivered and dropped. */
+    first: number;
+    /** Sequence of the next frame. */
+    next: number;
+    /** Sequence up to which a reader has taken the frames. */
+    delivered: number;
     bytes: number;
     expiresAt: number;
 }
@@ -24,80 +55,172 @@
 export interface Ledger {
     incarnation: string;
     leaving: boolean;
+    limits: LedgerLimits;
     records: Map<string, RunRecord>;
+    /** Bytes of all buffered answers. */
+    bytes: number;
 }
 
 export type BeginResult =
     | { kind: "begin"; record: RunRecord; }
+    /** A further copy of a run that has begun: it gets the answer of the first. */
+    | { kind: "replay"; record: RunRecord; }
     | { kind: "refuse"; title: string; status: number; };
 
 export type ResumeResult =
     | { kind: "replay"; record: RunRecord; }
-    | { kind: "refuse"; outcome: RunOutcome; };
+    | { kind: "refuse"; outcome: RunOutcome; title: string; };
 
 /** Creates an empty ledger for a process that has just started. */
-export function createLedger(incarnation: string): Ledger {
-    return { incarnation, leaving: false, records: new Map() };
+export function createLedger(incarnation: string, limits = defaultLedgerLimits): Ledger {
+    return { incarnation, leaving: false, limits, records: new Map(), bytes: 0 };
 }
 
-/** Admits the first copy of a run; refuses copies, revoked runs and runs meant for an earlier process. */
+/** Admits the first copy of a run; refuses revoked runs and runs that are not meant for this process. */
 export function beginRun(ledger: Ledger, params: RunParams, now: number): BeginResult {
-    if (params.incarnation !== undefined && params.incarnation !== ledger.incarnation) {
-        return { kind: "refuse", status: 503, title: "The slot has restarted" };
+    if (params.incarnation === undefined) {
+        return { kind: "refuse", status: 503, title: "The run names no incarnation of the slot" };
     }
-    if (ledger.leaving) {
-        return { kind: "refuse", status: 503, title: "The upstream is leaving" };
+    if (params.incarnation !== ledger.incarnation) {
+        return { kind: "refuse", status: 503, title: "The slot has restarted" };
     }
     const key = formatRunKey(params.requestId, params.attempt);
-    if (ledger.records.has(key)) {
-        return { kind: "refuse", status: 409, title: "The run is already known" };
+    const known = ledger.records.get(key);
+    if (known !== undefined) {
+        return known.state === RunState.revoked ?
+            { kind: "refuse", status: 409, title: "The run was revoked" } :
+            { kind: "replay", record: known };
+    }
+    if (ledger.records.size >= ledger.limits.records) {
+        return { kind: "refuse", status: 503, title: "The slot keeps too many records" };
     }
     const record = createRecord(params.requestId, params.attempt, RunState.running, now);
     ledger.records.set(key, record);
+    if (ledger.leaving) {
+        record.state = RunState.revoked;
+        return { kind: "refuse", status: 503, title: "The upstream is leaving" };
+    }
     return { kind: "begin", record };
 }
 
 /** Finds the answer to replay; a run that never arrived is revoked, so that a late copy is refused too. */
 export function resumeRun(ledger: Ledger, params: ResumeParams, now: number): ResumeResult {
     const record = ledger.records.get(formatRunKey(params.requestId, params.attempt));
-    if (record !== undefined && record.state !== RunState.revoked) {
-        return { kind: "replay", record };
+    if (record === undefined || record.state === RunState.revoked) {
+        return { kind: "refuse", outcome: revokeRun(ledger, params, now), title: "The slot does not know the run" };
     }
-    return { kind: "refuse", outcome: revokeRun(ledger, params, now) };
+    return params.nextSequence < record.first ?
+        { kind: "refuse", outcome: RunOutcome.unknown, title: "The slot no longer keeps this part of the answer" } :
+        { kind: "replay", record };
 }
 
 /** Revokes a run unless it has begun; leaves a tombstone and tells what is known. */
 export function revokeRun(ledger: Ledger, params: RevokeParams, now: number): RunOutcome {
+    if (params.incarnation !== ledger.incarnation) {
+        return RunOutcome.unknown;
+    }
     const key = formatRunKey(params.requestId, params.attempt);
     const record = ledger.records.get(key);
     if (record !== undefined && record.state !== RunState.revoked) {
-        return RunOutcome.run;
+        return getOutcome(record);
+    }
+    if (record === undefined && ledger.records.size >= ledger.limits.records) {
+        return RunOutcome.unknown;
     }
     ledger.records.set(key, createRecord(params.requestId, params.attempt, RunState.revoked, now));
-    return params.incarnation === ledger.incarnation ? RunOutcome.notRun : RunOutcome.unknown;
+    return RunOutcome.notRun;
 }
 
-/** Appends a frame to a record's answer. */
-export function recordFrame(record: RunRecord, frame: Frame, now: number): void {
+/** Appends a frame to a record's answer and drops what is past the limits. */
+export function recordFrame(ledger: Ledger, record: RunRecord, frame: Frame, now: number): void {
+    const size = measureFrame(frame);
     record.frames.push(frame);
-    record.bytes += frame.kind === "data" ? frame.data.length : 0;
+    record.next += 1;
+    record.bytes += size;
+    ledger.bytes += size;
     if (frame.kind === "end" || frame.kind === "failed") {
         record.state = RunState.ended;
         record.expiresAt = now + retentionMs;
     }
+    dropDelivered(ledger, record);
+    if (ledger.bytes > ledger.limits.totalBytes) {
+        dropEndedAnswers(ledger);
+    }
+}
+
+/** Notes that a reader has taken the frames before `sequence`. */
+export function noteDelivered(ledger: Ledger, record: RunRecord, sequence: number): void {
+    record.delivered = Math.max(record.delivered, sequence);
+    dropDelivered(ledger, record);
+}
+
+/** Whether reading from the upstream has to wait until a reader has taken more of the answer. */
+export function isOverLimit(ledger: Ledger, record: RunRecord): boolean {
+    const total = ledger.bytes > ledger.limits.totalBytes && record.bytes > 0;
+    return total || record.bytes > ledger.limits.answerBytes;
+}
+
+/** Frames of a record from `sequence` on. */
+export function selectFrames(record: RunRecord, sequence: number): Frame[] {
+    return record.frames.slice(Math.max(0, sequence - record.first));
 }
 
 /** Drops records that have expired; running ones never do. */
 export function expireRecords(ledger: Ledger, now: number): void {
     for (const [key, record] of ledger.records) {
         if (record.state !== RunState.running && record.expiresAt <= now) {
+            ledger.bytes -= record.bytes;
             ledger.records.delete(key);
         }
     }
 }
 
+/** Drops delivered frames while the record holds more than half of its limit, so that recent ones can be resumed. */
+function dropDelivered(ledger: Ledger, record: RunRecord): void {
+    const limit = ledger.bytes > ledger.limits.totalBytes ? 0 : ledger.limits.answerBytes / 2;
+    while (record.bytes > limit && record.first < record.delivered) {
+        dropFirstFrame(ledger, record);
+    }
+}
+
+/** Drops the answers of ended runs, oldest record first, until the total is within its limit. */
+function dropEndedAnswers(ledger: Ledger): void {
+    for (const record of ledger.records.values()) {
+        while (ledger.bytes > ledger.limits.totalBytes && record.state === RunState.ended && record.frames.length > 0) {
+            dropFirstFrame(ledger, record);
+        }
+    }
+}
+
+function dropFirstFrame(ledger: Ledger, record: RunRecord): void {
+    const size = measureFrame(record.frames.shift()!);
+    record.first += 1;
+    record.bytes -= size;
+    ledger.bytes -= size;
+}
+
+function measureFrame(frame: Frame): number {
+    return frameOverheadBytes + (frame.kind === "data" ? frame.data.length : 0);
+}
+
+/** What is known about a run that has begun. */
+function getOutcome(record: RunRecord): RunOutcome {
+    const last = record.frames[record.frames.length - 1];
+    return last?.kind === "failed" ? last.outcome : RunOutcome.run;
+}
+
 function createRecord(requestId: string, attempt: number, state: RunState, now: number): RunRecord {
-    return { requestId, attempt, state, frames: [], bytes: 0, expiresAt: now + retentionMs };
+    return {
+        requestId,
+        attempt,
+        state,
+        frames: [],
+        first: 0,
+        next: 0,
+        delivered: 0,
+        bytes: 0,
+        expiresAt: now + retentionMs,
+    };
 }
 
 function formatRunKey(requestId: string, attempt: number): string {
--- /dev/null
+++ b/src/slot/reader.ts
@@ -0,0 +1,69 @@
+/** Sends the recorded frames of a run to one reader, as fast as the reader takes them. */
+import type { ServerResponse } from "node:http";
+import { encodeFrame } from "../wire/frames.js";
+import type { Frame } from "../wire/messages.js";
+import type { RunRecord } from "./ledger.js";
+import type { Runner } from "./runner.js";
+
+const keepaliveMs = 500;
+/** Text that is written at once, in characters. */
+const maxChunk = 64 * 1024;
+
+/** Sends frames from `from` on, then new ones as they come, with keepalive frames in silence. */
+export function streamFrames(runner: Runner, record: RunRecord, from: number, response: ServerResponse): void {
+    response.writeHead(200, { "content-type": "application/x-ndjson" });
+    let position = from;
+    let blocked = false;
+    const close = () => {
+        clearInterval(keepalive);
+        unsubscribe();
+    };
+    const writeNext = () => {
+        let text = "";
+        let last = false;
+        while (position < record.next && position >= record.first && text.length < maxChunk) {
+            const frame = record.frames[position - record.first];
+            text += encodeFrame(frame);
+            last = isLast(frame);
+            position += 1;
+        }
+        blocked = !response.write(text);
+        return last;
+    };
+    const pump = () => {
+        while (!blocked && position < record.next) {
+            if (position < record.first) {
+                close();
+                response.destroy();
+                return;
+            }
+            keepalive.refresh();
+            if (writeNext()) {
+                close();
+                response.end();
+                return;
+            }
+        }
+        if (!blocked) {
+            runner.noteDelivered(record, position);
+        }
+    };
+    const keepalive = setInterval(() => {
+        if (!blocked) {
+            const { requestId, attempt } = record;
+            response.write(encodeFrame({ requestId, attempt, sequence: record.next, kind: "keepalive" }));
+        }
+    }, keepaliveMs);
+    const unsubscribe = runner.subscribe(record, pump);
+    response.on("drain", () => {
+        blocked = false;
+        pump();
+    });
+    response.on("close", close);
+    pump();
+}
+
+/** Whether a frame ends its answer. */
+export function isLast(frame: Frame): boolean {
+    return frame.kind === "end" || frame.kind === "failed";
+}
--- a/src/slot/runner.ts
+++ b/src/slot/runner.ts
@@ -1,4 +1,5 @@
 /** Runs admitted requests at the upstream and records their answers in the ledger. */
+import { CallError } from "../core/errors.js";
 import { RunOutcome } from "../core/types.js";
 import type { LoadReport } from "../core/types.js";
 import {
@@ -8,8 +9,8 @@
     releaseRequest,
     type Waiting,
 } from "../routing/admission.js";
-import type { Frame, RunParams } from "../wire/messages.js";
-import { type Ledger, recordFrame, type RunRecord } from "./ledger.js";
+import type { FrameBody, RunParams } from "../wire/messages.js";
+import { isOverLimit, type Ledger, noteDelivered, recordFrame, type RunRecord } from "./ledger.js";
 import type { UpstreamClient } from "./upstream.js";
 
 export interface Runner {
@@ -17,8 +18,10 @@
     start: (record: RunRecord, params: RunParams, weight: number) => void;
     /** Stops a run whose caller has gone; returns whether it had not reached the upstream. */
     cancel: (record: RunRecord) => void;
-    /** Calls `listener` on every new frame of a record until the returned function is called. */
-    subscribe: (record: RunRecord, listener: (frame: Frame) => void) => () => void;
+    /** Calls `listener` after every new frame of a record until the returned function is called. */
+    subscribe: (record: RunRecord, listener: () => void) => () => void;
+    /** Notes that a reader has taken the frames before `sequence`; reading from the upstream goes on. */
+    noteDelivered: (record: RunRecord, sequence: number) => void;
     report: () => LoadReport;
     /** Resolves when nothing runs or waits. */
     drain: () => Promise<void>;
@@ -28,7 +31,17 @@
     record: RunRecord;
     params: RunParams;
     abort: AbortController;
-    listeners: Set<(frame: Frame) => void>;
+    listeners: Set<() => void>;
+    /** Continues reading from the upstream. */
+    wake: (() => void) | undefined;
+}
+
+/** What a run needs of its surroundings. */
+interface RunContext {
+    ledger: Ledger;
+    upstream: UpstreamClient;
+    emit: (item: Pending, frame: FrameBody) => void;
+    report: () => LoadReport;
 }
 
 /** Creates a runner over one upstream. */
@@ -37,9 +50,10 @@
     const idle: (() => void)[] = [];
     let serviceMs = 0;
 
-    const emit = (item: Pending, frame: Frame) => {
-        recordFrame(item.record, frame, Date.now());
-        item.listeners.forEach(listener => listener(frame));
+    const emit = (item: Pending, body: FrameBody) => {
+        const { requestId, attempt, next: sequence } = item.record;
+        recordFrame(ledger, item.record, { requestId, attempt, sequence, ...body }, Date.now());
+        item.listeners.forEach(listener => listener());
     };
     const finish = (id: string) => {
         pending.delete(id);
@@ -56,7 +70,7 @@
             return;
         }
         const startedAt = performance.now();
-        await executeRun(item, upstream, emit, report);
+        await executeRun(context, item);
         serviceMs += ((performance.now() - startedAt) - serviceMs) * 0.1;
         finish(id);
     };
@@ -68,13 +82,20 @@
         state: ledger.leaving ? "leaving" : "live",
         serviceMs,
     });
+    const context: RunContext = { ledger, upstream, emit, report };
 
     return {
         start: (record, params, weight) => {
             const id = formatId(record);
-            const item: Pending = { record, params, abort: new AbortController(), listeners: new Set() };
+            const item: Pending = {
+                record,
+                params,
+                abort: new AbortController(),
+                listeners: new Set(),
+                wake: undefined,
+            };
             pending.set(id, item);
-            emit(item, { ...createFrameBase(record), kind: "accepted", incarnation: ledger.incarnation });
+            emit(item, { kind: "accepted", incarnation: ledger.incarnation });
             const waiting = createWaiting(id, params, weight);
             const decision = admitRequest(admission, waiting);
             if (decision === "run") {
@@ -97,44 +118,72 @@
             item?.listeners.add(listener);
             return () => item?.listeners.delete(listener);
         },
+        noteDelivered: (record, sequence) => {
+            noteDelivered(ledger, record, sequence);
+            pending.forEach(item => item.wake?.());
+        },
         report,
         drain: () => pending.size === 0 ? Promise.resolve() : new Promise(resolve => idle.push(resolve)),
     };
 }
 
-async function executeRun(
-    item: Pending,
-    upstream: UpstreamClient,
-    emit: (item: Pending, frame: Frame) => void,
-    report: () => LoadReport,
-): Promise<void> {
-    const { record, params, abort } = item;
+async function executeRun(context: RunContext, item: Pending): Promise<void> {
+    const { upstream, emit, report } = context;
+    const { params, abort } = item;
     const deadline = setTimeout(() => abort.abort(), params.deadlineMs);
+    const watch = createSilenceWatch(() => abort.abort(new CallError("the upstream is silent")));
     let length = 0;
     try {
+        watch.start(upstream.silence.headMs);
         const answer = await upstream.run(params, abort.signal);
-        emit(item, { ...createFrameBase(record), kind: "head", status: answer.status, headers: answer.headers });
+        emit(item, { kind: "head", status: answer.status, headers: answer.headers });
+        watch.start(upstream.silence.bodyMs);
         for await (const chunk of answer.body) {
+            watch.stop();
             length += chunk.length;
-            emit(item, { ...createFrameBase(record), kind: "data", data: chunk.toString("latin1") });
+            emit(item, { kind: "data", data: chunk.toString("latin1") });
+            await waitForRoom(context.ledger, item);
+            watch.start(upstream.silence.bodyMs);
         }
-        emit(item, { ...createFrameBase(record), kind: "end", length, load: report() });
+        emit(item, { kind: "end", length, load: report() });
     }
     catch (error) {
         const outcome = hasNeverConnected(error) ? RunOutcome.notRun : RunOutcome.unknown;
-        emit(item, {
-            ...createFrameBase(record),
-            kind: "failed",
-            outcome,
-            status: 502,
-            title: "The upstream did not finish its answer",
-        });
+        const title = "The upstream did not finish its answer";
+        emit(item, { kind: "failed", outcome, status: 502, title });
     }
     finally {
         clearTimeout(deadline);
+        watch.stop();
+    }
+}
+
+/** Waits while the answer's buffer is full; throws when the run is aborted meanwhile. */
+async function waitForRoom(ledger: Ledger, item: Pending): Promise<void> {
+    const { signal } = item.abort;
+    while (isOverLimit(ledger, item.record)) {
+        await new Promise<void>(resolve => {
+            item.wake = resolve;
+            signal.addEventListener("abort", () => resolve(), { once: true });
+        });
+        item.wake = undefined;
+        signal.throwIfAborted();
     }
 }
 
+/** Calls `onSilence` when a started watch is neither stopped nor started again within its time. */
+function createSilenceWatch(onSilence: () => void) {
+    let timer: NodeJS.Timeout | undefined;
+    const stop = () => clearTimeout(timer);
+    return {
+        stop,
+        start: (limitMs: number | undefined) => {
+            stop();
+            timer = limitMs === undefined ? undefined : setTimeout(onSilence, limitMs);
+        },
+    };
+}
+
 /** Whether the error says that no connection was made, so that no byte was sent. */
 function hasNeverConnected(error: unknown): boolean {
     const code = (error as { code?: string; }).code;
@@ -144,14 +193,13 @@
 function refuseRun(
     pending: Map<string, Pending>,
     { id }: { id: string; },
-    emit: (item: Pending, frame: Frame) => void,
+    emit: RunContext["emit"],
     title: string,
 ): void {
     const item = pending.get(id);
     pending.delete(id);
     if (item !== undefined) {
         emit(item, {
-            ...createFrameBase(item.record),
             kind: "failed",
             outcome: RunOutcome.notRun,
             status: 503,
@@ -166,10 +214,6 @@
     return { id, workspace, weight, urgency, tokens, expiresAt: Date.now() + params.deadlineMs / 2 };
 }
 
-function createFrameBase(record: RunRecord): { requestId: string; attempt: number; sequence: number; } {
-    return { requestId: record.requestId, attempt: record.attempt, sequence: record.frames.length };
-}
-
 function formatId(record: RunRecord): string {
     return `${record.requestId}/${record.attempt}`;
 }
--- a/src/slot/server.ts
+++ b/src/slot/server.ts
@@ -6,13 +6,12 @@
 import type { Metrics } from "../observe/metrics.js";
 import { authHeader, verifyCall } from "../wire/auth.js";
 import { encodeFrame } from "../wire/frames.js";
-import { type Frame, InternalPath, ResumeParamsSchema, RevokeParamsSchema, RunParamsSchema } from "../wire/messages.js";
+import { InternalPath, ResumeParamsSchema, RevokeParamsSchema, RunParamsSchema } from "../wire/messages.js";
 import { createRpcServer, maxRpcBytes, readBody, type RpcMethods } from "../wire/rpc.js";
-import { beginRun, type Ledger, resumeRun, revokeRun, type RunRecord } from "./ledger.js";
+import { beginRun, type Ledger, resumeRun, revokeRun } from "./ledger.js";
+import { streamFrames } from "./reader.js";
 import type { Runner } from "./runner.js";
 
-const keepaliveMs = 500;
-
 export interface SlotContext {
     settings: SlotSettings;
     ledger: Ledger;
@@ -102,9 +101,10 @@
         sendFailed(response, params, RunOutcome.notRun, result.status, result.title);
         return;
     }
-    const weight = context.getWeight(params.workspace);
-    context.runner.start(result.record, params, weight);
-    streamFrames(context, result.record, 0, response);
+    if (result.kind === "begin") {
+        context.runner.start(result.record, params, context.getWeight(params.workspace));
+    }
+    streamFrames(context.runner, result.record, 0, response);
 }
 
 function handleResume(context: SlotContext, body: string, response: ServerResponse): void {
@@ -115,10 +115,10 @@
     }
     const result = resumeRun(context.ledger, params, Date.now());
     if (result.kind === "refuse") {
-        sendFailed(response, params, result.outcome, 503, "The slot does not know the run");
+        sendFailed(response, params, result.outcome, 503, result.title);
         return;
     }
-    streamFrames(context, result.record, params.nextSequence, response);
+    streamFrames(context.runner, result.record, params.nextSequence, response);
 }
 
 function sendFailed(
@@ -134,33 +134,3 @@
         encodeFrame({ requestId, attempt, sequence: 0, kind: "failed", outcome, status, title, retryAfterSeconds: 1 }),
     );
 }
-
-/** Sends the recorded frames from `next` on, then new ones as they come, with keepalive frames in silence. */
-function streamFrames(context: SlotContext, record: RunRecord, next: number, response: ServerResponse): void {
-    response.writeHead(200, { "content-type": "application/x-ndjson" });
-    const isLast = (frame: Frame) => frame.kind === "end" || frame.kind === "failed";
-    const recorded = record.frames.slice(next);
-    const text = recorded.map(encodeFrame).join("");
-    if (recorded.some(isLast)) {
-        response.end(text);
-        return;
-    }
-    response.write(text);
-    const keepalive = setInterval(() => {
-        const { requestId, attempt } = record;
-        response.write(encodeFrame({ requestId, attempt, sequence: record.frames.length, kind: "keepalive" }));
-    }, keepaliveMs);
-    const stop = context.runner.subscribe(record, frame => {
-        response.write(encodeFrame(frame));
-        keepalive.refresh();
-        if (isLast(frame)) {
-            close();
-            response.end();
-        }
-    });
-    const close = () => {
-        clearInterval(keepalive);
-        stop();
-    };
-    response.on("close", close);
-}
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -14,21 +14,21 @@
 import { createLedger, expireRecords } from "./ledger.js";
 import { createRunner } from "./runner.js";
 import { createSlotServer } from "./server.js";
-import { createUpstreamClient } from "./upstream.js";
+import { createUpstreamClient, silenceLimits } from "./upstream.js";
 
 const expiryIntervalMs = 5000;
 const defaultLimits = { concurrency: 64, tokens: 200_000, queue: 128 };
 
 /** Starts a slot; resolves once it listens. */
 export async function startSlot(settings: SlotSettings): Promise<{ stop: () => Promise<void>; }> {
-    const { instance, environment, platform, internal } = settings;
+    const { instance, environment, platform, internal, upstream } = settings;
     const makeLogger = createLoggers("beechdock-slot", instance, settings.logLevel);
     const logger = makeLogger(Prefix.slot);
     const configLogger = makeLogger(Prefix.config);
     const metrics = createMetrics();
     const ledger = createLedger(randomUUID());
     const admission = createAdmission(defaultLimits);
-    const runner = createRunner(ledger, admission, createUpstreamClient(settings.upstream.url));
+    const runner = createRunner(ledger, admission, createUpstreamClient(upstream.url, silenceLimits[upstream.kind]));
     let config: ConfigState = createConfigState(environment);
 
     const markLeaving = (reason: string) => {
--- a/src/slot/tests/ledger.test.ts
+++ b/src/slot/tests/ledger.test.ts
@@ -1,6 +1,20 @@
 import { describe, expect, it } from "vitest";
+import { maxSkewMs } from "../../wire/auth.js";
 import type { RunParams } from "../../wire/messages.js";
-import { beginRun, createLedger, expireRecords, resumeRun, retentionMs, revokeRun } from "../ledger.js";
+import type { FrameBody } from "../../wire/messages.js";
+import {
+    beginRun,
+    createLedger,
+    expireRecords,
+    isOverLimit,
+    type Ledger,
+    noteDelivered,
+    recordFrame,
+    resumeRun,
+    retentionMs,
+    revokeRun,
+    type RunRecord,
+} from "../ledger.js";
 
 const run: RunParams = {
     requestId: "r1",
@@ -30,6 +44,7 @@
           {
             "kind": "refuse",
             "outcome": "unknown",
+            "title": "The slot does not know the run",
           }
         `);
     });
@@ -45,4 +60,92 @@
           ]
         `);
     });
+
+    it("keeps tombstones for longer than copies of a revoked call are accepted", () => {
+        expect(retentionMs).toBeGreaterThan(2 * maxSkewMs);
+    });
+
+    it.each([
+        { name: "a known run", change: {}, before: (ledger: Ledger) => beginRun(ledger, run, 0), kind: "replay" },
+        { name: "a run without an incarnation", change: { incarnation: undefined }, kind: "refuse" },
+        { name: "a run for an earlier process", change: { incarnation: "i0" }, kind: "refuse" },
+        {
+            name: "a run at a leaving slot",
+            change: {},
+            before: (ledger: Ledger) => {
+                ledger.leaving = true;
+            },
+            kind: "refuse",
+        },
+        {
+            name: "a run beyond the bound of records",
+            change: {},
+            before: (ledger: Ledger) => {
+                ledger.limits = { ...ledger.limits, records: 0 };
+            },
+            kind: "refuse",
+        },
+    ])("answers $name with $kind", ({ change, before, kind }) => {
+        const ledger = createLedger("i1");
+        before?.(ledger);
+        expect(beginRun(ledger, { ...run, ...change }, 1).kind).toBe(kind);
+    });
+
+    it("does not answer not-run when there is no room for a tombstone", () => {
+        const ledger = createLedger("i1", { answerBytes: 1, totalBytes: 1, records: 0 });
+        expect(revokeRun(ledger, run, 0)).toBe("unknown");
+    });
+});
+
+describe("answer buffers", () => {
+    const limits = { answerBytes: 4000, totalBytes: 6000, records: 10 };
+
+    function begin(ledger: Ledger, requestId: string): RunRecord {
+        const result = beginRun(ledger, { ...run, requestId }, 0);
+        return result.kind === "begin" ? result.record : expect.unreachable();
+    }
+
+    function record(ledger: Ledger, target: RunRecord, body: FrameBody): void {
+        const { requestId, attempt, next: sequence } = target;
+        recordFrame(ledger, target, { requestId, attempt, sequence, ...body }, 0);
+    }
+
+    const data: FrameBody = { kind: "data", data: "x".repeat(1000) };
+
+    it("pause reading while a reader lags, and drop what was delivered", () => {
+        const ledger = createLedger("i1", limits);
+        const target = begin(ledger, "r1");
+        [data, data, data, data].forEach(body => record(ledger, target, body));
+        const before = isOverLimit(ledger, target);
+        noteDelivered(ledger, target, 4);
+        const resumed = [0, 4].map(nextSequence => resumeRun(ledger, { ...run, nextSequence }, 1).kind);
+        expect([before, isOverLimit(ledger, target), ledger.bytes, ...resumed]).toMatchInlineSnapshot(`
+          [
+            true,
+            false,
+            1256,
+            "refuse",
+            "replay",
+          ]
+        `);
+    });
+
+    it("drop answers of ended runs first, which can then not be resumed", () => {
+        const ledger = createLedger("i1", limits);
+        const [ended, running] = [begin(ledger, "r1"), begin(ledger, "r2")];
+        [data, data, { kind: "failed", outcome: "run", status: 502, title: "lost" } as const]
+            .forEach(body => record(ledger, ended, body));
+        [data, data, data].forEach(body => record(ledger, running, body));
+        const resumed = [ended, running].map(({ requestId }) =>
+            resumeRun(ledger, { ...run, requestId, nextSequence: 0 }, 1).kind
+        );
+        expect([ledger.bytes, running.frames.length, ...resumed]).toMatchInlineSnapshot(`
+          [
+            5280,
+            3,
+            "refuse",
+            "replay",
+          ]
+        `);
+    });
 });
--- /dev/null
+++ b/src/slot/tests/requests.test.ts
@@ -0,0 +1,124 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { requestRules } from "../../bench/explore-requests.js";
+import { driveRequests, type RequestRules } from "../../bench/requestDriver.js";
+import type { AttemptEvent } from "../../entry/attempt.js";
+import type { Frame } from "../../wire/messages.js";
+
+const runs = 20_000;
+const seed = 20261203;
+const { advanceAttempt, beginRun, resumeRun } = requestRules;
+
+function findFailure(rules: RequestRules, numRuns: number): string | undefined {
+    let what: string | undefined;
+    fc.check(
+        fc.property(fc.integer({ min: 1, max: 2 ** 31 - 1 }), schedule => {
+            const findings = driveRequests(rules, schedule);
+            what = findings.length > 0 ? `${findings[0]} (schedule ${schedule})` : what;
+            return findings.length === 0;
+        }),
+        { seed, numRuns, endOnFailure: true },
+    );
+    return what;
+}
+
+function replaceFrame(change: (frame: Frame, state: { attempt: number; }) => Frame): RequestRules {
+    return {
+        ...requestRules,
+        advanceAttempt: (state, event: AttemptEvent, now) =>
+            advanceAttempt(
+                state,
+                event.kind === "frame" ? { ...event, frame: change(event.frame, state) } : event,
+                now,
+            ),
+    };
+}
+
+const wrongRules: Record<string, { rules: RequestRules; finding: RegExp; }> = {
+    "no tombstone on revocation": {
+        rules: {
+            ...requestRules,
+            resumeRun: (ledger, params, now) => {
+                const result = resumeRun(ledger, params, now);
+                if (result.kind === "refuse") {
+                    ledger.records.delete(`${params.requestId}/${params.attempt}`);
+                }
+                return result;
+            },
+        },
+        finding: /not-run|effects/,
+    },
+    "no check of the incarnation": {
+        rules: {
+            ...requestRules,
+            beginRun: (ledger, params, now) => beginRun(ledger, { ...params, incarnation: ledger.incarnation }, now),
+        },
+        finding: /effects/,
+    },
+    "runs without an incarnation": {
+        rules: {
+            ...requestRules,
+            beginRun: (ledger, params, now) =>
+                beginRun(ledger, { ...params, incarnation: params.incarnation ?? ledger.incarnation }, now),
+        },
+        finding: /effects/,
+    },
+    "retry on an unknown outcome": {
+        rules: replaceFrame(frame =>
+            frame.kind === "failed" && frame.outcome === "unknown" ? { ...frame, outcome: "not-run" } : frame
+        ),
+        finding: /not-run|effects/,
+    },
+    "unknown runs count as not-run after a restart": {
+        rules: {
+            ...requestRules,
+            resumeRun: (ledger, params, now) => {
+                const result = resumeRun(ledger, params, now);
+                return result.kind === "refuse" ? { ...result, outcome: "not-run" } : result;
+            },
+        },
+        finding: /not-run|effects/,
+    },
+    "a further copy of a run is refused as not-run": {
+        rules: {
+            ...requestRules,
+            beginRun: (ledger, params, now) => {
+                const result = beginRun(ledger, params, now);
+                return result.kind === "replay" ? { kind: "refuse", status: 409, title: "known" } : result;
+            },
+        },
+        finding: /not-run|effects/,
+    },
+    "copies of any age are accepted": {
+        rules: { ...requestRules, isFresh: () => true },
+        finding: /not-run|effects/,
+    },
+    "an answer ends without a check of its length": {
+        rules: {
+            ...requestRules,
+            advanceAttempt: (state, event, now) =>
+                advanceAttempt(
+                    state,
+                    event.kind === "frame" && event.frame.kind === "end" ?
+                        { ...event, frame: { ...event.frame, length: state.bodyLength } } :
+                        event,
+                    now,
+                ),
+        },
+        finding: /wrong answer/,
+    },
+    "frames of abandoned attempts are taken": {
+        rules: replaceFrame((frame, state) => ({ ...frame, attempt: state.attempt })),
+        finding: /wrong answer|not-run|effects/,
+    },
+};
+
+describe("requests between entries and slots", () => {
+    it(`break no invariant in ${runs} schedules of faults`, () => {
+        expect(findFailure(requestRules, runs)).toBeUndefined();
+    });
+
+    it.each(Object.entries(wrongRules))("fail when %s", (name, { rules, finding }) => {
+        expect(findFailure(rules, runs)).toMatch(finding);
+    });
+});
--- a/src/slot/upstream.ts
+++ b/src/slot/upstream.ts
@@ -22,14 +22,49 @@
     body: AsyncIterable<Buffer>;
 }
 
+/** Longest silences of an upstream's connection before it counts as lost, in milliseconds. */
+export interface SilenceLimits {
+    /** Before the head of the answer; only the deadline limits it when absent. */
+    headMs: number | undefined;
+    /** Between two parts of the body. */
+    bodyMs: number;
+}
+
+/** Engines stream tokens steadily; a plain service may work for long before it answers. */
+export const silenceLimits: Record<"engine" | "plain", SilenceLimits> = {
+    engine: { headMs: 10_000, bodyMs: 2000 },
+    plain: { headMs: undefined, bodyMs: 5000 },
+};
+
 export interface UpstreamClient {
+    silence: SilenceLimits;
     run: (params: RunParams, signal: AbortSignal) => Promise<UpstreamAnswer>;
 }
 
-/** Creates a client for the upstream at `url`; idle connections are reused only for a moment. */
-export function createUpstreamClient(url: string): UpstreamClient {
-    const agent = new Agent({ connections: 256, keepAliveTimeout: 2000, headersTimeout: 0, bodyTimeout: 0 });
-    return { run: (params, signal) => requestUpstream(agent, url, params, signal) };
+/** Longest time that a connection may have been idle before a request rides on it, in milliseconds. */
+const maxIdleMs = { idempotent: 2000, other: 250 };
+
+/**
+ * Creates a client for the upstream at `url`. Connections that were idle for a moment may have been lost, so they
+ * are not used again, whatever the upstream proposes; requests that can't be repeated get fresher ones.
+ */
+export function createUpstreamClient(url: string, silence: SilenceLimits): UpstreamClient {
+    const idempotent = createAgent(maxIdleMs.idempotent);
+    const other = createAgent(maxIdleMs.other);
+    return {
+        silence,
+        run: (params, signal) => requestUpstream(params.idempotent ? idempotent : other, url, params, signal),
+    };
+}
+
+function createAgent(idleMs: number): Agent {
+    return new Agent({
+        connections: 256,
+        keepAliveTimeout: idleMs,
+        keepAliveMaxTimeout: idleMs,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    });
 }
 
 async function requestUpstream(
--- a/src/wire/auth.ts
+++ b/src/wire/auth.ts
@@ -2,7 +2,8 @@
 import { createHash, createHmac, randomBytes, timingSafeEqual } from "node:crypto";
 
 export const authHeader = "x-beechdock-auth";
-const maxSkewMs = 30_000;
+/** Largest difference between the time of a signature and the clock of its reader, in milliseconds. */
+export const maxSkewMs = 30_000;
 const processNonce = randomBytes(9).toString("base64url");
 let nonceCounter = 0;
 
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -64,6 +64,9 @@
         | { kind: "failed"; outcome: RunOutcome; status: number; title: string; retryAfterSeconds?: number; }
     );
 
+/** A frame without its place in an answer. */
+export type FrameBody = Frame extends infer T ? T extends Frame ? Omit<T, keyof FrameBase> : never : never;
+
 const base = { requestId: z.string(), attempt: z.number(), sequence: z.number() };
 const LoadReportSchema = z.object({
     incarnation: z.string(),
