--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -25,6 +25,8 @@
     deadline: number;
     /** Whether an earlier attempt may have run. */
     mayHaveRun: boolean;
+    /** Frames of other requests are dropped; without it, frames count as this request's. */
+    requestId?: string;
 }
 
 export type AttemptEvent =
@@ -35,7 +37,10 @@
     | { kind: "broken"; }
     /** A connection to the slot could not be made, so that nothing was sent. */
     | { kind: "unreachable"; }
-    | { kind: "deadline"; };
+    /** The retry budget does not admit the attempt that was about to begin. */
+    | { kind: "retry-refused"; retryAfterSeconds: number; }
+    | { kind: "deadline"; }
+    | { kind: "caller-gone"; };
 
 export type AttemptAction =
     | { kind: "choose"; }
@@ -44,12 +49,14 @@
     | { kind: "relay"; frame: Frame; }
     | { kind: "drop"; }
     | { kind: "retry"; reason: string; }
+    /** Tells the slot that nobody waits for the answer. */
+    | { kind: "cancel"; }
     | { kind: "finish"; }
     /** Ends the answer with an error, or breaks it visibly when it has begun. */
     | { kind: "fail"; outcome: RunOutcome; status: number; title: string; retryAfterSeconds?: number; };
 
 /** Creates the state of a request that has no upstream yet. */
-export function createAttemptState(idempotent: boolean, deadline: number): AttemptState {
+export function createAttemptState(idempotent: boolean, deadline: number, requestId?: string): AttemptState {
     return {
         phase: Phase.choosing,
         attempt: 1,
@@ -60,6 +67,7 @@
         idempotent,
         deadline,
         mayHaveRun: false,
+        requestId,
     };
 }
 
@@ -83,7 +91,17 @@
         state.resumes > 0 ?
             handleBroken(state, now) :
             retryElsewhere(state, RunOutcome.notRun, now, "unreachable", 502, "The slot cannot be reached"),
-    deadline: state => failRequest(state, RunOutcome.unknown, 504, "The deadline has passed"),
+    "retry-refused": (state, event) =>
+        failRequest(state, RunOutcome.notRun, 503, "Too many requests are being retried", event.retryAfterSeconds),
+    deadline: state => {
+        const outcome = state.phase === Phase.choosing ? RunOutcome.notRun : RunOutcome.unknown;
+        return failRequest(state, outcome, 504, "The deadline has passed");
+    },
+    "caller-gone": state => {
+        const sent = state.phase !== Phase.choosing;
+        state.phase = Phase.done;
+        return sent ? [{ kind: "cancel" }] : [];
+    },
 };
 
 /** Applies an event to the state and returns what to do, in order. */
@@ -95,10 +113,7 @@
 }
 
 function handleFrame(state: AttemptState, frame: Frame, now: number): AttemptAction[] {
-    if (
-        frame.attempt !== state.attempt ||
-        (frame.kind !== "keepalive" && frame.kind !== "failed" && frame.sequence < state.nextSequence)
-    ) {
+    if (isForeign(state, frame)) {
         return [{ kind: "drop" }];
     }
     if (frame.kind === "keepalive") {
@@ -115,10 +130,21 @@
     return applyFrame(state, frame);
 }
 
+/** Whether a frame belongs to another request or attempt, or has been applied before. */
+function isForeign(state: AttemptState, frame: Frame): boolean {
+    if (frame.attempt !== state.attempt || (state.requestId ?? frame.requestId) !== frame.requestId) {
+        return true;
+    }
+    return frame.kind !== "keepalive" && frame.kind !== "failed" && frame.sequence < state.nextSequence;
+}
+
 function applyFrame(state: AttemptState, frame: Exclude<Frame, { kind: "failed"; }>): AttemptAction[] {
     if (frame.kind === "accepted") {
         return [];
     }
+    if ((frame.kind === "head") === state.answered || (frame.kind === "head" && !isFinalStatus(frame.status))) {
+        return failRequest(state, RunOutcome.unknown, 502, "The slot broke the protocol");
+    }
     if (frame.kind === "data") {
         state.bodyLength += frame.data.length;
     }
@@ -134,6 +160,10 @@
     return [{ kind: "relay", frame }];
 }
 
+function isFinalStatus(status: number): boolean {
+    return status >= 200 && status <= 599;
+}
+
 function handleFailed(state: AttemptState, frame: Extract<Frame, { kind: "failed"; }>, now: number): AttemptAction[] {
     if (state.answered) {
         return failRequest(state, frame.outcome, frame.status, frame.title);
@@ -182,6 +212,7 @@
     retryAfterSeconds?: number,
 ): AttemptAction[] {
     state.phase = Phase.done;
-    const told = outcome === RunOutcome.notRun && state.mayHaveRun ? RunOutcome.unknown : outcome;
+    const proven = outcome === RunOutcome.notRun && state.mayHaveRun ? RunOutcome.unknown : outcome;
+    const told = state.answered ? RunOutcome.run : proven;
     return [{ kind: "fail", outcome: told, status, title, retryAfterSeconds }];
 }
--- a/src/slot/server.ts
+++ b/src/slot/server.ts
@@ -1,13 +1,13 @@
 /** Internal HTTP interface of a slot: run, resume and JSON-RPC calls. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import { z } from "zod";
 import type { SlotSettings } from "../config/settings.js";
 import { RunOutcome } from "../core/types.js";
 import type { Metrics } from "../observe/metrics.js";
-import { authHeader, verifyCall } from "../wire/auth.js";
 import { encodeFrame } from "../wire/frames.js";
 import { type Frame, InternalPath, ResumeParamsSchema, RevokeParamsSchema, RunParamsSchema } from "../wire/messages.js";
-import { createRpcServer, maxRpcBytes, readBody, type RpcMethods } from "../wire/rpc.js";
+import type { RpcMethods } from "../wire/rpc.js";
+import { createInternalServer, createRpcHandler } from "../wire/server.js";
 import { beginRun, type Ledger, resumeRun, revokeRun, type RunRecord } from "./ledger.js";
 import type { Runner } from "./runner.js";
 
@@ -24,51 +24,17 @@
     methods: RpcMethods;
 }
 
-type Handler = (context: SlotContext, body: string, response: ServerResponse) => Promise<void> | void;
-
 /** Creates the server; the caller listens on it. */
 export function createSlotServer(context: SlotContext): Server {
-    const rpc = createRpcServer({ ...createSlotMethods(context), ...context.methods });
-    const handlers: Record<string, Handler> = {
-        [InternalPath.run]: handleRun,
-        [InternalPath.resume]: handleResume,
-        [InternalPath.rpc]: async (context, body, response) => {
-            const answer = await rpc.receiveJSON(body);
-            response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(answer ?? {}));
+    return createInternalServer({
+        identity: context.settings,
+        registry: context.metrics.registry,
+        handlers: {
+            [InternalPath.run]: (body, response) => handleRun(context, body, response),
+            [InternalPath.resume]: (body, response) => handleResume(context, body, response),
+            [InternalPath.rpc]: createRpcHandler({ ...createSlotMethods(context), ...context.methods }),
         },
-    };
-    return createServer((message, response) => void handleMessage(context, handlers, message, response));
-}
-
-async function handleMessage(
-    context: SlotContext,
-    handlers: Record<string, Handler>,
-    message: IncomingMessage,
-    response: ServerResponse,
-): Promise<void> {
-    const path = message.url ?? "/";
-    if (message.method === "GET" && path === "/metrics") {
-        response.writeHead(200, { "content-type": "text/plain" }).end(await context.metrics.registry.metrics());
-        return;
-    }
-    const handler = message.method === "POST" ? handlers[path] : undefined;
-    if (handler === undefined) {
-        response.writeHead(404).end();
-        return;
-    }
-    const body = await readBody(message, maxRpcBytes);
-    if (body === undefined) {
-        response.writeHead(413).end();
-        return;
-    }
-    const { environment, internalKeys } = context.settings;
-    const text = body.toString();
-    const header = message.headers[authHeader] as string | undefined;
-    if (!verifyCall(internalKeys, { environment, path, body: text }, header, Date.now())) {
-        response.writeHead(401).end();
-        return;
-    }
-    await handler(context, text, response);
+    });
 }
 
 function createSlotMethods(context: SlotContext): RpcMethods {
--- /dev/null
+++ b/src/wire/server.ts
@@ -0,0 +1,70 @@
+/** Internal HTTP server that entries and slots have in common: signed calls, and metrics for anyone. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Registry } from "prom-client";
+import { authHeader, verifyCall } from "./auth.js";
+import { createRpcServer, maxRpcBytes, readBody, type RpcIdentity, type RpcMethods } from "./rpc.js";
+
+/** Handles a verified call. */
+export type InternalHandler = (body: string, response: ServerResponse) => Promise<void> | void;
+
+export interface InternalServerOptions {
+    identity: RpcIdentity;
+    registry: Registry;
+    /** Handlers of POST calls by path. */
+    handlers: Record<string, InternalHandler>;
+}
+
+/** Creates the server; the caller listens on it. */
+export function createInternalServer(options: InternalServerOptions): Server {
+    return createServer((message, response) => {
+        handleMessage(options, message, response).catch(() => {
+            if (response.headersSent) {
+                response.destroy();
+            }
+            else {
+                response.writeHead(500).end();
+            }
+        });
+    });
+}
+
+/** Creates the handler of JSON-RPC calls; bad calls get the errors of JSON-RPC 2.0. */
+export function createRpcHandler(methods: RpcMethods): InternalHandler {
+    const rpc = createRpcServer(methods);
+    return async (body, response) => {
+        const answer = await rpc.receiveJSON(body);
+        response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(answer ?? {}));
+    };
+}
+
+async function handleMessage(
+    options: InternalServerOptions,
+    message: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
+    const path = message.url ?? "/";
+    if (message.method === "GET" && path === "/metrics") {
+        response.writeHead(200, { "content-type": "text/plain" }).end(await options.registry.metrics());
+        return;
+    }
+    const handler = message.method === "POST" && Object.hasOwn(options.handlers, path) ?
+        options.handlers[path] :
+        undefined;
+    if (handler === undefined) {
+        response.writeHead(404).end();
+        return;
+    }
+    const body = await readBody(message, maxRpcBytes);
+    if (body === undefined) {
+        response.writeHead(413).end();
+        return;
+    }
+    const { environment, internalKeys } = options.identity;
+    const text = body.toString();
+    const header = message.headers[authHeader] as string | undefined;
+    if (!verifyCall(internalKeys, { environment, path, body: text }, header, Date.now())) {
+        response.writeHead(401).end();
+        return;
+    }
+    await handler(text, response);
+}
