Fold promotions by their base, spread revisions by log and peers, keep an audit trail

Peers gossip revisions; a fresh process is ready at the log's end or, with the log down, after its data centre's peers. Commands diff, status, explain, audit, settings are new.

--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -1,67 +1,61 @@
 /** Commands of operators. */
 import meow from "meow";
-import { randomUUID } from "node:crypto";
-import { readFileSync } from "node:fs";
 import { userInfo } from "node:os";
-import { ConfigPublisher } from "../config/publish.js";
-import { type ConfigDocument, DocumentSchema } from "../config/schemas.js";
-import { createInputError, InputError } from "../core/errors.js";
-import { parseYaml } from "../core/parse.js";
-import { createLogClient } from "../log/client.js";
-
-const exitCodes = { ok: 0, failed: 1, badInput: 2, rejected: 3 } as const;
+import { InputError } from "../core/errors.js";
+import { auditCommand } from "./audit.js";
+import { checkCommand, diffCommand, promoteCommand, publishCommand } from "./documents.js";
+import { settingsCommand } from "./settings.js";
+import { explainCommand, statusCommand } from "./status.js";
+import { type Command, ExitCode } from "./types.js";
 
 const help = `
     Usage
       $ beechdock check FILE
+      $ beechdock diff [FILE] --log URL [--environment NAME]
       $ beechdock publish FILE --log URL [--from REVISION]
       $ beechdock promote --log URL [--from REVISION]
+      $ beechdock status --settings FILE
+      $ beechdock explain REQUEST-ID --settings FILE
+      $ beechdock explain map GROUP --settings FILE
+      $ beechdock audit --log URL [--since 24h] [--environment NAME]
+      $ beechdock settings --print --settings FILE
 
     Commands
       check     check a document and print every finding with its place
+      diff      list what FILE changes, or without FILE what trial changes against production
       publish   put a document into force in the trial environment
       promote   put trial's document into force in production
+      status    show which instance runs which revision since when, and who is cut off
+      explain   tell what became of a request, or how a group came to its expert map
+      audit     list promotions and what the system did of its own accord
+      settings  print a settings file with its defaults; secrets are masked
 
     Options
-      --log URL         address of the platform's log
+      --settings FILE   addresses of log and list, environment and keys, in YAML
+      --log URL         address of the platform's log; in place of --settings
       --from REVISION   revision that the change was made from; the one in force when absent
+      --since WHEN      30s, 90m, 24h, 7d or a time; 24h when absent
+      --environment E   trial or production
       --author NAME     name for the audit trail
       --json            print results as JSON
 
     Exit codes
       0  done
-      1  failed, for example because the log cannot be reached
-      2  bad options or a bad document
+      1  failed, for example because the log cannot be reached, or nothing was found
+      2  bad options, a bad document or bad settings
       3  rejected: another revision came first
+      4  incomplete: some instances gave no answer
 `;
 
-interface Options {
-    log: string | undefined;
-    from: number | undefined;
-    author: string;
-    json: boolean;
-}
-
-type Command = (args: string[], options: Options) => Promise<number>;
-
 const commands: Record<string, Command> = {
-    check: async ([file], options) => {
-        loadDocument(file);
-        printResult(options, { ok: true }, `${file}: no findings`);
-        return exitCodes.ok;
-    },
-    publish: async ([file], options) => {
-        const document = loadDocument(file);
-        return putDocument("trial", options, async () => document);
-    },
-    promote: async (args, options) =>
-        putDocument("production", options, async publisher => {
-            const trial = await publisher.read("trial");
-            if (trial.document === undefined) {
-                throw createInputError([{ code: "nothing", path: [], message: "Nothing has been published to trial" }]);
-            }
-            return trial.document;
-        }),
+    check: checkCommand,
+    diff: diffCommand,
+    publish: publishCommand,
+    promote: promoteCommand,
+    status: statusCommand,
+    explain: explainCommand,
+    audit: auditCommand,
+    settings: settingsCommand,
 };
 
 /** Runs the command line and returns the exit code. */
@@ -71,67 +65,31 @@
         argv,
         flags: {
             log: { type: "string" },
+            settings: { type: "string" },
             from: { type: "number" },
+            since: { type: "string", default: "24h" },
+            environment: { type: "string" },
             author: { type: "string", default: userInfo().username },
             json: { type: "boolean", default: false },
+            print: { type: "boolean", default: false },
         },
     });
-    const command = commands[cli.input[0] ?? ""];
-    if (command === undefined) {
+    const name = cli.input[0] ?? "";
+    if (!Object.hasOwn(commands, name)) {
         process.stderr.write(`${cli.help}\n`);
-        return exitCodes.badInput;
+        return ExitCode.badInput;
     }
     try {
-        return await command(cli.input.slice(1), cli.flags);
+        return await commands[name](cli.input.slice(1), cli.flags);
     }
     catch (error) {
-        process.stderr.write(`${(error as Error).message}\n`);
-        return error instanceof InputError ? exitCodes.badInput : exitCodes.failed;
+        return reportError(error as Error, cli.flags.json);
     }
 }
 
-function loadDocument(file: string | undefined): ConfigDocument {
-    if (file === undefined) {
-        throw createInputError([{ code: "missing", path: [], message: "Name the document's file" }]);
-    }
-    try {
-        return parseYaml(file, readFileSync(file, "utf8"), DocumentSchema);
-    }
-    catch (error) {
-        if (error instanceof InputError) {
-            throw error;
-        }
-        throw createInputError([{ code: "unreadable", path: [], message: (error as Error).message }]);
-    }
-}
-
-async function putDocument(
-    environment: string,
-    options: Options,
-    getDocument: (publisher: ConfigPublisher) => Promise<ConfigDocument>,
-): Promise<number> {
-    if (options.log === undefined) {
-        throw createInputError([{ code: "missing", path: ["--log"], message: "Name the log's address" }]);
-    }
-    const publisher = new ConfigPublisher(createLogClient(options.log));
-    const document = await getDocument(publisher);
-    const base = options.from ?? (await publisher.read(environment)).revision;
-    const id = randomUUID();
-    const verdict = await publisher.promote({
-        kind: "promote",
-        id,
-        environment,
-        base,
-        author: options.author,
-        document,
-    });
-    const text = verdict.accepted ?
-        `${environment}: revision ${verdict.revision} is in force` :
-        `${environment}: rejected, ${verdict.reason}`;
-    printResult(options, { environment, ...verdict }, text);
-    return verdict.accepted ? exitCodes.ok : exitCodes.rejected;
-}
-
-function printResult(options: Options, value: unknown, text: string): void {
-    process.stdout.write(`${options.json ? JSON.stringify(value) : text}\n`);
+function reportError(error: Error, json: boolean): number {
+    const isInput = error instanceof InputError;
+    const issues = isInput ? error.issues : [];
+    process.stderr.write(json ? `${JSON.stringify({ error: error.message, issues })}\n` : `${error.message}\n`);
+    return isInput ? ExitCode.badInput : ExitCode.failed;
 }
--- a/src/config/fold.ts
+++ b/src/config/fold.ts
@@ -1,93 +1,195 @@
 /**
  * Folds configuration records from the log into the revision in force.
- * Every reader applies the same records in the same order and reaches the same verdicts.
+ *
+ * Promotion n+1 is the first promotion in the log that names revision n and its digest as base. The verdict on a
+ * promotion therefore depends only on its base and on the accepted promotions, never on when a reader started.
+ * A reader judges promotions only while it is anchored: it has read the stream from its first record on, or from a
+ * snapshot on that no promotion has overtaken.
  */
+import type { LogRecord } from "../log/types.js";
+import type { Accepted, ConfigRecord, PromoteRecord, SnapshotRecord } from "./records.js";
+import { parseRecord } from "./records.js";
 import type { ConfigDocument } from "./schemas.js";
 
-export const configStream = "beechdock-config";
+export type Verdict =
+    | { accepted: true; revision: number; }
+    /** `revision` is the one that took the place of the base, by `author`. */
+    | { accepted: false; revision: number; author: string; reason: string; };
 
-export interface PromoteRecord {
-    kind: "promote";
-    id: string;
+/** The configuration that a process serves with. */
+export interface ConfigState {
     environment: string;
-    /** Revision that the operator edited; 0 for the first document. */
-    base: number;
+    revision: number;
     author: string;
-    document: ConfigDocument;
+    document: ConfigDocument | undefined;
 }
 
-export interface SnapshotRecord {
-    kind: "snapshot";
-    id: string;
-    environment: string;
+export interface FoldState {
+    readonly environment: string;
+    /** Whether `revision` is the newest one before offset `next`; otherwise it is a lower bound. */
+    anchored: boolean;
     revision: number;
+    digest: string;
     author: string;
-    document: ConfigDocument;
+    /** As it stands in the log. */
+    document: unknown;
+    /** The latest accepted promotions, oldest first. */
+    history: Accepted[];
+    /** Offset to read from next. */
+    next: number;
+    /** First offset of the uninterrupted range that ends at `next`. */
+    coveredFrom: number;
+    /** Offset after the last promotion of this environment; 0 when none was seen. */
+    afterPromotion: number;
+    /** Time of the last snapshot that anchors new readers, by the log's clock; 0 when none was seen. */
+    snapshotTime: number;
+    /** Records whose envelope could not be read. */
+    unreadable: number;
+    /** Snapshots that contradict this reader. */
+    conflicts: number;
 }
 
-export type ConfigRecord = PromoteRecord | SnapshotRecord;
+/** One answer of the log. */
+export interface ReadBatch {
+    records: LogRecord[];
+    oldest: number;
+    next: number;
+}
 
-export type Verdict =
-    | { accepted: true; revision: number; }
-    | { accepted: false; revision: number; reason: string; };
+const maxHistory = 64;
 
-export interface ConfigState {
-    environment: string;
-    revision: number;
-    author: string;
-    document: ConfigDocument | undefined;
-    /** Verdicts by record id, newest last. */
-    verdicts: ReadonlyMap<string, Verdict>;
+/** Creates the configuration of an environment before its first document. */
+export function createConfigState(environment: string): ConfigState {
+    return { environment, revision: 0, author: "", document: undefined };
 }
 
-const maxVerdicts = 1000;
+/** Creates the state of a reader that has read nothing. */
+export function createFoldState(environment: string): FoldState {
+    return {
+        environment,
+        anchored: true,
+        revision: 0,
+        digest: "",
+        author: "",
+        document: undefined,
+        history: [],
+        next: 0,
+        coveredFrom: 0,
+        afterPromotion: 0,
+        snapshotTime: 0,
+        unreadable: 0,
+        conflicts: 0,
+    };
+}
 
-/** Creates the state of an environment before its first document. */
-export function createConfigState(environment: string): ConfigState {
-    return { environment, revision: 0, author: "", document: undefined, verdicts: new Map() };
+/** Applies one answer of the log, which was asked for the records from `state.next` on. */
+export function foldBatch(state: FoldState, batch: ReadBatch): FoldState {
+    if (batch.oldest > state.next) {
+        state.anchored = false;
+        state.coveredFrom = batch.oldest;
+        state.next = batch.oldest;
+    }
+    for (const record of batch.records) {
+        if (record.offset >= state.next) {
+            foldRecord(state, record);
+            state.next = record.offset + 1;
+        }
+    }
+    state.next = Math.max(state.next, batch.next);
+    return state;
 }
 
 const handlers = { promote: applyPromote, snapshot: applySnapshot };
 
-/** Applies one record; records of other environments change nothing. */
-export function foldConfig(state: ConfigState, record: ConfigRecord): ConfigState {
-    if (record.environment !== state.environment) {
-        return state;
+function foldRecord(state: FoldState, record: LogRecord): void {
+    const parsed = parseRecord(record);
+    if (parsed === undefined) {
+        state.unreadable += 1;
+        return;
+    }
+    if (parsed.environment === state.environment) {
+        (handlers[parsed.kind] as (state: FoldState, parsed: ConfigRecord, record: LogRecord) => void)(
+            state,
+            parsed,
+            record,
+        );
+    }
+}
+
+function applyPromote(state: FoldState, promotion: PromoteRecord, record: LogRecord): void {
+    state.afterPromotion = record.offset + 1;
+    const { base, baseDigest, digest, id, author, document } = promotion;
+    if (!state.anchored || base !== state.revision || baseDigest !== state.digest) {
+        return;
     }
-    return handlers[record.kind](state, record as never);
+    state.revision += 1;
+    state.digest = digest;
+    state.author = author;
+    state.document = document;
+    state.history = [...state.history, { revision: state.revision, id, author, digest, time: record.time }]
+        .slice(-maxHistory);
 }
 
-function applyPromote(state: ConfigState, record: PromoteRecord): ConfigState {
-    if (state.verdicts.has(record.id)) {
-        return state;
+function applySnapshot(state: FoldState, snapshot: SnapshotRecord, record: LogRecord): void {
+    const { revision, digest, through } = snapshot;
+    const overtaken = through < state.afterPromotion || through > record.offset;
+    if (revision === state.revision && digest !== state.digest) {
+        state.conflicts += 1;
+        return;
+    }
+    if (state.anchored) {
+        state.conflicts += revision > state.revision ? 1 : 0;
+        if (!overtaken && revision === state.revision) {
+            state.snapshotTime = record.time;
+        }
+        return;
+    }
+    if (revision < state.revision) {
+        return;
     }
-    if (record.base !== state.revision) {
-        const reason =
-            `made from revision ${record.base}, but revision ${state.revision} by ${state.author} is in force`;
-        return {
-            ...state,
-            verdicts: addVerdict(state.verdicts, record.id, { accepted: false, revision: state.revision, reason }),
-        };
+    useSnapshot(state, snapshot);
+    if (!overtaken && through >= state.coveredFrom) {
+        state.anchored = true;
+        state.snapshotTime = record.time;
     }
-    const revision = state.revision + 1;
-    const verdicts = addVerdict(state.verdicts, record.id, { accepted: true, revision });
-    return { ...state, revision, author: record.author, document: record.document, verdicts };
 }
 
-function applySnapshot(state: ConfigState, record: SnapshotRecord): ConfigState {
-    if (record.revision <= state.revision) {
-        return state;
+function useSnapshot(state: FoldState, snapshot: SnapshotRecord): void {
+    state.revision = snapshot.revision;
+    state.digest = snapshot.digest;
+    state.author = snapshot.author;
+    state.document = snapshot.document;
+    state.history = snapshot.history;
+}
+
+/**
+ * Decides on a promotion; undefined while it can still be accepted, or when it is too old to be judged.
+ * The verdict is final whether or not the promotion is in the log.
+ */
+export function decideVerdict(
+    state: FoldState,
+    promotion: Pick<PromoteRecord, "id" | "base" | "baseDigest">,
+): Verdict | undefined {
+    const { id, base, baseDigest } = promotion;
+    const successor = state.history.find(accepted => accepted.revision === base + 1);
+    if (successor !== undefined) {
+        const { revision, author } = successor;
+        const reason = `made from revision ${base}, which revision ${revision} by ${author} has replaced`;
+        return successor.id === id ? { accepted: true, revision } : { accepted: false, revision, author, reason };
     }
-    return { ...state, revision: record.revision, author: record.author, document: record.document };
+    if (state.anchored && base === state.revision && baseDigest !== state.digest) {
+        const reason = `made from another document than revision ${base}`;
+        return { accepted: false, revision: state.revision, author: state.author, reason };
+    }
+    return undefined;
 }
 
-function addVerdict(verdicts: ReadonlyMap<string, Verdict>, id: string, verdict: Verdict): Map<string, Verdict> {
-    const next = new Map(verdicts).set(id, verdict);
-    for (const oldest of next.keys()) {
-        if (next.size <= maxVerdicts) {
-            break;
-        }
-        next.delete(oldest);
+/** Creates the snapshot of an anchored reader; undefined when there is nothing to keep. */
+export function createSnapshot(state: FoldState): SnapshotRecord | undefined {
+    if (!state.anchored || state.revision === 0) {
+        return undefined;
     }
-    return next;
+    const { environment, revision, digest, author, document, history, next } = state;
+    const id = `snapshot/${environment}/${revision}/${next}`;
+    return { kind: "snapshot", id, environment, revision, digest, author, document, through: next, history };
 }
--- /dev/null
+++ b/src/config/loadState.ts
@@ -0,0 +1,236 @@
+/** Keeps the configuration of a process: follows the log, gossips with peers, appends snapshots, keeps the audit trail. */
+import { createRandom } from "../core/random.js";
+import type { InstanceRecord, Role } from "../core/types.js";
+import { createLogClient } from "../log/client.js";
+import { tailStream } from "../log/tail.js";
+import type { LogClient } from "../log/types.js";
+import { type Audit, AuditKind, createAudit } from "../observe/audit.js";
+import { type Logger, Prefix } from "../observe/logger.js";
+import type { Metrics } from "../observe/metrics.js";
+import { createPeers, type Peers } from "../peers/loadPeers.js";
+import { PeerMethod } from "../peers/messages.js";
+import { rankSelf } from "../peers/rank.js";
+import type { RpcMethods } from "../wire/rpc.js";
+import { type ConfigState, createSnapshot } from "./fold.js";
+import { configStream } from "./records.js";
+import type { CommonSettings } from "./settings.js";
+import {
+    advanceSpread,
+    createSpreadState,
+    planSnapshot,
+    type SpreadAction,
+    type SpreadEvent,
+    type SpreadState,
+} from "./spread.js";
+
+const askIntervalMs = 1000;
+const snapshotCheckMs = 1000;
+const snapshotRetryMs = 10_000;
+
+export interface StateOptions {
+    settings: CommonSettings;
+    role: Role;
+    makeLogger: (prefix: Prefix) => Logger;
+    metrics: Metrics;
+    /** Load of the upstream in tokens. */
+    getLoad: () => number;
+    onConfig: (config: ConfigState) => void;
+}
+
+/** Answer of the JSON-RPC method `status`. */
+export interface ProcessStatus {
+    instance: string;
+    role: Role;
+    dataCentre: string;
+    revision: number;
+    digest: string;
+    /** Time at which the revision came into force, in milliseconds since 1970. */
+    since: number;
+    source: string;
+    ready: boolean;
+    refused?: { revision: number; reason: string; };
+    startedAt: number;
+    /** Time of the last answer of the log, in milliseconds since 1970; 0 before the first. */
+    logAnsweredAt: number;
+    /** Instances that do not answer this process. */
+    silent: string[];
+    auditDropped: number;
+}
+
+export interface StateKeeper {
+    /** JSON-RPC methods for the internal interface. */
+    methods: RpcMethods;
+    audit: Audit;
+    isReady: () => boolean;
+    /** Starts to follow the log and to gossip; `port` is that of the bound internal interface. */
+    start: (port: number) => void;
+    /** Takes in the platform's list and returns it with the leaving marks that peers told. */
+    updateInstances: (instances: InstanceRecord[]) => InstanceRecord[];
+    /** Tells peers and the audit trail that this process is leaving. */
+    announceLeaving: (reason: string) => Promise<void>;
+    stop: () => Promise<void>;
+}
+
+interface Keeper {
+    options: StateOptions;
+    logger: Logger;
+    log: LogClient;
+    spread: SpreadState;
+    audit: Audit;
+    peers: Peers;
+    snapshotAt: number;
+    snapshotDrawn: number;
+}
+
+/** Creates the keeper of a process's configuration; it answers peers at once and acts after `start`. */
+export function createStateKeeper(options: StateOptions): StateKeeper {
+    const { settings, makeLogger } = options;
+    const { instance, environment, internal } = settings;
+    const log = createLogClient(settings.platform.log, countControl(options, "log"));
+    const onError = (error: Error) =>
+        makeLogger(Prefix.log).warn("Appending to the audit trail failed.", { error: error.message });
+    const keeper = {
+        options,
+        log,
+        logger: makeLogger(Prefix.config),
+        spread: createSpreadState(environment, Date.now()),
+        audit: createAudit({ log, environment, instance, onError }),
+        snapshotAt: 0,
+        snapshotDrawn: Math.random(),
+    } as Keeper;
+    keeper.peers = createKeeperPeers(keeper);
+    const { peers, audit, spread } = keeper;
+    let stopWork = () => undefined as void;
+    return {
+        methods: { ...peers.methods, [PeerMethod.status]: () => describeProcess(keeper) },
+        audit,
+        isReady: () => spread.ready,
+        updateInstances: instances => peers.updateInstances(instances),
+        announceLeaving: async reason => {
+            audit.record({ kind: AuditKind.leaving, subject: instance, reason });
+            await peers.announceLeaving();
+        },
+        start: port => {
+            audit.record({ kind: AuditKind.start, subject: instance, reason: "the process has started" });
+            peers.start(`http://${internal.host.includes(":") ? `[${internal.host}]` : internal.host}:${port}`);
+            stopWork = startWork(keeper);
+        },
+        stop: async () => {
+            stopWork();
+            peers.stop();
+            audit.record({ kind: AuditKind.stop, subject: instance, reason: "the process was told to stop" });
+            await audit.stop();
+        },
+    };
+}
+
+function startWork(keeper: Keeper): () => void {
+    const { log, logger } = keeper;
+    const onError = (error: Error) => logger.warn("Reading the log failed.", { error: error.message });
+    const tail = tailStream(log, configStream, onError).subscribe({
+        next: event => applyEvent(keeper, { kind: "log", batch: event, atEnd: event.atEnd }),
+        error: () => undefined,
+        complete: () => undefined,
+    });
+    const askTimer = setInterval(() => void askPeers(keeper), askIntervalMs);
+    const snapshotTimer = setInterval(() => void keepSnapshot(keeper), snapshotCheckMs);
+    return () => {
+        clearInterval(askTimer);
+        clearInterval(snapshotTimer);
+        tail.unsubscribe();
+    };
+}
+
+function countControl({ metrics }: StateOptions, kind: string): (direction: string, bytes: number) => void {
+    return (direction, bytes) => {
+        metrics.controlBytes.inc({ direction, kind }, bytes);
+        if (direction === "sent") {
+            metrics.controlMessages.inc({ kind });
+        }
+    };
+}
+
+function createKeeperPeers(keeper: Keeper): Peers {
+    const { options, spread } = keeper;
+    const { settings, role } = options;
+    const { instance, dataCentre, peers: seeds } = settings;
+    return createPeers({
+        identity: settings,
+        self: { instance, incarnation: Date.now(), state: "live", role, dataCentre, url: "" },
+        seeds,
+        random: createRandom(Math.floor(Math.random() * 2 ** 31)),
+        getRevision: () => spread.newest,
+        getLoad: options.getLoad,
+        onRevision: offer => applyEvent(keeper, { kind: "peer", offer }),
+        countBytes: countControl(options, "peers"),
+    });
+}
+
+const actionHandlers: { [K in SpreadAction["kind"]]: (keeper: Keeper, action: SpreadAction & { kind: K; }) => void; } =
+    {
+        inForce: ({ options, logger, audit, spread }, { config, source }) => {
+            const { revision } = config;
+            logger.info("A revision is in force.", { revision, source, digest: spread.newest.digest });
+            options.metrics.revision.set(revision);
+            options.onConfig(config);
+            audit.record({
+                kind: AuditKind.revisionInForce,
+                subject: String(revision),
+                reason: `learned from the ${source}`,
+            });
+        },
+        refused: ({ logger, audit }, { revision, reason }) => {
+            logger.error("A revision cannot be used; the previous one stays.", { revision, reason });
+            audit.record({ kind: AuditKind.revisionRefused, subject: String(revision), reason });
+        },
+        conflict: ({ logger }, { revision }) => logger.error("A revision came with two documents.", { revision }),
+        ready: ({ logger }, { source }) => logger.info("The configuration is ready.", { source }),
+    };
+
+function applyEvent(keeper: Keeper, event: SpreadEvent): void {
+    for (const action of advanceSpread(keeper.spread, event, Date.now())) {
+        (actionHandlers[action.kind] as (keeper: Keeper, action: SpreadAction) => void)(keeper, action);
+    }
+}
+
+async function askPeers(keeper: Keeper): Promise<void> {
+    if (!keeper.spread.ready) {
+        applyEvent(keeper, { kind: "peersAsked", ...await keeper.peers.askOwnCentre() });
+    }
+}
+
+async function keepSnapshot(keeper: Keeper): Promise<void> {
+    const { spread, peers, options, log, logger } = keeper;
+    const instances = [...peers.state.members.values()]
+        .filter(member => member.state === "live" && member.failures === 0)
+        .map(member => member.instance);
+    const rank = rankSelf(options.settings.instance, instances, `snapshot/${spread.newest.revision}`);
+    const dueAt = planSnapshot(spread, rank, keeper.snapshotDrawn);
+    const snapshot = createSnapshot(spread.fold);
+    if (dueAt === undefined || snapshot === undefined || Date.now() < Math.max(dueAt, keeper.snapshotAt)) {
+        return;
+    }
+    keeper.snapshotAt = Date.now() + snapshotRetryMs;
+    await log.append(configStream, [{ id: snapshot.id, data: snapshot }]).catch((error: Error) => {
+        logger.warn("Appending a snapshot failed.", { error: error.message });
+    });
+}
+
+function describeProcess({ options, spread, peers, audit }: Keeper): ProcessStatus {
+    const { instance, dataCentre } = options.settings;
+    return {
+        instance,
+        role: options.role,
+        dataCentre,
+        revision: spread.inForce.revision,
+        digest: spread.newest.revision === spread.inForce.revision ? spread.newest.digest : "",
+        since: spread.since,
+        source: spread.source,
+        ready: spread.ready,
+        refused: spread.refused,
+        startedAt: spread.startedAt,
+        logAnsweredAt: spread.logAnsweredAt,
+        silent: peers.listSilent(),
+        auditDropped: audit.dropped(),
+    };
+}
--- a/src/config/publish.ts
+++ b/src/config/publish.ts
@@ -1,57 +1,92 @@
 /** Puts documents into the configuration stream and learns the verdict on them. */
 import { CallError } from "../core/errors.js";
+import { computeBackoffMs } from "../log/backoff.js";
 import type { LogClient } from "../log/types.js";
-import {
-    type ConfigRecord,
-    type ConfigState,
-    configStream,
-    createConfigState,
-    foldConfig,
-    type PromoteRecord,
-    type Verdict,
-} from "./fold.js";
-
-const maxTries = 5;
-const retryMs = 200;
+import { computeDigest } from "./digest.js";
+import { createFoldState, decideVerdict, foldBatch, type FoldState, type Verdict } from "./fold.js";
+import { configStream, type PromoteRecord } from "./records.js";
+
+const maxTries = 6;
+
+export interface Promotion {
+    id: string;
+    environment: string;
+    /** State that the change was made from. */
+    base: { revision: number; digest: string; };
+    author: string;
+    document: unknown;
+}
 
 export class ConfigPublisher {
-    constructor(private readonly log: LogClient) {}
-
-    /** Reads the configuration of an environment up to the stream's end. */
-    async read(environment: string): Promise<ConfigState> {
-        let state = createConfigState(environment);
-        for (let from = 0;;) {
-            const result = await this.log.read(configStream, from, 0);
-            if (result.records.length === 0) {
+    /** `onRetry` hears of each failure that is retried. */
+    constructor(
+        private readonly log: LogClient,
+        private readonly onRetry: (error: Error) => void = () => undefined,
+    ) {}
+
+    /** Reads the configuration of an environment up to the stream's end; throws a `CallError` when it is not known. */
+    async read(environment: string): Promise<FoldState> {
+        const state = await this.retry(() => this.readOnce(environment));
+        if (!state.anchored) {
+            throw new CallError("the log has dropped records and holds no snapshot yet; try again in a minute");
+        }
+        return state;
+    }
+
+    /** Appends a promotion and returns its verdict. A lost answer is settled by reading back. */
+    async promote(promotion: Promotion): Promise<Verdict> {
+        const { id, environment, base, author, document } = promotion;
+        const record: PromoteRecord = {
+            kind: "promote",
+            id,
+            environment,
+            base: base.revision,
+            baseDigest: base.digest,
+            author,
+            digest: computeDigest(document),
+            document,
+        };
+        return this.retry(() => this.promoteOnce(record));
+    }
+
+    private async promoteOnce(record: PromoteRecord): Promise<Verdict> {
+        const before = decideVerdict(await this.readOnce(record.environment), record);
+        if (before !== undefined) {
+            return before;
+        }
+        await this.log.append(configStream, [{ id: record.id, data: record }]);
+        const after = decideVerdict(await this.readOnce(record.environment), record);
+        if (after === undefined) {
+            throw new CallError("the log holds no verdict on the document");
+        }
+        return after;
+    }
+
+    private async readOnce(environment: string): Promise<FoldState> {
+        const state = createFoldState(environment);
+        for (;;) {
+            const batch = await this.log.read(configStream, state.next, 0);
+            foldBatch(state, batch);
+            if (batch.records.length === 0) {
                 return state;
             }
-            state = result.records.reduce((folded, record) => foldConfig(folded, record.data as ConfigRecord), state);
-            from = result.next;
         }
     }
 
-    /** Appends a promotion and returns its verdict. A lost answer is settled by reading back. */
-    async promote(record: PromoteRecord): Promise<Verdict> {
-        let failure: unknown;
-        for (let tries = 0; tries < maxTries; tries++) {
+    private async retry<T>(task: () => Promise<T>): Promise<T> {
+        for (let failures = 1;; failures++) {
             try {
-                const known = (await this.read(record.environment)).verdicts.get(record.id);
-                if (known !== undefined) {
-                    return known;
-                }
-                await this.log.append(configStream, [{ id: record.id, data: record }]);
+                return await task();
             }
             catch (error) {
-                failure = error;
-                await new Promise(resolve => setTimeout(resolve, retryMs * 2 ** tries));
+                if (failures === maxTries) {
+                    throw new CallError("whether the document was accepted is unknown, since the log fails", {
+                        cause: error,
+                    });
+                }
+                this.onRetry(error as Error);
+                await new Promise(resolve => setTimeout(resolve, computeBackoffMs(failures, Math.random())));
             }
         }
-        const verdict = (await this.read(record.environment)).verdicts.get(record.id);
-        if (verdict === undefined) {
-            throw new CallError("whether the document was accepted is unknown, since the log cannot be reached", {
-                cause: failure,
-            });
-        }
-        return verdict;
     }
 }
--- a/src/config/schemas.ts
+++ b/src/config/schemas.ts
@@ -1,5 +1,6 @@
 /** Schemas of the configuration document that operators edit and promote. */
 import { z } from "zod";
+import { collectCrossFindings } from "./crossCheck.js";
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "Expected lower-case letters, digits and dashes");
 const keyHash = z.string().regex(/^sha256:[0-9a-f]{64}$/, "Expected sha256: and 64 hex digits");
@@ -60,25 +61,8 @@
     routes: z.array(RouteSchema).min(1),
     groups: z.array(GroupSchema).default([]),
 }).superRefine((document, context) => {
-    const pools = new Set(document.pools.map(p => p.name));
-    const workspaces = new Set(document.workspaces.map(w => w.name));
-    document.routes.forEach((route, index) => {
-        if (!pools.has(route.pool)) {
-            context.addIssue({
-                code: "custom",
-                path: ["routes", index, "pool"],
-                message: `Pool "${route.pool}" does not exist`,
-            });
-        }
-        (route.workspaces ?? []).forEach((workspace, at) => {
-            if (!workspaces.has(workspace)) {
-                context.addIssue({
-                    code: "custom",
-                    path: ["routes", index, "workspaces", at],
-                    message: `Workspace "${workspace}" does not exist`,
-                });
-            }
-        });
-    });
+    for (const { path, message } of collectCrossFindings(document)) {
+        context.addIssue({ code: "custom", path, message });
+    }
 });
 export type ConfigDocument = z.infer<typeof DocumentSchema>;
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -41,4 +41,11 @@
     group: z.strictObject({ name: z.string(), rank: z.number().int().nonnegative() }).optional(),
 });
 export type SlotSettings = z.infer<typeof SlotSettingsSchema>;
+/** Settings of the operators' command line. */
+export const OperatorSettingsSchema = z.strictObject({
+    environment: common.environment,
+    platform: common.platform,
+    internalKeys: common.internalKeys,
+});
+export type OperatorSettings = z.infer<typeof OperatorSettingsSchema>;
 export type CommonSettings = Pick<SlotSettings, keyof typeof common>;
--- /dev/null
+++ b/src/config/spread.ts
@@ -0,0 +1,174 @@
+/**
+ * Decides which revision a process serves with, from the log and from its peers.
+ * The revision never falls. A document that this version cannot parse leaves the previous one in use.
+ */
+import { computeDigest } from "./digest.js";
+import {
+    type ConfigState,
+    createConfigState,
+    createFoldState,
+    createSnapshot,
+    foldBatch,
+    type FoldState,
+    type ReadBatch,
+} from "./fold.js";
+import { DocumentSchema } from "./schemas.js";
+
+export const Source = { none: "none", log: "log", peer: "peer" } as const;
+export type Source = (typeof Source)[keyof typeof Source];
+
+/** A revision with its document as it stands in the log. */
+export interface Revision {
+    revision: number;
+    digest: string;
+    author: string;
+    document: unknown;
+}
+
+export interface SpreadState {
+    fold: FoldState;
+    /** The newest revision known, usable or not. */
+    newest: Revision;
+    /** What the process serves with. */
+    inForce: ConfigState;
+    source: Source;
+    /** Time at which `inForce` came into force, in milliseconds. */
+    since: number;
+    /** The newest revision when this version cannot use it. */
+    refused: { revision: number; reason: string; } | undefined;
+    /** Revisions that came with two different documents. */
+    conflicts: number;
+    ready: boolean;
+    /** Time of the start, in milliseconds. */
+    startedAt: number;
+    /** Time of the last answer of the log, in milliseconds; 0 before the first. */
+    logAnsweredAt: number;
+}
+
+export type SpreadEvent =
+    | { kind: "log"; batch: ReadBatch; atEnd: boolean; }
+    | { kind: "peer"; offer: Revision; }
+    /** Peers of the own data centre were asked; `newest` is the highest revision that one of them told. */
+    | { kind: "peersAsked"; answered: number; newest: number; };
+
+export type SpreadAction =
+    | { kind: "inForce"; config: ConfigState; source: Source; }
+    | { kind: "refused"; revision: number; reason: string; }
+    | { kind: "conflict"; revision: number; }
+    | { kind: "ready"; source: Source; };
+
+/** Time that a fresh process leaves the log before it trusts its peers, in milliseconds. */
+const logGraceMs = 3000;
+
+/** Creates the state of a process that knows nothing. */
+export function createSpreadState(environment: string, now: number): SpreadState {
+    return {
+        fold: createFoldState(environment),
+        newest: { revision: 0, digest: "", author: "", document: undefined },
+        inForce: createConfigState(environment),
+        source: Source.none,
+        since: now,
+        refused: undefined,
+        conflicts: 0,
+        ready: false,
+        startedAt: now,
+        logAnsweredAt: 0,
+    };
+}
+
+const handlers = { log: handleLog, peer: handlePeer, peersAsked: handlePeersAsked };
+
+/** Applies an event; returns what has changed. */
+export function advanceSpread(state: SpreadState, event: SpreadEvent, now: number): SpreadAction[] {
+    return handlers[event.kind](state, event as never, now);
+}
+
+function handleLog(
+    state: SpreadState,
+    event: Extract<SpreadEvent, { kind: "log"; }>,
+    now: number,
+): SpreadAction[] {
+    foldBatch(state.fold, event.batch);
+    state.logAnsweredAt = now;
+    const { revision, digest, author, document } = state.fold;
+    const actions = acceptRevision(state, { revision, digest, author, document }, Source.log, now);
+    if (event.atEnd && state.fold.anchored) {
+        actions.push(...makeReady(state, Source.log));
+    }
+    return actions;
+}
+
+function handlePeer(
+    state: SpreadState,
+    { offer }: Extract<SpreadEvent, { kind: "peer"; }>,
+    now: number,
+): SpreadAction[] {
+    if (computeDigest(offer.document) !== offer.digest) {
+        return [];
+    }
+    return acceptRevision(state, offer, Source.peer, now);
+}
+
+function handlePeersAsked(
+    state: SpreadState,
+    event: Extract<SpreadEvent, { kind: "peersAsked"; }>,
+    now: number,
+): SpreadAction[] {
+    const waited = now - state.startedAt >= logGraceMs;
+    const current = state.newest.revision > 0 && state.newest.revision >= event.newest;
+    return waited && event.answered > 0 && current ? makeReady(state, Source.peer) : [];
+}
+
+function makeReady(state: SpreadState, source: Source): SpreadAction[] {
+    if (state.ready) {
+        return [];
+    }
+    state.ready = true;
+    return [{ kind: "ready", source }];
+}
+
+function acceptRevision(state: SpreadState, offer: Revision, source: Source, now: number): SpreadAction[] {
+    const { newest } = state;
+    if (offer.revision === newest.revision && offer.digest !== newest.digest) {
+        state.conflicts += 1;
+        return [{ kind: "conflict", revision: offer.revision }];
+    }
+    if (offer.revision <= newest.revision) {
+        return [];
+    }
+    state.newest = offer;
+    return [useRevision(state, offer, source, now)];
+}
+
+function useRevision(state: SpreadState, offer: Revision, source: Source, now: number): SpreadAction {
+    const { revision, author, document } = offer;
+    const result = DocumentSchema.safeParse(document);
+    if (!result.success) {
+        const [issue] = result.error.issues;
+        const reason = `${issue.path.join(".")}: ${issue.message}`;
+        state.refused = { revision, reason };
+        return { kind: "refused", revision, reason };
+    }
+    state.refused = undefined;
+    state.inForce = { environment: state.inForce.environment, revision, author, document: result.data };
+    state.source = source;
+    state.since = now;
+    return { kind: "inForce", config: state.inForce, source };
+}
+
+const snapshotIntervalMs = 10 * 60_000;
+const rankDelayMs = 5000;
+const jitterMs = 2000;
+
+/**
+ * Decides when this process appends a snapshot, in milliseconds since 1970; undefined when it has none to give.
+ * `rank` is its place among the live instances by rendezvous hashing, so that usually only the first one appends.
+ */
+export function planSnapshot(state: SpreadState, rank: number, random: number): number | undefined {
+    const { fold } = state;
+    if (createSnapshot(fold) === undefined) {
+        return undefined;
+    }
+    const last = fold.snapshotTime === 0 ? fold.history[0].time : fold.snapshotTime;
+    return last + snapshotIntervalMs + rank * rankDelayMs + random * jitterMs;
+}
--- a/src/core/parse.ts
+++ b/src/core/parse.ts
@@ -7,32 +7,53 @@
 
 type Path = (string | number)[];
 
+/** Collects findings that the schema cannot report while the shape is wrong. */
+export type CollectIssues = (value: unknown) => Pick<Issue, "path" | "message" | "hint">[];
+
 /** Parses `text`; `file` only names the source in findings. */
-export function safeParseYaml<T>(file: string, text: string, schema: z.ZodType<T>): ParseResult<T> {
+export function safeParseYaml<T>(
+    file: string,
+    text: string,
+    schema: z.ZodType<T>,
+    collectMore: CollectIssues = () => [],
+): ParseResult<T> {
     const lines = new LineCounter();
     const document = parseDocument(text, { lineCounter: lines, uniqueKeys: true });
     if (document.errors.length > 0) {
         return { success: false, issues: document.errors.map(e => toSyntaxIssue(file, e)) };
     }
-    const result = schema.safeParse(document.toJS({ maxAliasCount: 100 }) ?? {});
+    const value: unknown = document.toJS({ maxAliasCount: 100 }) ?? {};
+    const result = schema.safeParse(value);
     if (result.success) {
         return { success: true, data: result.data };
     }
-    const issues = result.error.issues.map((found): Issue => {
-        const path = found.path.map(part => typeof part === "symbol" ? String(part) : part);
-        return {
-            code: found.code ?? "custom",
-            path,
-            message: found.message,
-            place: findPlace(file, document, lines, path),
-        };
-    });
-    return { success: false, issues };
+    const place = (path: Path) => findPlace(file, document, lines, path);
+    const shape = result.error.issues.map(found => toIssue(found, place));
+    const more = collectMore(value).map((issue): Issue => ({ code: "custom", place: place(issue.path), ...issue }));
+    const toKey = (issue: Issue) => `${issue.path.join("/")}: ${issue.message}`;
+    const found = new Set(more.map(toKey));
+    return { success: false, issues: [...shape.filter(issue => !found.has(toKey(issue))), ...more] };
+}
+
+/** Hints by the code of a finding. */
+const hints: Record<string, string> = {
+    unrecognized_keys: "check the spelling and the indentation",
+    invalid_type: "the field may be missing, or quoted where a number is meant",
+    too_small: "raise it or remove the field",
+    too_big: "lower it or remove the field",
+};
+
+function toIssue(found: z.core.$ZodIssue, findAt: (path: Path) => Place): Issue {
+    const path = found.path.map(part => typeof part === "symbol" ? String(part) : part);
+    const place = findAt(found.code === "unrecognized_keys" ? [...path, found.keys[0]] : path);
+    const code = found.code ?? "custom";
+    const hint = hints[code];
+    return { code, path, message: found.message, place, ...hint === undefined ? {} : { hint } };
 }
 
 /** As `safeParseYaml`, but throws an `InputError` that carries the findings. */
-export function parseYaml<T>(file: string, text: string, schema: z.ZodType<T>): T {
-    const result = safeParseYaml(file, text, schema);
+export function parseYaml<T>(file: string, text: string, schema: z.ZodType<T>, collectMore?: CollectIssues): T {
+    const result = safeParseYaml(file, text, schema, collectMore);
     if (!result.success) {
         throw createInputError(result.issues);
     }
--- /dev/null
+++ b/src/peers/gossip.ts
@@ -0,0 +1,227 @@
+/**
+ * Gossip between processes: revisions, incarnations, leaving marks and coarse load.
+ * Pure: time and random numbers are arguments; `loadPeers.ts` does the calls.
+ */
+import type { Random } from "../core/random.js";
+import { type InstanceRecord, InstanceState } from "../core/types.js";
+import type { GossipMessage, News } from "./messages.js";
+
+export interface Member extends News {
+    /** Highest revision that the member told. */
+    revision: number;
+    digest: string;
+    load: number;
+    /** Time of the last direct message, in milliseconds; 0 before the first. */
+    heardAt: number;
+    /** Failed calls since the last answer. */
+    failures: number;
+    /** Time until which the member is not called, in milliseconds. */
+    quietUntil: number;
+    /** Messages that will still carry this member's news. */
+    retellings: number;
+    /** Whether the list named the member last time. */
+    listed: boolean;
+    /** State that the list last gave. */
+    listedState: InstanceState | undefined;
+}
+
+export interface GossipState {
+    self: News;
+    revision: number;
+    digest: string;
+    load: number;
+    /** Members by instance name, without this one. */
+    members: Map<string, Member>;
+    /** Addresses from the settings, used while no member is known. */
+    seeds: string[];
+    /** Members not taken in because the table was full. */
+    dropped: number;
+}
+
+/** A peer has a newer revision. */
+export interface FetchRevision {
+    kind: "fetchRevision";
+    url: string;
+    revision: number;
+    digest: string;
+}
+
+export interface Partner {
+    /** Undefined for a seed whose name is not known. */
+    instance: string | undefined;
+    url: string;
+}
+
+const maxMembers = 2000;
+const newsPerMessage = 2;
+const retellFactor = 2;
+const ownCentreShare = 0.8;
+const silentMs = 10_000;
+const quietStepMs = 2000;
+const maxQuietMs = 30_000;
+const forgetMs = 120_000;
+
+/** Creates the state of a process that knows nobody. */
+export function createGossipState(self: News, seeds: string[]): GossipState {
+    return { self, revision: 0, digest: "", load: 0, members: new Map(), seeds, dropped: 0 };
+}
+
+/** Takes in the platform's list, which lags: it adds members and leaving marks, and takes nothing back. */
+export function updateMembers(state: GossipState, instances: InstanceRecord[], now: number): void {
+    const names = new Set(instances.map(record => record.instance));
+    for (const record of instances) {
+        if (record.instance !== state.self.instance) {
+            updateListed(state, record, now);
+        }
+    }
+    for (const member of state.members.values()) {
+        member.listed = names.has(member.instance);
+        if (!member.listed && now - member.heardAt > forgetMs) {
+            state.members.delete(member.instance);
+        }
+    }
+}
+
+function updateListed(state: GossipState, record: InstanceRecord, now: number): void {
+    const { instance, role, dataCentre, url } = record;
+    const news: News = { instance, role, dataCentre, url, incarnation: 0, state: InstanceState.live };
+    const member = state.members.get(instance) ?? addMember(state, news, now);
+    if (member === undefined) {
+        return;
+    }
+    const isNewMark = record.state === InstanceState.leaving && member.listedState !== record.state;
+    member.listedState = record.state;
+    member.url = url;
+    if (isNewMark && member.state !== InstanceState.leaving) {
+        member.state = InstanceState.leaving;
+        member.retellings = countRetellings(state);
+    }
+}
+
+function addMember(state: GossipState, news: News, now: number): Member | undefined {
+    if (state.members.size >= maxMembers) {
+        state.dropped += 1;
+        return undefined;
+    }
+    const member: Member = {
+        ...news,
+        revision: 0,
+        digest: "",
+        load: 0,
+        heardAt: 0,
+        failures: 0,
+        quietUntil: now,
+        retellings: 0,
+        listed: false,
+        listedState: undefined,
+    };
+    state.members.set(news.instance, member);
+    return member;
+}
+
+function countRetellings(state: GossipState): number {
+    return retellFactor * Math.ceil(Math.log2(state.members.size + 2));
+}
+
+/** Composes the next message; its size is bounded. */
+export function buildMessage(state: GossipState, random: Random): GossipMessage {
+    const { self, revision, digest, load } = state;
+    const fresh = [...state.members.values()]
+        .filter(member => member.retellings > 0)
+        .sort((a, b) => b.retellings - a.retellings)
+        .slice(0, newsPerMessage);
+    fresh.forEach(member => {
+        member.retellings -= 1;
+    });
+    const known = [...state.members.values()].filter(member => member.incarnation > 0 && !fresh.includes(member));
+    const filler = fresh.length < newsPerMessage && known.length > 0 ? [known[random.pickIndex(known.length)]] : [];
+    return { sender: self, revision, digest, load, news: [...fresh, ...filler].map(toNews) };
+}
+
+function toNews({ instance, incarnation, state, role, dataCentre, url }: Member): News {
+    return { instance, incarnation, state, role, dataCentre, url };
+}
+
+/** Takes in a message that arrived directly from its sender. */
+export function receiveMessage(state: GossipState, message: GossipMessage, now: number): FetchRevision[] {
+    const { sender, revision, digest, load } = message;
+    message.news.forEach(news => mergeNews(state, news, now));
+    if (sender.instance === state.self.instance) {
+        return [];
+    }
+    const member = mergeNews(state, sender, now);
+    if (member !== undefined && sender.incarnation === member.incarnation) {
+        dropAddress(state, member);
+        Object.assign(member, { revision, digest, load, heardAt: now, failures: 0, quietUntil: now });
+    }
+    return revision > state.revision ? [{ kind: "fetchRevision", url: sender.url, revision, digest }] : [];
+}
+
+/** Merges news: a higher incarnation replaces a lower one, and within one incarnation leaving is final. */
+function mergeNews(state: GossipState, news: News, now: number): Member | undefined {
+    if (news.instance === state.self.instance) {
+        return undefined;
+    }
+    const known = state.members.get(news.instance);
+    const member = known ?? addMember(state, news, now);
+    if (member === undefined) {
+        return undefined;
+    }
+    const isLater = known === undefined || news.incarnation > known.incarnation;
+    const isLeaving = news.incarnation === member.incarnation && news.state === InstanceState.leaving &&
+        member.state !== InstanceState.leaving;
+    if (isLater || isLeaving) {
+        const isFirst = known !== undefined && known.incarnation === 0;
+        const marked = isFirst && known.state === InstanceState.leaving;
+        Object.assign(member, news, marked ? { state: InstanceState.leaving } : {});
+        member.retellings = countRetellings(state);
+        member.quietUntil = now;
+    }
+    return member;
+}
+
+/** Removes members whose address a newer process has taken over. */
+function dropAddress(state: GossipState, holder: Member): void {
+    for (const member of state.members.values()) {
+        if (member !== holder && member.url === holder.url && member.incarnation < holder.incarnation) {
+            state.members.delete(member.instance);
+        }
+    }
+}
+
+/** Notes a call that failed; the member is called less often until it is heard again. */
+export function noteFailure(state: GossipState, partner: Partner, now: number): void {
+    const member = state.members.get(partner.instance ?? "");
+    if (member !== undefined) {
+        member.failures += 1;
+        member.quietUntil = now + Math.min(maxQuietMs, quietStepMs * 2 ** Math.min(member.failures - 1, 10));
+    }
+}
+
+/** Chooses whom to call next: mostly in the own data centre, sometimes across, seeds while nobody else is known. */
+export function choosePartner(state: GossipState, random: Random, now: number): Partner | undefined {
+    const ready = [...state.members.values()].filter(member => member.quietUntil <= now);
+    const own = ready.filter(member => member.dataCentre === state.self.dataCentre);
+    const others = ready.filter(member => member.dataCentre !== state.self.dataCentre);
+    const preferOwn = random.next() < ownCentreShare;
+    const preferred = preferOwn ? own : others;
+    const candidates = preferred.length > 0 ? preferred : [...own, ...others];
+    if (candidates.length > 0) {
+        const { instance, url } = candidates[random.pickIndex(candidates.length)];
+        return { instance, url };
+    }
+    return state.seeds.length === 0 ?
+        undefined :
+        { instance: undefined, url: state.seeds[random.pickIndex(state.seeds.length)] };
+}
+
+/** Tells whether a member has answered lately and is not leaving: only direct evidence makes it live. */
+export function isLive(member: Member, now: number): boolean {
+    return member.state === InstanceState.live && member.failures === 0 && member.heardAt > 0 &&
+        now - member.heardAt <= silentMs;
+}
+
+/** Tells whether calls to a member fail while nothing arrives from it either. */
+export function isSilent(member: Member, now: number): boolean {
+    return member.failures > 0 && now - member.heardAt > silentMs;
+}
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -1,10 +1,9 @@
 /** Wires a slot: configuration, its upstream, the ledger and the internal server. */
 import { randomUUID } from "node:crypto";
 import { type ConfigState, createConfigState } from "../config/fold.js";
-import { streamConfig } from "../config/loadConfig.js";
+import { createStateKeeper } from "../config/loadState.js";
 import type { SlotSettings } from "../config/settings.js";
 import { pollEvery } from "../core/streams.js";
-import { createLogClient } from "../log/client.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
@@ -24,17 +23,28 @@
     const { instance, environment, platform, internal } = settings;
     const makeLogger = createLoggers("beechdock-slot", instance, settings.logLevel);
     const logger = makeLogger(Prefix.slot);
-    const configLogger = makeLogger(Prefix.config);
     const metrics = createMetrics();
     const ledger = createLedger(randomUUID());
     const admission = createAdmission(defaultLimits);
     const runner = createRunner(ledger, admission, createUpstreamClient(settings.upstream.url));
     let config: ConfigState = createConfigState(environment);
 
+    const state = createStateKeeper({
+        settings,
+        role: "slot",
+        makeLogger,
+        metrics,
+        getLoad: () => runner.report().tokensInFlight,
+        onConfig: next => {
+            config = next;
+            admission.limits = config.document?.pools.find(p => p.name === settings.pool) ?? admission.limits;
+        },
+    });
     const markLeaving = (reason: string) => {
         if (!ledger.leaving) {
             ledger.leaving = true;
             logger.info("The upstream is leaving.", { reason });
+            void state.announceLeaving(reason);
         }
     };
     const server = createSlotServer({
@@ -44,6 +54,7 @@
         metrics,
         getWeight: workspace => config.document?.workspaces.find(w => w.name === workspace)?.weight ?? 1,
         methods: {
+            ...state.methods,
             cancel: (params: unknown) => {
                 const { requestId, attempt } = RevokeParamsSchema.parse(params);
                 const record = ledger.records.get(`${requestId}/${attempt}`);
@@ -56,22 +67,10 @@
     });
     const port = await listenOn(server, internal.host, internal.port);
 
-    void streamConfig(
-        createLogClient(platform.log),
-        environment,
-        e => configLogger.warn("Reading the log failed.", { error: e.message }),
-    )
-        .observe(update => {
-            if (update.state.revision !== config.revision) {
-                configLogger.info("A revision is in force.", { revision: update.state.revision });
-                metrics.revision.set(update.state.revision);
-            }
-            config = update.state;
-            const pool = config.document?.pools.find(p => p.name === settings.pool);
-            admission.limits = pool ?? admission.limits;
-        });
+    state.start(port);
     void streamInstances(platform.list, e => logger.warn("Reading the instance list failed.", { error: e.message }))
         .observe(instances => {
+            state.updateInstances(instances);
             if (instances.some(i => i.instance === instance && i.state === "leaving")) {
                 markLeaving("the instance list says so");
             }
@@ -85,6 +84,7 @@
             await runner.drain();
             server.close();
             server.closeIdleConnections();
+            await state.stop();
             logger.info("The slot has stopped.");
         },
     };
--- a/src/standin/cluster.ts
+++ b/src/standin/cluster.ts
@@ -31,6 +31,7 @@
     plan: EntryPlan;
     process: StandinProcess;
     url: string;
+    internalUrl: string;
 }
 
 export interface ClusterSlot {
@@ -117,7 +118,12 @@
     });
     const process = startProcess("entry", ["--settings", settings]);
     const line = await process.waitForLine(l => l.msg.endsWith("The entry listens."));
-    const entry: ClusterEntry = { plan, process, url: `http://127.0.0.1:${line.port}` };
+    const entry: ClusterEntry = {
+        plan,
+        process,
+        url: `http://127.0.0.1:${line.port}`,
+        internalUrl: `http://127.0.0.1:${line.internalPort}`,
+    };
     cluster.entries.push(entry);
     return entry;
 }
@@ -153,7 +159,14 @@
 }
 
 function createInstances(cluster: Cluster, leaving: string[]): InstanceRecord[] {
-    return cluster.slots.map(slot => ({
+    const entries = cluster.entries.map((entry): InstanceRecord => ({
+        instance: entry.plan.instance,
+        role: "entry",
+        dataCentre: entry.plan.dataCentre,
+        url: entry.internalUrl,
+        state: leaving.includes(entry.plan.instance) ? "leaving" : "live",
+    }));
+    const slots = cluster.slots.map((slot): InstanceRecord => ({
         instance: slot.plan.instance,
         role: "slot",
         dataCentre: slot.plan.dataCentre,
@@ -161,6 +174,7 @@
         pool: slot.plan.pool,
         state: leaving.includes(slot.plan.instance) ? "leaving" : "live",
     }));
+    return [...entries, ...slots];
 }
 
 async function stopCluster(cluster: Cluster): Promise<void> {
--- a/src/standin/process.ts
+++ b/src/standin/process.ts
@@ -9,6 +9,8 @@
     level: number;
     msg: string;
     port?: number;
+    internalPort?: number;
+    revision?: number;
 }
 
 export interface StandinProcess {
