--- a/src/bench/capacityModules.ts
+++ b/src/bench/capacityModules.ts
@@ -1,5 +1,6 @@
 /** Slopes of decision modules, called directly: time by size, on this machine's processor. */
-import { createConfigState, foldConfig } from "../config/fold.js";
+import { computeDigest } from "../config/digest.js";
+import { createFoldState, foldBatch } from "../config/fold.js";
 import { type ConfigDocument, DocumentSchema } from "../config/schemas.js";
 import { safeParseYaml } from "../core/parse.js";
 import { createRandom } from "../core/random.js";
@@ -41,16 +42,18 @@
         if (!parsed.success) {
             throw new Error("the document of the bench is bad");
         }
-        const record = {
-            kind: "promote" as const,
+        const data = {
+            kind: "promote",
             id: "1",
             environment: "production",
             base: 0,
+            baseDigest: "",
+            digest: computeDigest(parsed.data),
             author: "a",
             document: parsed.data,
         };
-        const accept = () =>
-            foldConfig(createConfigState("production"), { ...record, document: DocumentSchema.parse(record.document) });
+        const batch = { records: [{ offset: 0, id: "1", time: 0, data }], oldest: 0, next: 1 };
+        const accept = () => DocumentSchema.parse(foldBatch(createFoldState("production"), batch).document);
         return { x, y: measureCall(20, accept) };
     });
     return { name: "document", xName: "workspaces", yName: "microseconds to accept a revision", points };
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -7,10 +7,12 @@
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
+import { chooseProbes } from "../routing/probes.js";
 import { createUpstreamTable, noteReport, updateInstances } from "../routing/table.js";
 import { listenOn } from "../wire/listen.js";
+import { InternalPath } from "../wire/messages.js";
 import { requestRpc } from "../wire/rpc.js";
-import { createInternalServer } from "./internal.js";
+import { createInternalServer, createRpcHandler } from "../wire/server.js";
 import { createEntryServer } from "./server.js";
 import { createSlotClient } from "./slotClient.js";
 
@@ -55,7 +57,11 @@
         isReady: () => state.isReady() && !stopping,
     };
     const { server, drain } = createEntryServer(context);
-    const admin = createInternalServer(settings, metrics, state.methods);
+    const admin = createInternalServer({
+        identity: settings,
+        registry: metrics.registry,
+        handlers: { [InternalPath.rpc]: createRpcHandler(state.methods) },
+    });
     const port = await listenOn(server, listen.host, listen.port);
     const internalPort = await listenOn(admin, internal.host, internal.port);
 
@@ -66,12 +72,16 @@
     )
         .observe(instances => updateInstances(table, state.updateInstances(instances)));
     const probe = async () => {
-        await Promise.all([...table.upstreams.values()].map(async upstream => {
-            const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() => undefined);
-            if (report !== undefined) {
-                noteReport(table, upstream.instance, report, Date.now());
-            }
-        }));
+        await Promise.all(
+            chooseProbes(table.upstreams.values(), Date.now()).map(async upstream => {
+                const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() =>
+                    undefined
+                );
+                if (report !== undefined) {
+                    noteReport(table, upstream.instance, report, Date.now());
+                }
+            }),
+        );
         const known = [...table.upstreams.values()].filter(upstream => upstream.report !== undefined).length;
         if (known > 0 && known === table.upstreams.size && !probed) {
             probed = true;
