Claim keyed requests in the log before they run

Cause: a slot's memory can't keep a keyed request from running again at another slot or after a restart. Change: a keyed, non-idempotent run claims its key in a stream of the log that the key's mint time and hash name; the lowest offset wins, lost answers are settled by reading back, a dead claimer leaves the key unknown, an owner that has not run the key releases it. Streams close by the log's clock. A repetition at the owner gets the recorded answer. Keys without a mint time are refused. Ruled out: answering not-run to a stale key, since an earlier request with it may have run.

--- /dev/null
+++ b/src/bench/claimDriver.ts
@@ -0,0 +1,273 @@
+/**
+ * Drives the decisions about keyed requests through one seeded schedule of faults of the log and the slots.
+ * Left out: entries, admission and the upstream's answers; a run takes effect at once or not at all.
+ */
+import { createRandom, type Random } from "../core/random.js";
+import { RunOutcome } from "../core/types.js";
+import type { LogRecord, ReadResult } from "../log/types.js";
+import {
+    type advanceClaims,
+    type ClaimAction,
+    type ClaimKey,
+    type ClaimState,
+    type ClaimVerdict,
+    createClaims,
+} from "../slot/claims.js";
+import { createKeyedRuns, dropKey, type enterKey, type KeyedRuns } from "../slot/keyedRuns.js";
+import { beginRun, createLedger } from "../slot/ledger.js";
+import type { RunParams } from "../wire/messages.js";
+import { EventQueue } from "./eventQueue.js";
+
+/** The decisions under test; tests replace single ones by wrong variants. */
+export interface ClaimRules {
+    advanceClaims: typeof advanceClaims;
+    enterKey: typeof enterKey;
+    formatIncarnation: (slot: number, start: number) => string;
+    /** Whether a run that ended so gives its key up. */
+    isReleased: (outcome: RunOutcome) => boolean;
+}
+
+interface Slot {
+    index: number;
+    starts: number;
+    claims: ClaimState;
+    keyed: KeyedRuns;
+    /** Difference between the slot's clock and the log's, in milliseconds. */
+    skewMs: number;
+    waiting: Map<string, (verdict: ClaimVerdict) => void>;
+    released: Map<string, (ok: boolean) => void>;
+}
+
+interface Stream {
+    records: LogRecord[];
+    next: number;
+}
+
+const slotCount = 3;
+const requestCount = 12;
+const retentionMs = 20 * 60_000;
+const startMs = 1_760_000_000_000;
+const workspaces = ["cascadia", "thistlebrook"];
+
+export interface ClaimResult {
+    findings: string[];
+    /** Effects at upstreams by workspace and key. */
+    effects: Map<string, number>;
+    /** Workspaces and keys that were asked for. */
+    requested: Set<string>;
+}
+
+/** Runs one schedule; without `faulty` nothing fails. */
+export function driveClaims(rules: ClaimRules, seed: number, faulty = true): ClaimResult {
+    return new ClaimDriver(rules, createRandom(seed), faulty).run();
+}
+
+class ClaimDriver {
+    private readonly queue = new EventQueue();
+    private readonly slots: Slot[];
+    private readonly streams = new Map<string, Stream>();
+    private readonly effects = new Map<string, number>();
+    private readonly findings: string[] = [];
+    private readonly requested = new Set<string>();
+    private isDown = false;
+    private open = 0;
+
+    constructor(
+        private readonly rules: ClaimRules,
+        private readonly random: Random,
+        private readonly faulty: boolean,
+    ) {
+        this.queue.now = startMs;
+        this.slots = Array.from({ length: slotCount }, (slot, index) => ({
+            ...this.createProcess(index, 1),
+            index,
+            starts: 1,
+            skewMs: faulty ? (random.next() - 0.5) * 30_000 : 0,
+        }));
+    }
+
+    run(): ClaimResult {
+        const keys = Array.from({ length: 3 }, () => this.createKey());
+        for (let index = 0; index < requestCount; index++) {
+            const text = keys[this.random.pickIndex(keys.length)];
+            const workspace = workspaces[this.random.pickIndex(workspaces.length)];
+            const late = this.faulty && this.random.next() < 0.3 ? 40 * 60_000 : 5000;
+            this.queue.schedule(this.random.next() * late, () => this.request(`r${index}`, workspace, text));
+        }
+        if (this.faulty) {
+            this.scheduleFaults();
+        }
+        this.queue.run();
+        for (const [key, count] of this.effects) {
+            if (count > 1) {
+                this.findings.push(`${key} ran ${count} times`);
+            }
+        }
+        if (this.open > 0) {
+            this.findings.push(`${this.open} requests were never answered`);
+        }
+        return { findings: this.findings, effects: this.effects, requested: this.requested };
+    }
+
+    private createKey(): string {
+        const time = Math.floor(this.queue.now - this.random.next() * 20_000).toString(16).padStart(12, "0");
+        const rest = Math.floor(this.random.next() * 2 ** 31).toString(16).padStart(12, "0");
+        return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${rest}`;
+    }
+
+    private createProcess(index: number, starts: number) {
+        return {
+            claims: createClaims(this.rules.formatIncarnation(index, starts)),
+            keyed: createKeyedRuns(),
+            waiting: new Map(),
+            released: new Map(),
+        };
+    }
+
+    private scheduleFaults(): void {
+        for (const slot of this.slots) {
+            if (this.random.next() < 0.5) {
+                this.queue.schedule(this.random.next() * 5000, () => {
+                    slot.starts += 1;
+                    this.open -= slot.waiting.size + slot.released.size;
+                    Object.assign(slot, this.createProcess(slot.index, slot.starts));
+                });
+            }
+        }
+        if (this.random.next() < 0.5) {
+            this.queue.schedule(this.random.next() * 5000, () => this.isDown = true);
+            this.queue.schedule(5000 + this.random.next() * 5000, () => this.isDown = false);
+        }
+    }
+
+    private request(id: string, workspace: string, text: string): void {
+        const slot = this.slots[this.random.pickIndex(slotCount)];
+        this.requested.add(`${workspace}/${text}`);
+        const params = createParams(id, workspace, text);
+        const begun = beginRun(createLedger("i"), params, this.queue.now);
+        if (begun.kind !== "begin") {
+            return;
+        }
+        const entered = this.rules.enterKey(slot.keyed, params, begun.record, this.queue.now + slot.skewMs);
+        if (entered.kind === "claim") {
+            this.open += 1;
+            const { claims } = slot;
+            slot.waiting.set(entered.key.hash, verdict => {
+                slot.waiting.delete(entered.key.hash);
+                this.settle(slot, entered.key, verdict, `${workspace}/${text}`);
+            });
+            this.apply(slot, claims, this.rules.advanceClaims(claims, { kind: "claim", key: entered.key }));
+        }
+    }
+
+    private settle(slot: Slot, key: ClaimKey, verdict: ClaimVerdict, name: string): void {
+        if (verdict !== "won") {
+            this.open -= 1;
+            dropKey(slot.keyed, key);
+            return;
+        }
+        const fate = this.faulty ? this.random.next() : 1;
+        const outcome = fate < 0.25 ? RunOutcome.notRun : fate < 0.4 ? RunOutcome.unknown : RunOutcome.run;
+        if (outcome !== RunOutcome.notRun) {
+            this.effects.set(name, (this.effects.get(name) ?? 0) + 1);
+        }
+        if (!this.rules.isReleased(outcome)) {
+            this.open -= 1;
+            return;
+        }
+        slot.released.set(key.hash, ok => {
+            slot.released.delete(key.hash);
+            this.open -= 1;
+            if (ok) {
+                dropKey(slot.keyed, key);
+            }
+        });
+        this.apply(slot, slot.claims, this.rules.advanceClaims(slot.claims, { kind: "release", key }));
+    }
+
+    /** Carries out actions of a process; those of one that has crashed meanwhile are dropped. */
+    private apply(slot: Slot, claims: ClaimState, actions: ClaimAction[]): void {
+        for (const action of actions) {
+            if (slot.claims === claims) {
+                this.execute(slot, claims, action);
+            }
+        }
+    }
+
+    private execute(slot: Slot, claims: ClaimState, action: ClaimAction): void {
+        const advance = (delayMs: number, event: () => Parameters<typeof advanceClaims>[1]) =>
+            this.queue.schedule(delayMs, () => {
+                if (slot.claims === claims) {
+                    this.apply(slot, claims, this.rules.advanceClaims(claims, event()));
+                }
+            });
+        if (action.kind === "schedule") {
+            advance(action.delayMs, () => ({ kind: "flush", stream: action.stream }));
+        }
+        else if (action.kind === "append") {
+            const { ok, delayMs } = this.append(action.stream, action.record);
+            advance(delayMs, () => ({ kind: "appended", stream: action.stream, ok }));
+        }
+        else if (action.kind === "read") {
+            advance(this.random.next() * 10, () => {
+                const result = this.read(action.stream, action.from);
+                return { kind: "read", stream: action.stream, result };
+            });
+        }
+        else if (action.kind === "settle") {
+            slot.waiting.get(action.hash)?.(action.verdict);
+        }
+        else {
+            slot.released.get(action.hash)?.(action.ok);
+        }
+    }
+
+    /** Appends now, late, or not at all; the answer may be lost in each case. */
+    private append(name: string, record: { id: string; data: unknown; }): { ok: boolean; delayMs: number; } {
+        const fate = this.faulty ? this.random.next() : 1;
+        const delayMs = this.random.next() * 20;
+        const store = () => {
+            const stream = this.streams.get(name) ?? { records: [], next: 0 };
+            this.streams.set(name, stream);
+            stream.records.push({ ...record, offset: stream.next++, time: this.queue.now });
+        };
+        if (this.isDown || fate < 0.1) {
+            return { ok: false, delayMs };
+        }
+        if (fate < 0.2) {
+            this.queue.schedule(this.random.next() * 20_000, store);
+            return { ok: false, delayMs };
+        }
+        this.queue.schedule(delayMs / 2, store);
+        return { ok: fate > 0.3, delayMs };
+    }
+
+    private read(name: string, from: number): ReadResult | undefined {
+        if (this.isDown || (this.faulty && this.random.next() < 0.05)) {
+            return undefined;
+        }
+        const stream = this.streams.get(name) ?? { records: [], next: 0 };
+        stream.records = stream.records.filter(record => record.time > this.queue.now - retentionMs);
+        const oldest = stream.records[0]?.offset ?? stream.next;
+        const records = stream.records.filter(record => record.offset >= from);
+        return { records, oldest, next: records.length > 0 ? stream.next : Math.max(from, oldest) };
+    }
+}
+
+function createParams(requestId: string, workspace: string, idempotencyKey: string): RunParams {
+    return {
+        requestId,
+        attempt: 1,
+        incarnation: "i",
+        workspace,
+        method: "POST",
+        path: "/",
+        headers: {},
+        body: "",
+        idempotent: false,
+        idempotencyKey,
+        urgency: 3,
+        tokens: 1,
+        deadlineMs: 1000,
+    };
+}
--- /dev/null
+++ b/src/bench/explore-claims.ts
@@ -0,0 +1,27 @@
+/** Explores schedules of keyed requests: `npm run explore -- claims`. */
+import { advanceClaims } from "../slot/claims.js";
+import { enterKey } from "../slot/keyedRuns.js";
+import { type ClaimRules, driveClaims } from "./claimDriver.js";
+
+/** The decisions that the binaries run. */
+export const claimRules: ClaimRules = {
+    advanceClaims,
+    enterKey,
+    formatIncarnation: (slot, start) => `slot-${slot}-${start}`,
+    isReleased: outcome => outcome === "not-run",
+};
+
+/** Runs schedules from `seed` on and returns those that broke an invariant. */
+export async function exploreSchedules(
+    runs: number,
+    seed: number,
+): Promise<{ runs: number; failures: { seed: number; what: string; }[]; }> {
+    const failures: { seed: number; what: string; }[] = [];
+    for (let at = seed; at < seed + runs; at++) {
+        const { findings } = driveClaims(claimRules, at);
+        if (findings.length > 0) {
+            failures.push({ seed: at, what: findings.join("; ") });
+        }
+    }
+    return { runs, failures };
+}
--- a/src/bench/explore.ts
+++ b/src/bench/explore.ts
@@ -9,7 +9,7 @@
     ) => Promise<{ runs: number; failures: { seed: number; what: string; }[]; }>;
 }
 
-const explorations = ["maps", "requests", "config"];
+const explorations = ["maps", "requests", "claims", "config"];
 
 const cli = meow(
     `
--- a/src/bench/requestDriver.ts
+++ b/src/bench/requestDriver.ts
@@ -9,6 +9,7 @@
 import { createLedger, expireRecords, recordFrame, type RunRecord, selectFrames } from "../slot/ledger.js";
 import type { beginRun, resumeRun } from "../slot/ledger.js";
 import type { Frame, FrameBody, RunParams } from "../wire/messages.js";
+import { EventQueue } from "./eventQueue.js";
 import {
     type Connection,
     createParams,
@@ -39,9 +40,7 @@
 }
 
 class RequestDriver {
-    private now = 0;
-    private events: { at: number; order: number; run: () => void; }[] = [];
-    private order = 0;
+    private readonly queue = new EventQueue();
     private readonly slots: Slot[];
     private readonly requests: Request[] = [];
     private readonly findings: string[] = [];
@@ -55,29 +54,17 @@
         for (let index = 0; index < requestCount; index++) {
             this.schedule(this.random.next() * 3000, () => this.beginRequest(`r${index}`));
         }
-        while (this.events.length > 0) {
-            const event = this.takeEvent();
-            this.now = event.at;
-            event.run();
-        }
+        this.queue.run();
         this.requests.forEach(request => this.checkRequest(request));
         return this.findings;
     }
 
-    private schedule(delayMs: number, run: () => void): void {
-        this.events.push({ at: this.now + delayMs, order: this.order++, run });
+    private get now(): number {
+        return this.queue.now;
     }
 
-    private takeEvent() {
-        let first = 0;
-        for (let index = 1; index < this.events.length; index++) {
-            const [a, b] = [this.events[index], this.events[first]];
-            first = a.at < b.at || (a.at === b.at && a.order < b.order) ? index : first;
-        }
-        const event = this.events[first];
-        this.events[first] = this.events[this.events.length - 1];
-        this.events.pop();
-        return event;
+    private schedule(delayMs: number, run: () => void): void {
+        this.queue.schedule(delayMs, run);
     }
 
     private startSlot(incarnation: number): Slot {
--- /dev/null
+++ b/src/slot/execute.ts
@@ -0,0 +1,88 @@
+/** Runs one request at the upstream and records its answer frame by frame. */
+import { CallError } from "../core/errors.js";
+import { type LoadReport, RunOutcome } from "../core/types.js";
+import type { FrameBody, RunParams } from "../wire/messages.js";
+import { isOverLimit, type Ledger, type RunRecord } from "./ledger.js";
+import type { UpstreamClient } from "./upstream.js";
+
+/** A run that waits or runs. */
+export interface Pending {
+    record: RunRecord;
+    params: RunParams;
+    abort: AbortController;
+    listeners: Set<() => void>;
+    /** Continues reading from the upstream. */
+    wake: (() => void) | undefined;
+}
+
+/** What a run needs of its surroundings. */
+export interface RunContext {
+    ledger: Ledger;
+    upstream: UpstreamClient;
+    emit: (item: Pending, frame: FrameBody) => void;
+    report: () => LoadReport;
+}
+
+/** Runs a request; every failure ends as a frame. */
+export async function executeRun(context: RunContext, item: Pending): Promise<void> {
+    const { upstream, emit, report } = context;
+    const { params, abort } = item;
+    const deadline = setTimeout(() => abort.abort(), params.deadlineMs);
+    const watch = createSilenceWatch(() => abort.abort(new CallError("the upstream is silent")));
+    let length = 0;
+    try {
+        watch.start(upstream.silence.headMs);
+        const answer = await upstream.run(params, abort.signal);
+        emit(item, { kind: "head", status: answer.status, headers: answer.headers });
+        watch.start(upstream.silence.bodyMs);
+        for await (const chunk of answer.body) {
+            watch.stop();
+            length += chunk.length;
+            emit(item, { kind: "data", data: chunk.toString("latin1") });
+            await waitForRoom(context.ledger, item);
+            watch.start(upstream.silence.bodyMs);
+        }
+        emit(item, { kind: "end", length, load: report() });
+    }
+    catch (error) {
+        const outcome = hasNeverConnected(error) ? RunOutcome.notRun : RunOutcome.unknown;
+        const title = "The upstream did not finish its answer";
+        emit(item, { kind: "failed", outcome, status: 502, title });
+    }
+    finally {
+        clearTimeout(deadline);
+        watch.stop();
+    }
+}
+
+/** Waits while the answer's buffer is full; throws when the run is aborted meanwhile. */
+async function waitForRoom(ledger: Ledger, item: Pending): Promise<void> {
+    const { signal } = item.abort;
+    while (isOverLimit(ledger, item.record)) {
+        await new Promise<void>(resolve => {
+            item.wake = resolve;
+            signal.addEventListener("abort", () => resolve(), { once: true });
+        });
+        item.wake = undefined;
+        signal.throwIfAborted();
+    }
+}
+
+/** Calls `onSilence` when a started watch is neither stopped nor started again within its time. */
+function createSilenceWatch(onSilence: () => void) {
+    let timer: NodeJS.Timeout | undefined;
+    const stop = () => clearTimeout(timer);
+    return {
+        stop,
+        start: (limitMs: number | undefined) => {
+            stop();
+            timer = limitMs === undefined ? undefined : setTimeout(onSilence, limitMs);
+        },
+    };
+}
+
+/** Whether the error says that no connection was made, so that no byte was sent. */
+function hasNeverConnected(error: unknown): boolean {
+    const code = (error as { code?: string; }).code;
+    return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT" || code === "EHOSTUNREACH";
+}
--- a/src/slot/ledger.ts
+++ b/src/slot/ledger.ts
@@ -169,7 +169,7 @@
 export function expireRecords(ledger: Ledger, now: number): void {
     for (const [key, record] of ledger.records) {
         if (record.state !== RunState.running && record.expiresAt <= now) {
-            ledger.bytes -= record.bytes;
+            dropAnswer(ledger, record);
             ledger.records.delete(key);
         }
     }
@@ -192,6 +192,15 @@
     }
 }
 
+/** Drops the answer of an ended run, but for the frame that says how it failed. */
+function dropAnswer(ledger: Ledger, record: RunRecord): void {
+    const last = record.frames[record.frames.length - 1];
+    ledger.bytes -= record.bytes;
+    record.bytes = 0;
+    record.frames = last?.kind === "failed" ? [last] : [];
+    record.first = record.next - record.frames.length;
+}
+
 function dropFirstFrame(ledger: Ledger, record: RunRecord): void {
     const size = measureFrame(record.frames.shift()!);
     record.first += 1;
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -11,6 +11,8 @@
 import { createAdmission } from "../routing/admission.js";
 import { listenOn } from "../wire/listen.js";
 import { RevokeParamsSchema } from "../wire/messages.js";
+import { createClaims } from "./claims.js";
+import { createClaimsDriver } from "./driverClaims.js";
 import { createLedger, expireRecords } from "./ledger.js";
 import { createRunner } from "./runner.js";
 import { createSlotServer } from "./server.js";
@@ -28,7 +30,9 @@
     const metrics = createMetrics();
     const ledger = createLedger(randomUUID());
     const admission = createAdmission(defaultLimits);
-    const runner = createRunner(ledger, admission, createUpstreamClient(upstream.url, silenceLimits[upstream.kind]));
+    const claims = createClaimsDriver(createLogClient(platform.log), createClaims(ledger.incarnation));
+    const client = createUpstreamClient(upstream.url, silenceLimits[upstream.kind]);
+    const runner = createRunner(ledger, admission, client, claims);
     let config: ConfigState = createConfigState(environment);
 
     const markLeaving = (reason: string) => {
@@ -76,7 +80,11 @@
                 markLeaving("the instance list says so");
             }
         });
-    void pollEvery(expiryIntervalMs, async () => expireRecords(ledger, Date.now()), () => undefined).drain();
+    const expire = async () => {
+        expireRecords(ledger, Date.now());
+        runner.expire();
+    };
+    void pollEvery(expiryIntervalMs, expire, () => undefined).drain();
     logger.info("The slot listens.", { port });
 
     return {
--- /dev/null
+++ b/src/slot/tests/claims.test.ts
@@ -0,0 +1,92 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { type ClaimRules, driveClaims } from "../../bench/claimDriver.js";
+import { claimRules } from "../../bench/explore-claims.js";
+import { keyWindowMs, maxAheadMs, safeParseKey } from "../claims.js";
+
+const runs = 5000;
+const seed = 20261203;
+const { advanceClaims, enterKey } = claimRules;
+
+function findFailure(rules: ClaimRules): string | undefined {
+    let what: string | undefined;
+    fc.check(
+        fc.property(fc.integer({ min: 1, max: 2 ** 31 - 1 }), schedule => {
+            const { findings } = driveClaims(rules, schedule);
+            what = findings.length > 0 ? `${findings[0]} (schedule ${schedule})` : what;
+            return findings.length === 0;
+        }),
+        { seed, numRuns: runs, endOnFailure: true },
+    );
+    return what;
+}
+
+const wrongRules: Record<string, Partial<ClaimRules>> = {
+    "an append that was answered counts as won": {
+        advanceClaims: (state, event) =>
+            advanceClaims(state, event).map(action =>
+                action.kind === "settle" && action.verdict === "lost" ? { ...action, verdict: "won" } : action
+            ),
+    },
+    "a claim that was not found counts as won": {
+        advanceClaims: (state, event) =>
+            advanceClaims(state, event).map(action =>
+                action.kind === "settle" && action.verdict === "failed" ? { ...action, verdict: "won" } : action
+            ),
+    },
+    "a restarted slot takes over its keys": { formatIncarnation: slot => `slot-${slot}` },
+    "a key is released although its run is unknown": { isReleased: outcome => outcome !== "run" },
+    "a slot forgets what it ran": {
+        enterKey: (keyed, params, record, now) => {
+            keyed.runs.clear();
+            return enterKey(keyed, params, record, now);
+        },
+    },
+    "stale keys are claimed, whatever the log still keeps": {
+        enterKey: (keyed, params, record, now) => {
+            const entered = enterKey(keyed, params, record, Math.min(now, 1_760_000_000_000));
+            return entered.kind === "claim" ? { ...entered, key: { ...entered.key, closesAt: Infinity } } : entered;
+        },
+        advanceClaims: (state, event) =>
+            advanceClaims(
+                state,
+                event.kind === "read" && event.result !== undefined ?
+                    { ...event, result: { ...event.result, oldest: 0 } } :
+                    event,
+            ),
+    },
+};
+
+describe("claims of keys", () => {
+    it(`let no key run twice in ${runs} schedules of faults`, () => {
+        expect(findFailure(claimRules)).toBeUndefined();
+    });
+
+    it.each(Object.entries(wrongRules))("let a key run twice when %s", (name, rules) => {
+        expect(findFailure({ ...claimRules, ...rules })).toMatch(/ran \d times/);
+    });
+
+    it("let the same key of two workspaces run once each when nothing fails", () => {
+        for (let at = 0; at < 200; at++) {
+            const { findings, effects, requested } = driveClaims(claimRules, at, false);
+            expect([findings, [...effects.keys()].sort()]).toEqual([[], [...requested].sort()]);
+        }
+    });
+});
+
+describe("keys", () => {
+    const now = 1_760_000_030_000;
+    const format = (time: number) => time.toString(16).padStart(12, "0").replace(/^(.{8})(.{4})$/, "$1-$2");
+    const create = (time: number) => `${format(time)}-7abc-8abc-0123456789ab`;
+
+    it.each([
+        { name: "fresh", text: create(now), result: "claims-29333333-58" },
+        { name: "of version 4", text: "f47ac10b-58cc-4372-a567-0e02b2c3d479", result: "unreadable" },
+        { name: "no UUID", text: "claim-17", result: "unreadable" },
+        { name: "past the window", text: create(now - keyWindowMs), result: "stale" },
+        { name: "minted ahead of every clock", text: create(now + maxAheadMs + 1), result: "ahead" },
+    ])("that are $name: $result", ({ text, result }) => {
+        const parsed = safeParseKey("w", text, now);
+        expect(parsed.success ? parsed.key.stream : parsed.reason).toBe(result);
+    });
+});
