Break answers visibly, stop reading for slow callers, refuse bad input with a problem document

Cause, found by the new tests: the final error event was never sent, since getHeader knows no header given to writeHead; an answer cut short looked whole to a caller of HTTP/1.0; a slow caller made the entry hold the whole answer; a gap began one resume for each later frame; the end frame of another request ended a stream for good; an answer counted as finished while its bytes were still in the entry; a path such as /lookups/../claims reached another route's upstream; unreadable requests got no problem document. Proof: src/entry/tests/answers.test.ts (27 cases against a scripted slot).

--- a/src/entry/accept.ts
+++ b/src/entry/accept.ts
@@ -1,45 +1,72 @@
 /** First filter: reads the body and the headers that steer a request. */
+import type { IncomingMessage } from "node:http";
 import { createRefusal } from "../core/errors.js";
 import { RunOutcome } from "../core/types.js";
-import { readBody } from "../wire/rpc.js";
+import { maxRpcBytes, readBody } from "../wire/rpc.js";
 import type { Exchange, Filter } from "./types.js";
 
 const defaultUrgency = 3;
 const maxKeyLength = 200;
 /** Headers that must not be repeated. */
-const singleHeaders = ["authorization", "idempotency-key", "priority", "content-type"];
+const singleHeaders = ["authorization", "idempotency-key", "priority", "content-type", "host"];
+const refusedMethods = new Set(["TRACE", "CONNECT"]);
+/** Longest encoding of one body byte in a message to a slot, in bytes. */
+const maxEncodedBytes = 6;
+/** Bytes of a message to a slot beside the body. */
+const messageOverheadBytes = 64 * 1024;
 
 /** Creates the filter; bodies over `maxBodyBytes` are refused. */
 export function createAcceptFilter(maxBodyBytes: number): Filter {
     return async exchange => {
         const { message } = exchange;
-        checkHeaders(message.rawHeaders);
+        if (refusedMethods.has(message.method ?? "")) {
+            throw refuseInput(405, `Method ${message.method} is not served`);
+        }
+        checkHeaders(message);
+        checkPath(message.url ?? "/");
         exchange.urgency = parseUrgency(message.headers.priority);
         exchange.idempotencyKey = message.headers["idempotency-key"] as string | undefined;
         if ((exchange.idempotencyKey?.length ?? 0) > maxKeyLength) {
-            throw createRefusal(`Idempotency-Key is longer than ${maxKeyLength} characters`, {
-                status: 400,
-                outcome: RunOutcome.notRun,
-            });
+            throw refuseInput(400, `Idempotency-Key is longer than ${maxKeyLength} characters`);
         }
         const body = await readBody(message, maxBodyBytes);
-        if (body === undefined) {
-            throw createRefusal(`The body is cut short or longer than ${maxBodyBytes} bytes`, {
-                status: 413,
-                outcome: RunOutcome.notRun,
-            });
+        if (body === undefined || isOversize(body)) {
+            message.resume();
+            exchange.response.shouldKeepAlive = false;
+            throw refuseInput(413, `The body is cut short or longer than ${maxBodyBytes} bytes`);
         }
         exchange.body = body;
     };
 }
 
-function checkHeaders(rawHeaders: string[]): void {
-    const names = rawHeaders.filter((name, index) => index % 2 === 0).map(name => name.toLowerCase());
+function refuseInput(status: number, title: string): Error {
+    return createRefusal(title, { status, outcome: RunOutcome.notRun });
+}
+
+/** Whether the body, encoded for the slot, is longer than a message may be. */
+function isOversize(body: Buffer): boolean {
+    const limit = maxRpcBytes - messageOverheadBytes;
+    return body.length > limit / maxEncodedBytes && Buffer.byteLength(JSON.stringify(body.toString("latin1"))) > limit;
+}
+
+function checkHeaders(message: IncomingMessage): void {
+    const names = message.rawHeaders.filter((name, index) => index % 2 === 0).map(name => name.toLowerCase());
     for (const single of singleHeaders) {
         if (names.filter(name => name === single).length > 1) {
-            throw createRefusal(`Header ${single} is repeated`, { status: 400, outcome: RunOutcome.notRun });
+            throw refuseInput(400, `Header ${single} is repeated`);
         }
     }
+    if (message.httpVersion === "1.1" && message.headers.host === undefined) {
+        throw refuseInput(400, "Header host is missing");
+    }
+}
+
+/** Refuses paths that an upstream may read as another path than the one that the route is found by. */
+function checkPath(url: string): void {
+    const segments = url.split("?")[0].replaceAll(/%2e/gi, ".").split(/\/|\\|%2f|%5c/i);
+    if (!url.startsWith("/") || segments.some(segment => segment === "." || segment === "..")) {
+        throw refuseInput(400, "The path is ambiguous");
+    }
 }
 
 /** Parses the urgency of an RFC 9218 priority header; anything unreadable counts as the default. */
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -8,6 +8,16 @@
 export const maxAttempts = 3;
 const maxResumes = 3;
 
+/** Why a request is tried again. */
+export const RetryReason = {
+    refused: "refused",
+    /** The slot proved that the request had not reached it. */
+    neverArrived: "never-arrived",
+    unreachable: "unreachable",
+    lost: "lost",
+} as const;
+export type RetryReason = (typeof RetryReason)[keyof typeof RetryReason];
+
 const Phase = { choosing: "choosing", waiting: "waiting", streaming: "streaming", done: "done" } as const;
 type Phase = (typeof Phase)[keyof typeof Phase];
 
@@ -48,7 +58,7 @@
     | { kind: "resume"; nextSequence: number; }
     | { kind: "relay"; frame: Frame; }
     | { kind: "drop"; }
-    | { kind: "retry"; reason: string; }
+    | { kind: "retry"; reason: RetryReason; }
     /** Tells the slot that nobody waits for the answer. */
     | { kind: "cancel"; }
     | { kind: "finish"; }
@@ -90,7 +100,7 @@
     unreachable: (state, event, now) =>
         state.resumes > 0 ?
             handleBroken(state, now) :
-            retryElsewhere(state, RunOutcome.notRun, now, "unreachable", 502, "The slot cannot be reached"),
+            retryElsewhere(state, RunOutcome.notRun, now, RetryReason.unreachable, 502, "The slot cannot be reached"),
     "retry-refused": (state, event) =>
         failRequest(state, RunOutcome.notRun, 503, "Too many requests are being retried", event.retryAfterSeconds),
     deadline: state => {
@@ -168,14 +178,16 @@
     if (state.answered) {
         return failRequest(state, frame.outcome, frame.status, frame.title);
     }
-    return retryElsewhere(state, frame.outcome, now, "refused", frame.status, frame.title, frame.retryAfterSeconds);
+    const asked = state.resumes > 0 && state.nextSequence === 0;
+    const reason = asked && frame.outcome === RunOutcome.notRun ? RetryReason.neverArrived : RetryReason.refused;
+    return retryElsewhere(state, frame.outcome, now, reason, frame.status, frame.title, frame.retryAfterSeconds);
 }
 
 function handleBroken(state: AttemptState, now: number): AttemptAction[] {
     if (state.resumes >= maxResumes) {
         return state.answered ?
             failRequest(state, RunOutcome.unknown, 502, "The slot was lost") :
-            retryElsewhere(state, RunOutcome.unknown, now, "lost", 502, "The slot was lost");
+            retryElsewhere(state, RunOutcome.unknown, now, RetryReason.lost, 502, "The slot was lost");
     }
     state.resumes += 1;
     return [{ kind: "resume", nextSequence: state.nextSequence }];
@@ -186,7 +198,7 @@
     state: AttemptState,
     outcome: RunOutcome,
     now: number,
-    reason: string,
+    reason: RetryReason,
     status: number,
     title: string,
     retryAfterSeconds?: number,
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -1,6 +1,6 @@
 /** Fourth filter: carries a request to slots and their answer back, as the attempt machine decides. */
 import type { Metrics } from "../observe/metrics.js";
-import { chooseUpstream } from "../routing/choose.js";
+import { chooseUpstream, estimateCost } from "../routing/choose.js";
 import {
     ejectUpstream,
     noteDone,
@@ -12,14 +12,18 @@
 import { filterHeaders } from "../slot/upstream.js";
 import type { Frame, RunParams } from "../wire/messages.js";
 import { requestRpc, type RpcIdentity } from "../wire/rpc.js";
-import { advanceAttempt, type AttemptAction, type AttemptEvent, createAttemptState } from "./attempt.js";
-import { relayFrame, relayProblem } from "./relay.js";
+import { advanceAttempt, type AttemptAction, type AttemptEvent, createAttemptState, RetryReason } from "./attempt.js";
+import { beginAttempt, beginRecord, endAttempt, endRecord, type Journal, type JournalRecord } from "./journal.js";
+import { cutAnswer, relayFrame, relayProblem } from "./relay.js";
+import { admitRetry, noteRequest, type RetryBudget } from "./retryBudget.js";
 import { isIdempotent } from "./route.js";
 import type { SlotClient, SlotStream } from "./slotClient.js";
 import type { Exchange } from "./types.js";
 
 const ejectMs = 2000;
 const resumeDelayMs = 50;
+/** Longest time that a caller is told to wait when retries are spent, in seconds. */
+const maxRetryAfterSeconds = 8;
 
 export interface DispatchContext {
     identity: RpcIdentity;
@@ -27,6 +31,8 @@
     table: UpstreamTable;
     slots: SlotClient;
     metrics: Metrics;
+    retryBudget: RetryBudget;
+    journal: Journal;
 }
 
 /** Runs a request to its end; resolves when the caller has its answer. */
@@ -34,86 +40,82 @@
     return new Promise(resolve => new Dispatch(context, exchange, resolve).begin());
 }
 
+type ActionHandlers = {
+    [K in AttemptAction["kind"]]: (action: Extract<AttemptAction, { kind: K; }>) => void;
+};
+
 class Dispatch {
     private readonly state;
     private readonly tried = new Set<string>();
+    private readonly record: JournalRecord;
     private upstream: UpstreamEntry | undefined;
     private incarnation: string | undefined;
     private stream: SlotStream | undefined;
     private deadline: NodeJS.Timeout | undefined;
+    private retryReason = "";
+    private waitsForCaller = false;
     private ended = false;
 
+    private readonly handlers: ActionHandlers = {
+        choose: () => this.choose(),
+        send: () => this.send(),
+        resume: action => this.scheduleResume(action.nextSequence),
+        relay: action => this.relay(action.frame),
+        drop: () => this.context.metrics.droppedFrames.inc(),
+        retry: action => this.prepareRetry(action.reason),
+        cancel: () => this.cancel(),
+        finish: () => this.finish("run", "answered"),
+        fail: action => this.fail(action),
+    };
+
     constructor(
         private readonly context: DispatchContext,
         private readonly exchange: Exchange,
         private readonly resolve: () => void,
     ) {
-        const { route, message, receivedAt } = exchange;
+        const { route, message, receivedAt, requestId } = exchange;
         const idempotent = isIdempotent(message.method ?? "GET", route!);
-        this.state = createAttemptState(idempotent, receivedAt + route!.deadlineSeconds * 1000);
+        this.state = createAttemptState(idempotent, receivedAt + route!.deadlineSeconds * 1000, requestId);
+        this.record = beginRecord(context.journal, {
+            requestId,
+            workspace: exchange.workspace!.name,
+            route: route!.path,
+            receivedAt,
+        });
     }
 
     begin(): void {
-        this.deadline = setTimeout(() => this.apply({ kind: "deadline" }), this.state.deadline - Date.now());
+        noteRequest(this.context.retryBudget, Date.now());
+        this.deadline = setTimeout(() => this.handleDeadline(), this.state.deadline - Date.now());
         this.exchange.response.on("close", () => this.handleCallerClose());
+        this.exchange.response.on("drain", () => this.handleCallerDrain());
         this.choose();
     }
 
     private apply(event: AttemptEvent): void {
         for (const action of advanceAttempt(this.state, event, Date.now())) {
-            this.execute(action);
-        }
-    }
-
-    private execute(action: AttemptAction): void {
-        const { metrics } = this.context;
-        const { response, requestId } = this.exchange;
-        switch (action.kind) {
-            case "choose":
-                this.choose();
-                return;
-            case "send":
-                this.send();
-                return;
-            case "resume":
-                metrics.resumes.inc();
-                setTimeout(
-                    () => this.resume(action.nextSequence),
-                    this.state.resumes === 1 ? 0 : resumeDelayMs * this.state.resumes,
-                );
-                return;
-            case "relay":
-                this.relay(action.frame);
-                return;
-            case "drop":
-                metrics.droppedFrames.inc();
-                return;
-            case "retry":
-                metrics.retries.inc({ reason: action.reason });
-                this.release();
-                return;
-            case "finish":
-                this.finish("run");
-                return;
-            case "fail":
-                if (action.outcome !== "run" && this.upstream !== undefined && action.status === 502) {
-                    ejectUpstream(this.context.table, this.upstream.instance, Date.now() + ejectMs);
-                }
-                relayProblem(response, requestId, action);
-                this.finish(action.outcome);
-                return;
+            this.handlers[action.kind](action as never);
         }
     }
 
     private choose(): void {
-        const { table, dataCentre } = this.context;
+        const { table, dataCentre, retryBudget } = this.context;
         const { route, tokens } = this.exchange;
+        const now = Date.now();
+        if (this.state.attempt > 1 && !admitRetry(retryBudget, now)) {
+            const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
+            this.apply({ kind: "retry-refused", retryAfterSeconds });
+            return;
+        }
         const choice = { pool: route!.pool, dataCentre, spill: route!.spill, tokens, excluded: this.tried };
-        this.upstream = chooseUpstream(table, choice, Date.now(), Math.random);
+        this.upstream = chooseUpstream(table, choice, now, Math.random);
         if (this.upstream === undefined) {
             this.apply({ kind: "no-candidate" });
             return;
         }
+        const cost = `estimated cost ${estimateCost(this.upstream)} tokens`;
+        const reason = this.retryReason === "" ? cost : `retry, ${this.retryReason}; ${cost}`;
+        beginAttempt(this.record, this.upstream.instance, reason, now);
         this.tried.add(this.upstream.instance);
         this.incarnation = this.upstream.report?.incarnation;
         noteSent(table, this.upstream.instance, tokens);
@@ -121,12 +123,15 @@
     }
 
     private send(): void {
-        const url = this.upstream!.url;
-        this.stream = this.context.slots.run(
-            url,
-            createRunParams(this.exchange, this.state, this.incarnation),
-            this.createListener(),
-        );
+        const params = createRunParams(this.exchange, this.state, this.incarnation);
+        this.stream = this.context.slots.run(this.upstream!.url, params, this.createListener());
+    }
+
+    private scheduleResume(nextSequence: number): void {
+        const { resumes } = this.state;
+        this.context.metrics.resumes.inc();
+        this.stream?.abandon();
+        setTimeout(() => this.resume(nextSequence), resumes === 1 ? 0 : resumeDelayMs * resumes);
     }
 
     private resume(nextSequence: number): void {
@@ -142,12 +147,11 @@
         const { attempt } = this.state;
         return {
             onFrame: (frame: Frame) => {
-                if (frame.kind === "accepted") {
+                const own = frame.requestId === this.exchange.requestId && frame.attempt === this.state.attempt;
+                if (own && frame.kind === "accepted") {
                     this.incarnation = frame.incarnation;
                 }
-                if (frame.requestId === this.exchange.requestId) {
-                    this.apply({ kind: "frame", frame });
-                }
+                this.apply({ kind: "frame", frame });
             },
             onBroken: (sent: boolean) => {
                 if (attempt === this.state.attempt && !this.ended) {
@@ -165,7 +169,44 @@
         if (frame.kind === "end") {
             noteReport(this.context.table, this.upstream!.instance, frame.load, Date.now());
         }
-        relayFrame(response, requestId, frame);
+        try {
+            relayFrame(response, requestId, frame);
+        }
+        catch {
+            this.state.phase = "done";
+            this.fail({ kind: "fail", outcome: "run", status: 502, title: "HTTP cannot carry the answer" });
+            return;
+        }
+        if (response.writableNeedDrain && !this.waitsForCaller) {
+            this.waitsForCaller = true;
+            this.stream?.pause();
+        }
+    }
+
+    private handleCallerDrain(): void {
+        this.waitsForCaller = false;
+        this.stream?.resume();
+    }
+
+    private prepareRetry(reason: string): void {
+        this.context.metrics.retries.inc({ reason });
+        endAttempt(this.record, reason, Date.now());
+        this.retryReason = `${this.upstream!.instance} ${reason}`;
+        if (reason === RetryReason.neverArrived) {
+            this.tried.delete(this.upstream!.instance);
+        }
+        else if (reason !== RetryReason.refused) {
+            ejectUpstream(this.context.table, this.upstream!.instance, Date.now() + ejectMs);
+        }
+        this.release();
+    }
+
+    private fail(action: Extract<AttemptAction, { kind: "fail"; }>): void {
+        if (action.outcome !== "run" && this.upstream !== undefined && action.status === 502) {
+            ejectUpstream(this.context.table, this.upstream.instance, Date.now() + ejectMs);
+        }
+        relayProblem(this.exchange.response, this.exchange.requestId, action);
+        this.finish(action.outcome, action.title);
     }
 
     /** Gives back the load that the present attempt holds at its upstream. */
@@ -175,30 +216,40 @@
         }
         this.stream?.abandon();
         this.stream = undefined;
+        this.upstream = undefined;
     }
 
-    private finish(outcome: string): void {
+    private finish(outcome: string, verdict: string): void {
         if (this.ended) {
             return;
         }
         this.ended = true;
-        clearTimeout(this.deadline);
+        endAttempt(this.record, verdict, Date.now());
+        endRecord(this.context.journal, this.record, outcome, verdict === "answered");
         this.release();
         this.context.metrics.requests.inc({ outcome });
         this.resolve();
     }
 
-    private handleCallerClose(): void {
+    private cancel(): void {
+        const { requestId } = this.exchange;
+        const params = { requestId, attempt: this.state.attempt };
+        requestRpc(this.context.identity, this.upstream!.url, "cancel", params).catch(() => undefined);
+    }
+
+    /** Ends the request; an answer that its caller has not read by now is broken. */
+    private handleDeadline(): void {
         if (this.ended) {
+            cutAnswer(this.exchange.response);
             return;
         }
-        const { identity } = this.context;
-        if (this.upstream !== undefined) {
-            const params = { requestId: this.exchange.requestId, attempt: this.state.attempt };
-            requestRpc(identity, this.upstream.url, "cancel", params).catch(() => undefined);
-        }
-        this.state.phase = "done";
-        this.finish("caller-gone");
+        this.apply({ kind: "deadline" });
+    }
+
+    private handleCallerClose(): void {
+        clearTimeout(this.deadline);
+        this.apply({ kind: "caller-gone" });
+        this.finish("caller-gone", "the caller has gone");
     }
 }
 
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -4,9 +4,6 @@
 import type { RunOutcome } from "../core/types.js";
 import type { Frame } from "../wire/messages.js";
 
-export const outcomeHeader = "beechdock-outcome";
-export const requestIdHeader = "beechdock-request-id";
-
 export interface Problem {
     status: number;
     outcome: RunOutcome;
@@ -14,44 +11,109 @@
     retryAfterSeconds?: number;
 }
 
-/** Writes the part of an answer that a frame carries. */
+interface HeldAnswer {
+    status: number;
+    headers: Record<string, string>;
+    /** Body bytes as latin1 strings. */
+    chunks: string[];
+    length: number;
+}
+
+const maxHeldBytes = 8 * 1024 * 1024;
+const held = new WeakMap<ServerResponse, HeldAnswer>();
+export const outcomeHeader = "beechdock-outcome";
+export const requestIdHeader = "beechdock-request-id";
+export const problemType = "application/problem+json";
+/** Newest bytes of each answer that is a stream of events; an error event may only follow a whole event. */
+const lastEvents = new WeakMap<ServerResponse, string>();
+
+/**
+ * Writes the part of an answer that a frame carries; throws when HTTP cannot carry it.
+ * Callers of HTTP/1.0 know no chunks and may take the end of the connection for the end of the answer,
+ * so theirs is held until it is whole, unless it is a stream of events.
+ */
 export function relayFrame(response: ServerResponse, requestId: string, frame: Frame): void {
-    if (frame.kind === "head") {
-        response.writeHead(frame.status, { ...frame.headers, [requestIdHeader]: requestId, [outcomeHeader]: "run" });
+    const answer = held.get(response);
+    if (answer !== undefined) {
+        holdFrame(response, answer, frame);
+    }
+    else if (frame.kind === "head") {
+        const headers = { ...frame.headers, [requestIdHeader]: requestId, [outcomeHeader]: "run" };
+        if (response.req.httpVersion === "1.0" && !isEventStream(frame.headers["content-type"])) {
+            held.set(response, { status: frame.status, headers, chunks: [], length: 0 });
+            return;
+        }
+        response.writeHead(frame.status, headers);
         response.flushHeaders();
+        if (isEventStream(frame.headers["content-type"])) {
+            lastEvents.set(response, "\n\n");
+        }
     }
     else if (frame.kind === "data") {
         response.write(frame.data, "latin1");
+        if (lastEvents.has(response)) {
+            lastEvents.set(response, frame.data);
+        }
     }
     else if (frame.kind === "end") {
         response.end();
     }
 }
 
+function holdFrame(response: ServerResponse, answer: HeldAnswer, frame: Frame): void {
+    if (frame.kind === "data") {
+        answer.chunks.push(frame.data);
+        answer.length += frame.data.length;
+        if (answer.length > maxHeldBytes) {
+            throw new RangeError("the answer is too long for HTTP/1.0");
+        }
+    }
+    else if (frame.kind === "end") {
+        response.writeHead(answer.status, { ...answer.headers, "content-length": answer.length });
+        response.end(answer.chunks.join(""), "latin1");
+    }
+}
+
+function isEventStream(contentType: unknown): boolean {
+    return String(contentType).startsWith("text/event-stream");
+}
+
 /** Answers with a problem document, or breaks an answer that has begun so that it cannot pass for whole. */
 export function relayProblem(response: ServerResponse, requestId: string, problem: Problem): void {
-    const { status, outcome, title, retryAfterSeconds } = problem;
-    const body = JSON.stringify({
-        type: "about:blank",
-        status,
-        title,
-        detail: STATUS_CODES[status],
-        outcome,
-        requestId,
-    });
+    const body = createProblemBody(requestId, problem);
     if (!response.headersSent) {
-        response.writeHead(status, {
-            "content-type": "application/problem+json",
+        response.writeHead(problem.status, {
+            "content-type": problemType,
+            "content-length": Buffer.byteLength(body),
             [requestIdHeader]: requestId,
-            [outcomeHeader]: outcome,
-            ...(retryAfterSeconds === undefined ? {} : { "retry-after": String(retryAfterSeconds) }),
+            [outcomeHeader]: problem.outcome,
+            ...(problem.retryAfterSeconds === undefined ? {} : { "retry-after": String(problem.retryAfterSeconds) }),
         });
         response.end(body);
         return;
     }
-    if (String(response.getHeader("content-type")).startsWith("text/event-stream")) {
+    if (!response.writableNeedDrain && isBetweenEvents(response)) {
         response.write(`event: error\ndata: ${body}\n\n`, () => response.destroy());
         return;
     }
+    cutAnswer(response);
+}
+
+/** Creates the body of a problem document (RFC 9457). */
+export function createProblemBody(requestId: string, problem: Problem): string {
+    const { status, outcome, title } = problem;
+    return JSON.stringify({ type: "about:blank", status, title, detail: STATUS_CODES[status], outcome, requestId });
+}
+
+/** Resets the caller's connection unless its answer is complete, so that no caller takes the answer for whole. */
+export function cutAnswer(response: ServerResponse): void {
+    const { socket } = response;
+    if (socket && !response.writableFinished) {
+        socket.resetAndDestroy();
+    }
     response.destroy();
 }
+
+function isBetweenEvents(response: ServerResponse): boolean {
+    return /(\n\n|\r\r|\r\n\r\n)$/.test(lastEvents.get(response) ?? "");
+}
--- a/src/entry/route.ts
+++ b/src/entry/route.ts
@@ -15,6 +15,10 @@
     if (onPath.length === 0) {
         throw createRefusal(`No route serves ${path}`, { status: 404, outcome: RunOutcome.notRun });
     }
+    if (onPath.every(route => route.model !== undefined) && exchange.message.method !== "POST") {
+        exchange.response.setHeader("allow", "POST");
+        throw createRefusal(`${path} serves POST only`, { status: 405, outcome: RunOutcome.notRun });
+    }
     const model = onPath.some(route => route.model !== undefined) ? parseModel(exchange.body) : undefined;
     const matching = onPath.filter(route => route.model === undefined || route.model === model);
     if (matching.length === 0) {
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -11,21 +11,35 @@
 import { relayProblem } from "./relay.js";
 import { routeRequest } from "./route.js";
 import type { Exchange, Filter } from "./types.js";
+import { refuseUnreadable } from "./unreadable.js";
 
-const headersTimeoutMs = 10_000;
-const bodyTimeoutMs = 60_000;
+const maxHeaderBytes = 16_384;
+
+/** Times that a caller has to send the parts of a request, in milliseconds. */
+export interface ReceiveTimeouts {
+    headersMs: number;
+    /** Time for headers and body. */
+    requestMs: number;
+    /** Time between two checks of the above. */
+    checkMs: number;
+}
+
+const defaultTimeouts: ReceiveTimeouts = { headersMs: 10_000, requestMs: 60_000, checkMs: 1000 };
 
 export interface EntryContext extends DispatchContext {
     maxBodyBytes: number;
+    timeouts?: ReceiveTimeouts;
     logger: Logger;
     getConfig: () => ConfigState;
     /** Whether the balancer may send requests. */
     isReady: () => boolean;
+    /** Whether the entry is shutting down, so that callers should open their next connection elsewhere. */
+    isStopping: () => boolean;
 }
 
 export interface EntryServer {
     server: Server;
-    /** Resolves when no request is in flight. */
+    /** Resolves when every answer has been handed to the operating system or broken. */
     drain: () => Promise<void>;
 }
 
@@ -37,24 +51,32 @@
         routeRequest,
         exchange => dispatchRequest(context, exchange),
     ];
+    const { headersMs, requestMs, checkMs } = context.timeouts ?? defaultTimeouts;
     let inFlight = 0;
     const idle: (() => void)[] = [];
-    const server = createServer(
-        { headersTimeout: headersTimeoutMs, requestTimeout: bodyTimeoutMs, maxHeaderSize: 16_384 },
-        (message, response) => {
-            if (message.url === "/healthz/ready") {
-                response.writeHead(context.isReady() ? 200 : 503).end();
-                return;
+    const server = createServer({
+        headersTimeout: headersMs,
+        requestTimeout: requestMs,
+        connectionsCheckingInterval: checkMs,
+        maxHeaderSize: maxHeaderBytes,
+        requireHostHeader: false,
+    });
+    server.on("request", (message: IncomingMessage, response: ServerResponse) => {
+        if (message.url === "/healthz/ready") {
+            response.writeHead(context.isReady() ? 200 : 503).end();
+            return;
+        }
+        response.shouldKeepAlive = response.shouldKeepAlive && !context.isStopping();
+        inFlight += 1;
+        response.on("close", () => {
+            inFlight -= 1;
+            if (inFlight === 0) {
+                idle.splice(0).forEach(resolve => resolve());
             }
-            inFlight += 1;
-            void runFilters(context, filters, message, response).finally(() => {
-                inFlight -= 1;
-                if (inFlight === 0) {
-                    idle.splice(0).forEach(resolve => resolve());
-                }
-            });
-        },
-    );
+        });
+        void runFilters(context, filters, message, response);
+    });
+    refuseUnreadable(server);
     return { server, drain: () => inFlight === 0 ? Promise.resolve() : new Promise(resolve => idle.push(resolve)) };
 }
 
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -1,5 +1,5 @@
 /** Streams of frames from a slot: the first run of a request, and its resumption on a new connection. */
-import { Agent, Client, type Dispatcher } from "undici";
+import { Client, type Dispatcher, Pool } from "undici";
 import { createFrameDecoder } from "../wire/frames.js";
 import { type Frame, InternalPath, type ResumeParams, type RunParams } from "../wire/messages.js";
 import { createSignedHeaders, type RpcIdentity } from "../wire/rpc.js";
@@ -8,6 +8,7 @@
 /** Longest silence on a stream before its connection counts as lost. */
 const silenceMs = 1500;
 const firstFrameMs = 750;
+const clientOptions = { headersTimeout: 0, bodyTimeout: 0, connect: { timeout: connectTimeoutMs } };
 
 export interface FrameListener {
     onFrame: (frame: Frame) => void;
@@ -17,6 +18,9 @@
 
 export interface SlotStream {
     abandon: () => void;
+    /** Stops reading from the slot, without counting the silence that follows. */
+    pause: () => void;
+    resume: () => void;
 }
 
 export interface SlotClient {
@@ -26,25 +30,24 @@
     close: () => Promise<void>;
 }
 
-/** Creates a client; connections idle for over two seconds are never used again. */
+/** Creates a client; connections idle for over two seconds, or beside one that went silent, are never used again. */
 export function createSlotClient(identity: RpcIdentity): SlotClient {
-    const agent = new Agent({
-        connections: 512,
-        keepAliveTimeout: 2000,
-        keepAliveMaxTimeout: 2000,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-        connect: { timeout: connectTimeoutMs },
-    });
+    const pools = new Map<string, Pool>();
+    const getPool = (url: string) => pools.get(url) ?? createPool(pools, url);
     return {
-        run: (url, params, listener) => openStream(agent, identity, url, InternalPath.run, params, listener),
-        resume: (url, params, listener) => {
-            const fresh = new Client(url, {
-                headersTimeout: 0,
-                bodyTimeout: 0,
-                connect: { timeout: connectTimeoutMs },
+        run: (url, params, listener) => {
+            const pool = getPool(url);
+            return openStream(pool, identity, InternalPath.run, params, {
+                onFrame: listener.onFrame,
+                onBroken: sent => {
+                    dropPool(pools, url, pool);
+                    listener.onBroken(sent);
+                },
             });
-            const stream = openStream(fresh, identity, url, InternalPath.resume, params, {
+        },
+        resume: (url, params, listener) => {
+            const fresh = new Client(url, clientOptions);
+            const stream = openStream(fresh, identity, InternalPath.resume, params, {
                 onFrame: listener.onFrame,
                 onBroken: sent => {
                     void fresh.destroy();
@@ -52,106 +55,171 @@
                 },
             });
             return {
+                ...stream,
                 abandon: () => {
                     stream.abandon();
                     void fresh.destroy();
                 },
             };
         },
-        close: () => agent.close(),
+        close: async () => {
+            await Promise.all([...pools.values()].map(pool => pool.close()));
+        },
     };
 }
 
+function createPool(pools: Map<string, Pool>, url: string): Pool {
+    const pool = new Pool(url, {
+        ...clientOptions,
+        connections: 512,
+        keepAliveTimeout: 2000,
+        keepAliveMaxTimeout: 2000,
+    });
+    pool.on("disconnect", () => {
+        if (pool.stats.connected === 0 && pool.stats.size === 0) {
+            dropPool(pools, url, pool);
+        }
+    });
+    pools.set(url, pool);
+    return pool;
+}
+
+/** Leaves a pool's connections to the streams that they carry; later calls use new ones. */
+function dropPool(pools: Map<string, Pool>, url: string, pool: Pool): void {
+    if (pools.get(url) === pool) {
+        pools.delete(url);
+        void pool.close();
+    }
+}
+
+/** One call whose answer is a stream of frames. */
+class CallStream implements Dispatcher.DispatchHandler {
+    private readonly decoder = createFrameDecoder();
+    private controller: Dispatcher.DispatchController | undefined;
+    private timer: NodeJS.Timeout;
+    private over = false;
+    private ended = false;
+    private paused = false;
+    /** Time of the newest bytes, in milliseconds. */
+    private heardAt = Date.now();
+
+    constructor(
+        private readonly run: { requestId: string; attempt: number; },
+        private readonly listener: FrameListener,
+    ) {
+        this.timer = setTimeout(() => this.fail(), connectTimeoutMs + firstFrameMs);
+    }
+
+    abandon(): void {
+        if (!this.over) {
+            this.close();
+            this.controller?.abort(new Error("abandoned"));
+        }
+    }
+
+    pause(): void {
+        this.paused = true;
+        this.controller?.pause();
+    }
+
+    resume(): void {
+        this.paused = false;
+        this.heardAt = Date.now();
+        this.controller?.resume();
+    }
+
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        this.controller = controller;
+        if (this.over) {
+            controller.abort(new Error("abandoned"));
+        }
+    }
+
+    onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+        if (status !== 200) {
+            this.fail();
+            return;
+        }
+        clearTimeout(this.timer);
+        this.heardAt = Date.now();
+        this.timer = setTimeout(() => this.checkSilence(), silenceMs);
+    }
+
+    onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        if (this.over) {
+            return;
+        }
+        this.heardAt = Date.now();
+        const frames = this.decode(chunk);
+        if (frames === undefined) {
+            this.fail();
+            return;
+        }
+        for (const frame of frames) {
+            if (this.over) {
+                return;
+            }
+            const own = frame.requestId === this.run.requestId && frame.attempt === this.run.attempt;
+            this.ended = this.ended || (own && (frame.kind === "end" || frame.kind === "failed"));
+            this.listener.onFrame(frame);
+        }
+    }
+
+    onResponseEnd(): void {
+        if (this.ended) {
+            this.close();
+        }
+        else {
+            this.fail();
+        }
+    }
+
+    onResponseError(): void {
+        this.fail();
+    }
+
+    private decode(chunk: Buffer): Frame[] | undefined {
+        try {
+            return this.decoder.push(chunk);
+        }
+        catch {
+            return undefined;
+        }
+    }
+
+    private checkSilence(): void {
+        const left = this.paused ? silenceMs : this.heardAt + silenceMs - Date.now();
+        if (left <= 0) {
+            this.fail();
+        }
+        else {
+            this.timer = setTimeout(() => this.checkSilence(), left);
+        }
+    }
+
+    private close(): void {
+        this.over = true;
+        clearTimeout(this.timer);
+    }
+
+    private fail(): void {
+        if (!this.over) {
+            this.close();
+            this.controller?.abort(new Error("abandoned"));
+            this.listener.onBroken(this.controller !== undefined);
+        }
+    }
+}
+
 function openStream(
     dispatcher: Dispatcher,
     identity: RpcIdentity,
-    origin: string,
     path: string,
     params: RunParams | ResumeParams,
     listener: FrameListener,
 ): SlotStream {
     const body = JSON.stringify({ jsonrpc: "2.0", id: params.requestId, method: path.slice(1), params });
-    const decoder = createFrameDecoder();
-    let over = false;
-    let ended = false;
-    let sent = false;
-    let abort: (() => void) | undefined;
-    const close = () => {
-        over = true;
-        clearTimeout(timer);
-    };
-    const fail = () => {
-        if (!over) {
-            close();
-            abort?.();
-            listener.onBroken(sent);
-        }
-    };
-    const timer = setTimeout(fail, connectTimeoutMs + firstFrameMs);
-    let lastFrameAt = 0;
-    const checkSilence = () => {
-        const left = lastFrameAt + silenceMs - Date.now();
-        if (left <= 0) {
-            fail();
-        }
-        else if (!over) {
-            silence = setTimeout(checkSilence, left);
-        }
-    };
-    let silence: NodeJS.Timeout | undefined;
-    dispatcher.dispatch({ origin, path, method: "POST", headers: createSignedHeaders(identity, path, body), body }, {
-        onRequestStart: controller => {
-            sent = true;
-            abort = () => controller.abort(new Error("abandoned"));
-            if (over) {
-                abort();
-            }
-        },
-        onResponseStart: (controller, status) => {
-            if (status !== 200) {
-                fail();
-            }
-        },
-        onResponseData: (controller, chunk) => {
-            if (over) {
-                return;
-            }
-            if (lastFrameAt === 0) {
-                clearTimeout(timer);
-                silence = setTimeout(checkSilence, silenceMs);
-            }
-            lastFrameAt = Date.now();
-            try {
-                for (const frame of decoder.push(chunk)) {
-                    ended = ended || frame.kind === "end" || frame.kind === "failed";
-                    listener.onFrame(frame);
-                }
-            }
-            catch {
-                fail();
-            }
-        },
-        onResponseEnd: () => {
-            clearTimeout(silence);
-            if (ended) {
-                close();
-            }
-            else {
-                fail();
-            }
-        },
-        onResponseError: () => {
-            clearTimeout(silence);
-            fail();
-        },
-    });
-    return {
-        abandon: () => {
-            if (!over) {
-                close();
-                clearTimeout(silence);
-                abort?.();
-            }
-        },
-    };
+    const call = new CallStream(params, listener);
+    dispatcher.dispatch({ path, method: "POST", headers: createSignedHeaders(identity, path, body), body }, call);
+    return { abandon: () => call.abandon(), pause: () => call.pause(), resume: () => call.resume() };
 }
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -1,5 +1,4 @@
 /** Wires an entry: configuration, instance list, load probes and the callers' server. */
-import { createServer } from "node:http";
 import { type ConfigState, createConfigState } from "../config/fold.js";
 import { streamConfig } from "../config/loadConfig.js";
 import type { EntrySettings } from "../config/settings.js";
@@ -11,11 +10,19 @@
 import { streamInstances } from "../peers/loadList.js";
 import { createUpstreamTable, noteReport, updateInstances } from "../routing/table.js";
 import { listenOn } from "../wire/listen.js";
+import { InternalPath } from "../wire/messages.js";
 import { requestRpc } from "../wire/rpc.js";
+import { createInternalServer, createRpcHandler } from "../wire/server.js";
+import { createExplainMethod } from "./explain.js";
+import { createJournal } from "./journal.js";
+import { createRetryBudget } from "./retryBudget.js";
 import { createEntryServer } from "./server.js";
 import { createSlotClient } from "./slotClient.js";
 
 const probeIntervalMs = 1000;
+const retryRatio = 0.1;
+const retryFloorPerSecond = 1;
+const journalCapacity = 8192;
 
 export interface RunningProcess {
     stop: () => Promise<void>;
@@ -46,15 +53,18 @@
         maxBodyBytes: settings.maxBodyBytes,
         getConfig: () => config,
         isReady: () => configured && !stopping,
+        isStopping: () => stopping,
+        retryBudget: createRetryBudget(retryRatio, retryFloorPerSecond),
+        journal: createJournal(journalCapacity),
     };
     const { server, drain } = createEntryServer(context);
-    const admin = createServer((message, response) => {
-        void metrics.registry.metrics().then(text =>
-            response.writeHead(200, { "content-type": "text/plain" }).end(text)
-        );
+    const admin = createInternalServer({
+        identity: settings,
+        registry: metrics.registry,
+        handlers: { [InternalPath.rpc]: createRpcHandler({ explain: createExplainMethod(context.journal) }) },
     });
     const port = await listenOn(server, listen.host, listen.port);
-    await listenOn(admin, internal.host, internal.port);
+    const internalPort = await listenOn(admin, internal.host, internal.port);
 
     void streamConfig(
         createLogClient(platform.log),
@@ -88,7 +98,7 @@
         }
     };
     void pollEvery(probeIntervalMs, probe, () => undefined).drain();
-    logger.info("The entry listens.", { port });
+    logger.info("The entry listens.", { port, internalPort });
 
     return {
         stop: async () => {
--- /dev/null
+++ b/src/entry/tests/answers.test.ts
@@ -0,0 +1,230 @@
+import { afterEach, expect, it, vi } from "vitest";
+import { demoKeys } from "../../demo/document.js";
+import { type FakeCall, fakeLoad, type FakeSlot, startFakeSlot } from "../../standin/fakeSlot.js";
+import { formatRequest, openRaw, parseRawAnswer } from "../../standin/rawCaller.js";
+
+let fake: FakeSlot;
+afterEach(() => fake.close());
+
+const key = `authorization: Bearer ${demoKeys.caseworkers}`;
+const call = (line: string, body = "x") => formatRequest(line, [key, "connection: close"], body);
+const plain = { "content-type": "text/plain" };
+const events = { "content-type": "text/event-stream" };
+
+/** Sends frames in order, with the sequence numbers that a correct slot gives. */
+function sendAll(fakeCall: FakeCall, frames: Record<string, unknown>[]): void {
+    frames.forEach((frame, sequence) => fakeCall.send({ sequence, ...frame }));
+}
+
+const accepted = { kind: "accepted", incarnation: "fake" };
+const head = (status: number, headers: object) => ({ kind: "head", status, headers });
+const data = (text: string) => ({ kind: "data", data: text });
+const end = (length: number) => ({ kind: "end", length, load: fakeLoad });
+const failed = { kind: "failed", outcome: "unknown", status: 502, title: "lost" };
+
+it.each([
+    {
+        name: "plain answer",
+        line: "POST /claims HTTP/1.1",
+        frames: [head(200, plain), data("ok"), end(2)],
+        body: "ok",
+        whole: true,
+    },
+    {
+        name: "caller of HTTP/1.0",
+        line: "POST /claims HTTP/1.0",
+        frames: [head(200, plain), data("ok"), end(2)],
+        body: "ok",
+        whole: true,
+    },
+    { name: "HEAD", line: "HEAD /lookups HTTP/1.1", frames: [head(200, plain), end(0)], body: "", whole: true },
+    { name: "204", line: "POST /claims HTTP/1.1", frames: [head(204, {}), end(0)], body: "", whole: true },
+    { name: "304", line: "GET /lookups HTTP/1.1", frames: [head(304, { etag: "1" }), end(0)], body: "", whole: true },
+    {
+        name: "events with ids",
+        line: "POST /claims HTTP/1.1",
+        frames: [head(200, events), data("id: 7\ndata: a\n\n"), end(15)],
+        body: "id: 7\ndata: a\n\n",
+        whole: true,
+    },
+    {
+        name: "wrong length",
+        line: "POST /claims HTTP/1.1",
+        frames: [head(200, plain), data("ok"), end(9)],
+        body: "ok",
+        whole: false,
+    },
+    {
+        name: "failure after data",
+        line: "POST /claims HTTP/1.1",
+        frames: [head(200, plain), data("ok"), failed],
+        body: "ok",
+        whole: false,
+    },
+    {
+        name: "failure between events",
+        line: "POST /claims HTTP/1.1",
+        frames: [head(200, events), data("data: a\n\n"), failed],
+        body: "data: a\n\nevent: error\ndata: ",
+        whole: false,
+    },
+    {
+        name: "failure inside an event",
+        line: "POST /claims HTTP/1.1",
+        frames: [head(200, events), data("data: {\"a"), failed],
+        body: "data: {\"a",
+        whole: false,
+    },
+])("delivers or visibly breaks: $name", async ({ line, frames, body, whole }) => {
+    fake = await startFakeSlot(fakeCall => {
+        sendAll(fakeCall, [accepted, ...frames]);
+        fakeCall.response.end();
+    });
+    const answer = await openRaw(fake.url, call(line)).closed;
+    const start = answer.body.split("{\"type\"")[0];
+    const isAllowed = start === body || (!whole && !body.includes("error") && body.startsWith(start));
+    expect([answer.whole, isAllowed, start]).toEqual([whole, true, start]);
+});
+
+it.each([
+    { name: "text that is no frame", send: (c: FakeCall) => c.response.write("garbage\n") },
+    { name: "frame without fields", send: (c: FakeCall) => c.send({ kind: "head", sequence: 1 }) },
+    { name: "frame of an unknown kind", send: (c: FakeCall) => c.send({ kind: "tail", sequence: 1 }) },
+    { name: "end of the stream", send: (c: FakeCall) => c.response.end() },
+    {
+        name: "gap in the sequence",
+        send: (c: FakeCall) => ["b", "c", "d", "e"].forEach((text, i) => c.send({ sequence: 3 + i, ...data(text) })),
+    },
+    {
+        name: "frames of another request",
+        send: (c: FakeCall) => {
+            c.send({ sequence: 2, requestId: "other", ...data("zz") });
+            c.response.end();
+        },
+    },
+])("resumes the answer after $name", async ({ send }) => {
+    fake = await startFakeSlot(fakeCall => {
+        if (fakeCall.path === "/run") {
+            sendAll(fakeCall, [accepted, head(200, plain), data("a")].slice(0, 2));
+            send(fakeCall);
+            return;
+        }
+        const rest = [accepted, head(200, plain), data("a"), data("b"), end(2)];
+        rest.forEach((frame, sequence) =>
+            sequence >= fakeCall.params.nextSequence && fakeCall.send({ sequence, ...frame })
+        );
+        fakeCall.response.end();
+    });
+    const { status, body, whole } = await openRaw(fake.url, call("POST /claims HTTP/1.1")).closed;
+    expect([status, body, whole, fake.calls.map(c => c.path)]).toEqual([200, "ab", true, ["/run", "/resume"]]);
+});
+
+it.each([
+    { name: "refuses every call", status: 401, frames: [] },
+    { name: "ends every stream at once", status: 200, frames: [] },
+    { name: "answers with an impossible status", status: 200, frames: [accepted, head(99, {})] },
+    { name: "ends before a head", status: 200, frames: [accepted, end(0)] },
+    {
+        name: "sends only frames of another request",
+        status: 200,
+        frames: [{ ...accepted, requestId: "other" }, { ...end(0), requestId: "other" }],
+    },
+])("tells unknown at once when a slot $name", async ({ status, frames }) => {
+    fake = await startFakeSlot(fakeCall => {
+        fakeCall.response.writeHead(status);
+        sendAll(fakeCall, frames);
+        fakeCall.response.end();
+    });
+    const answer = await openRaw(fake.url, call("POST /claims HTTP/1.1")).closed;
+    expect([answer.status, answer.headers["beechdock-outcome"], answer.whole]).toEqual([502, "unknown", true]);
+});
+
+it("answers a caller of HTTP/1.0 with an error when the answer is cut short", async () => {
+    fake = await startFakeSlot(fakeCall => sendAll(fakeCall, [accepted, head(200, plain), data("ok"), end(9)]));
+    const answer = await openRaw(fake.url, call("POST /claims HTTP/1.0")).closed;
+    expect([answer.status, answer.headers["beechdock-outcome"], answer.whole]).toEqual([502, "run", true]);
+});
+
+it("answers with an error when the upstream's headers cannot be passed on", async () => {
+    fake = await startFakeSlot(fakeCall => sendAll(fakeCall, [accepted, head(200, { "bad name": "x" }), end(0)]));
+    const answer = await openRaw(fake.url, call("POST /claims HTTP/1.1")).closed;
+    expect([answer.status, answer.headers["beechdock-outcome"], answer.whole]).toEqual([502, "run", true]);
+});
+
+it("stops reading from the slot while the caller does not read", async () => {
+    const frameBytes = 64 * 1024;
+    const total = 1024;
+    let sent = 0;
+    let blocked = () => {};
+    const slotBlocked = new Promise<void>(resolve => {
+        blocked = resolve;
+    });
+    fake = await startFakeSlot(async fakeCall => {
+        sendAll(fakeCall, [accepted, head(200, plain)]);
+        for (; sent < total; sent++) {
+            if (!fakeCall.send({ sequence: 2 + sent, ...data("z".repeat(frameBytes)) })) {
+                const drained = new Promise<void>(resolve => fakeCall.response.once("drain", resolve));
+                const timer = setTimeout(blocked, 300);
+                await drained;
+                clearTimeout(timer);
+            }
+        }
+        fakeCall.send({ sequence: 2 + total, ...end(total * frameBytes) });
+        fakeCall.response.end();
+    });
+    const caller = openRaw(fake.url, call("POST /claims HTTP/1.1"));
+    caller.socket.pause();
+    await slotBlocked;
+    const held = sent;
+    caller.socket.resume();
+    const { whole, body } = await caller.closed;
+    expect([held < total / 2, whole, body.length]).toEqual([true, true, total * frameBytes]);
+});
+
+it("breaks the answer of a caller that has not read it by the deadline", async () => {
+    fake = await startFakeSlot(fakeCall => {
+        sendAll(fakeCall, [
+            accepted,
+            head(200, plain),
+            data("z".repeat(3_000_000)),
+            data("z".repeat(3_000_000)),
+            end(6_000_000),
+        ]);
+        fakeCall.response.end();
+    });
+    const route = fake.context.getConfig().document!.routes.find(r => r.path === "/claims")!;
+    route.deadlineSeconds = 1;
+    const caller = openRaw(fake.url, call("POST /claims HTTP/1.1"));
+    caller.socket.pause();
+    await vi.waitFor(() => expect(fake.calls.length).toBe(1));
+    await fake.entry.drain();
+    caller.socket.resume();
+    expect((await caller.closed).whole).toBe(false);
+});
+
+it("closes slow callers with an error while others are served", async () => {
+    const timeouts = { headersMs: 300, requestMs: 600, checkMs: 50 };
+    fake = await startFakeSlot(fakeCall => {
+        sendAll(fakeCall, [accepted, head(200, plain), data("ok"), end(2)]);
+        fakeCall.response.end();
+    }, { timeouts });
+    const slowHeaders = openRaw(fake.url, "POST /claims HTTP/1.1\r\nhost: entry\r\n");
+    const slowBody = openRaw(
+        fake.url,
+        `POST /claims HTTP/1.1\r\nhost: entry\r\n${key}\r\ncontent-length: 10\r\n\r\nab`,
+    );
+    const good = await openRaw(fake.url, call("POST /claims HTTP/1.1")).closed;
+    const answers = await Promise.all([slowHeaders.closed, slowBody.closed]);
+    expect(answers.map(answer => [answer.status, answer.headers["beechdock-outcome"]])).toEqual([[408, "not-run"], [
+        408,
+        "not-run",
+    ]]);
+    expect([good.whole, good.body, fake.calls.length]).toEqual([true, "ok", 1]);
+});
+
+it("never puts an error into the answer of an earlier request on the same connection", async () => {
+    fake = await startFakeSlot(fakeCall => sendAll(fakeCall, [accepted]));
+    const caller = openRaw(fake.url, formatRequest("POST /claims HTTP/1.1", [key], "x") + "garbage\r\n\r\n");
+    const { status } = await caller.closed;
+    expect([status, parseRawAnswer(caller.getText(), false).whole]).toEqual([0, false]);
+});
--- a/src/entry/tests/attempt.test.ts
+++ b/src/entry/tests/attempt.test.ts
@@ -177,7 +177,7 @@
     {
         name: "connection broken, and the slot proves that the run never arrived",
         events: [chosen, broken, refuse("not-run")],
-        once: "send, resume 0, retry refused, choose",
+        once: "send, resume 0, retry never-arrived, choose",
     },
     {
         name: "connection broken, and a restarted slot cannot tell",
--- /dev/null
+++ b/src/standin/fakeSlot.ts
@@ -0,0 +1,99 @@
+/** An entry's server for callers in this process, before a slot that answers as a test's script says. */
+import { createServer, type Server, type ServerResponse } from "node:http";
+import { createConfigState } from "../config/fold.js";
+import { DocumentSchema } from "../config/schemas.js";
+import { createDemoDocument } from "../demo/document.js";
+import { createJournal } from "../entry/journal.js";
+import { createRetryBudget } from "../entry/retryBudget.js";
+import { createEntryServer, type EntryContext, type EntryServer } from "../entry/server.js";
+import { createSlotClient } from "../entry/slotClient.js";
+import { createMetrics } from "../observe/metrics.js";
+import { createUpstreamTable, updateInstances } from "../routing/table.js";
+import { encodeFrame } from "../wire/frames.js";
+import { listenOn } from "../wire/listen.js";
+import type { Frame, ResumeParams, RunParams } from "../wire/messages.js";
+import { readBody } from "../wire/rpc.js";
+
+export interface FakeCall {
+    path: string;
+    params: RunParams & ResumeParams;
+    response: ServerResponse;
+    /** Sends a frame of this run; the base of a frame may be replaced. */
+    send: (frame: Record<string, unknown>) => boolean;
+}
+
+export interface FakeSlot {
+    url: string;
+    entry: EntryServer;
+    context: EntryContext;
+    calls: FakeCall[];
+    close: () => void;
+}
+
+export const fakeLoad = {
+    incarnation: "fake",
+    tokensInFlight: 0,
+    requestsInFlight: 0,
+    queued: 0,
+    state: "live",
+    serviceMs: 1,
+} as const;
+const maxBodyBytes = 4 * 1024 * 1024;
+
+/** Starts both; `script` answers each run and resume. Only one pool, `claims`, has a slot. */
+export async function startFakeSlot(
+    script: (call: FakeCall) => void,
+    options: Partial<EntryContext> = {},
+): Promise<FakeSlot> {
+    const identity = { environment: "production", internalKeys: ["standin-internal-key-1"] };
+    const calls: FakeCall[] = [];
+    const slot = createServer((message, response) => {
+        void readBody(message, maxBodyBytes).then(body => {
+            const call = createCall(message.url ?? "", body?.toString() ?? "{}", response);
+            calls.push(call);
+            script(call);
+        });
+    });
+    const url = `http://127.0.0.1:${await listenOn(slot, "127.0.0.1", 0)}`;
+    const table = createUpstreamTable();
+    updateInstances(table, [{
+        instance: "slot-1",
+        role: "slot",
+        dataCentre: "dc-a",
+        url,
+        state: "live",
+        pool: "claims",
+    }]);
+    const config = { ...createConfigState("production"), document: DocumentSchema.parse(createDemoDocument()) };
+    const context: EntryContext = {
+        identity,
+        dataCentre: "dc-a",
+        table,
+        slots: createSlotClient(identity),
+        metrics: createMetrics(),
+        retryBudget: createRetryBudget(0.1, 10),
+        journal: createJournal(100),
+        maxBodyBytes,
+        logger: { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined },
+        getConfig: () => config,
+        isReady: () => true,
+        isStopping: () => false,
+        ...options,
+    };
+    const entry = createEntryServer(context);
+    const entryUrl = `http://127.0.0.1:${await listenOn(entry.server, "127.0.0.1", 0)}`;
+    return { url: entryUrl, entry, context, calls, close: () => [slot, entry.server].forEach(closeServer) };
+}
+
+function createCall(path: string, body: string, response: ServerResponse): FakeCall {
+    const { params } = JSON.parse(body) as { params: RunParams & ResumeParams; };
+    const { requestId, attempt } = params;
+    const send = (frame: Record<string, unknown>) =>
+        response.write(encodeFrame({ requestId, attempt, ...frame } as unknown as Frame));
+    return { path, params, response, send };
+}
+
+function closeServer(server: Server): void {
+    server.close();
+    server.closeAllConnections();
+}
