--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -13,10 +13,16 @@
 import { InternalPath } from "../wire/messages.js";
 import { requestRpc } from "../wire/rpc.js";
 import { createInternalServer, createRpcHandler } from "../wire/server.js";
+import { createExplainMethod } from "./explain.js";
+import { createJournal } from "./journal.js";
+import { createRetryBudget } from "./retryBudget.js";
 import { createEntryServer } from "./server.js";
 import { createSlotClient } from "./slotClient.js";
 
 const probeIntervalMs = 1000;
+const retryRatio = 0.1;
+const retryFloorPerSecond = 1;
+const journalCapacity = 8192;
 
 export interface RunningProcess {
     stop: () => Promise<void>;
@@ -55,12 +61,17 @@
         maxBodyBytes: settings.maxBodyBytes,
         getConfig: () => config,
         isReady: () => state.isReady() && !stopping,
+        isStopping: () => stopping,
+        retryBudget: createRetryBudget(retryRatio, retryFloorPerSecond),
+        journal: createJournal(journalCapacity),
     };
     const { server, drain } = createEntryServer(context);
     const admin = createInternalServer({
         identity: settings,
         registry: metrics.registry,
-        handlers: { [InternalPath.rpc]: createRpcHandler(state.methods) },
+        handlers: {
+            [InternalPath.rpc]: createRpcHandler({ ...state.methods, explain: createExplainMethod(context.journal) }),
+        },
     });
     const port = await listenOn(server, listen.host, listen.port);
     const internalPort = await listenOn(admin, internal.host, internal.port);
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -4,6 +4,7 @@
 import { createStateKeeper } from "../config/loadState.js";
 import type { SlotSettings } from "../config/settings.js";
 import { pollEvery } from "../core/streams.js";
+import { createLogClient } from "../log/client.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
