--- a/src/bench/capacity.ts
+++ b/src/bench/capacity.ts
@@ -4,6 +4,7 @@
  */
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { measureHerd } from "./capacityHerd.js";
 import { measureModules } from "./capacityModules.js";
 import { measureProcesses } from "./capacityProcesses.js";
 import { fitLine, type Point } from "./fit.js";
@@ -28,6 +29,7 @@
         ...only === "processes" ? [] : measureModules(options.seed),
         ...only === "modules" ? [] : await measureProcesses(),
     ];
+    const herd = measureHerd(options.seed);
     const fitted = measurements.map(measurement => ({ ...measurement, fit: fitLine(measurement.points) }));
     printTable(
         "Slopes",
@@ -41,6 +43,7 @@
             points: points.length,
         })),
     );
+    printTable("Return of the log after an hour", [{ ...herd, curve: herd.curve.join(" ") }]);
     if (typeof options.flags.out === "string") {
         for (const series of fitted) {
             const file = join(options.flags.out, `capacity-${series.name}`);
@@ -48,5 +51,5 @@
             writeFileSync(`${file}.svg`, renderPlot(series));
         }
     }
-    return { measurements: fitted };
+    return { measurements: fitted, herd };
 }
--- a/src/bench/capacityModules.ts
+++ b/src/bench/capacityModules.ts
@@ -5,6 +5,7 @@
 import { safeParseYaml } from "../core/parse.js";
 import { createRandom } from "../core/random.js";
 import type { InstanceRecord } from "../core/types.js";
+import { hashKey } from "../entry/authenticate.js";
 import { chooseUpstream } from "../routing/choose.js";
 import { createUpstreamTable, updateInstances } from "../routing/table.js";
 import { beginRun, createLedger } from "../slot/ledger.js";
@@ -100,11 +101,10 @@
 /** Creates a document with `workspaces` workspaces and, in proportion, the target's 26 models. */
 export function createDocument(workspaces: number): ConfigDocument {
     const models = Math.max(1, Math.round(workspaces * 26 / 340));
-    const hash = `sha256:${"a".repeat(64)}`;
     return DocumentSchema.parse({
         workspaces: Array.from(
             { length: workspaces },
-            (value, index) => ({ name: `workspace-${index}`, keys: [hash], weight: 1 }),
+            (value, index) => ({ name: `workspace-${index}`, keys: [hashKey(`key ${index}`)], weight: 1 }),
         ),
         pools: Array.from({ length: models }, (value, index) => ({ name: `model-${index}`, kind: "engine" })),
         routes: Array.from({ length: models }, (value, index) => ({
@@ -118,6 +118,7 @@
 function createRun(index: number): RunParams {
     return {
         requestId: `request-${index}`,
+        incarnation: "i",
         attempt: 1,
         workspace: "w",
         method: "POST",
--- a/src/bench/capacityProcesses.ts
+++ b/src/bench/capacityProcesses.ts
@@ -14,6 +14,9 @@
 
 const settleMs = 2500;
 const sampleSeconds = 5;
+/** The list is polled less often as it grows, so that what it costs shows over a longer time only. */
+const controlSampleSeconds = 30;
+const listSettleMs = 6000;
 const entryPlan = { instance: "entry-1", dataCentre: "dc-a" };
 const slotPlans = [
     { instance: "slot-1", dataCentre: "dc-a", pool: "claims", kind: "plain" as const },
@@ -26,7 +29,7 @@
     try {
         await publishDocument(cluster, createDemoDocument());
         return [
-            ...await measureUpstreams(cluster),
+            ...await measureInstances(cluster),
             await measureProbes(cluster),
             ...await measureCalls(cluster),
             ...await measureTokens(cluster),
@@ -38,27 +41,42 @@
     }
 }
 
-/** Control cost of an entry by the number of upstreams that it watches. */
-async function measureUpstreams(cluster: Cluster): Promise<Measurement[]> {
-    const entry = cluster.entries[0].process;
-    const cpu: Measurement["points"] = [];
-    const bytes: Measurement["points"] = [];
-    for (const x of [2, 20, 40, 80, 160]) {
-        const [first] = cluster.list.get();
-        cluster.list.set(Array.from({ length: x }, (value, index) => ({ ...first, instance: `listed-${index}` })));
-        await sleep(settleMs);
-        const proxied = cluster.slots[0].proxy.bytes();
-        const sample = await sampleProcess(entry, sampleSeconds);
-        cpu.push({ x, y: sample.cpuPercent });
-        bytes.push({ x, y: (cluster.slots[0].proxy.bytes() - proxied) / sampleSeconds });
+/** Control cost of an idle entry and an idle slot by the instances in the platform's list. */
+async function measureInstances(cluster: Cluster): Promise<Measurement[]> {
+    const members = { entry: cluster.entries[0].process, slot: cluster.slots[0].process };
+    const samples: Record<keyof typeof members, { x: number; cpuPercent: number; bytesPerSecond: number; }[]> = {
+        entry: [],
+        slot: [],
+    };
+    const [first] = cluster.list.get();
+    for (const x of [20, 160, 640, 1280]) {
+        const extra = Array.from({ length: x }, (value, index) => ({ ...first, instance: `listed-${index}` }));
+        cluster.list.set([...cluster.list.get().slice(0, cluster.slots.length), ...extra]);
+        await sleep(listSettleMs);
+        const [entry, slot] = await Promise.all([
+            sampleProcess(members.entry, controlSampleSeconds),
+            sampleProcess(members.slot, controlSampleSeconds),
+        ]);
+        samples.entry.push({ x, ...entry });
+        samples.slot.push({ x, ...slot });
     }
     cluster.listInstances();
-    await sleep(settleMs);
-    const xName = "upstreams watched";
-    return [
-        { name: "entry-probes-cpu", xName, yName: "% of a core at an entry", points: cpu },
-        { name: "entry-probes-bytes", xName, yName: "bytes a second, both ways", points: bytes },
-    ];
+    await sleep(listSettleMs);
+    const xName = "instances in the list";
+    return (["entry", "slot"] as const).flatMap(role => [
+        {
+            name: `${role}-control-cpu`,
+            xName,
+            yName: `% of a core, idle ${role}`,
+            points: samples[role].map(({ x, cpuPercent }) => ({ x, y: cpuPercent })),
+        },
+        {
+            name: `${role}-control-bytes`,
+            xName,
+            yName: `bytes a second, idle ${role}`,
+            points: samples[role].map(({ x, bytesPerSecond }) => ({ x, y: bytesPerSecond })),
+        },
+    ]);
 }
 
 /** Control cost of a slot by the probes that it answers. */
@@ -139,12 +157,22 @@
     ];
 }
 
-async function sampleProcess(process: StandinProcess, seconds: number): Promise<{ cpuPercent: number; }> {
-    const before = readUsage(process.child.pid!);
+interface Sample {
+    cpuPercent: number;
+    bytesPerSecond: number;
+}
+
+async function sampleProcess(process: StandinProcess, seconds: number): Promise<Sample> {
+    const pid = process.child.pid!;
+    const before = readUsage(pid);
     const startedAt = performance.now();
     await sleep(seconds * 1000);
-    const used = readUsage(process.child.pid!).cpuSeconds - before.cpuSeconds;
-    return { cpuPercent: used / ((performance.now() - startedAt) / 1000) * 100 };
+    const after = readUsage(pid);
+    const elapsed = (performance.now() - startedAt) / 1000;
+    return {
+        cpuPercent: (after.cpuSeconds - before.cpuSeconds) / elapsed * 100,
+        bytesPerSecond: (after.ioBytes - before.ioBytes) / elapsed,
+    };
 }
 
 /** Calls `task` at a steady rate, several times a tick when the interval is shorter than the timer's. */
--- a/src/bench/usage.ts
+++ b/src/bench/usage.ts
@@ -6,6 +6,8 @@
 
 export interface Usage {
     cpuSeconds: number;
+    /** Bytes read and written by system calls: sockets and log lines, for a process without files. */
+    ioBytes: number;
     rssBytes: number;
 }
 
@@ -14,7 +16,10 @@
     const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
     const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
     const rss = /VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1] ?? "0";
+    const io = readFileSync(`/proc/${pid}/io`, "utf8");
+    const count = (name: string) => Number(new RegExp(`${name}: (\\d+)`).exec(io)?.[1] ?? "0");
     return {
+        ioBytes: count("rchar") + count("wchar"),
         cpuSeconds: (Number(fields[11]) + Number(fields[12])) / ticksPerSecond,
         rssBytes: Number(rss) * bytesPerKilobyte,
     };
