Test keyed requests with real processes

tests/integration/claims.test.ts: through two entries and data centres' slots, log down, lost append answers, claimer killed after the claim, two workspaces, keys without a mint time or past their window.

--- /dev/null
+++ b/tests/integration/claims.test.ts
@@ -0,0 +1,142 @@
+import { afterAll, beforeAll, beforeEach, describe, expect, it, vi } from "vitest";
+import { createDemoDocument, demoKeys } from "../../src/demo/document.js";
+import { callPlain, type CallResult } from "../../src/standin/caller.js";
+import { type Cluster, startCluster } from "../../src/standin/cluster.js";
+import { createKey } from "../../src/standin/key.js";
+import { publishDocument } from "../../src/standin/publish.js";
+
+const serviceMs = 150;
+let cluster: Cluster;
+let key: string;
+
+beforeAll(async () => {
+    cluster = await startCluster(
+        [{ instance: "entry-1", dataCentre: "dc-a" }, { instance: "entry-2", dataCentre: "dc-b" }],
+        ["dc-a", "dc-a", "dc-b"].map((dataCentre, index) => ({
+            instance: `slot-${index + 1}`,
+            dataCentre,
+            pool: "claims",
+            kind: "plain",
+            serviceMs,
+        })),
+    );
+    await publishDocument(cluster, createDemoDocument());
+});
+
+afterAll(() => cluster.stop());
+
+beforeEach(() => {
+    key = createKey(Date.now());
+});
+
+function submit(entry: number, options: { key?: string; caller?: string; } = {}): Promise<CallResult> {
+    return callPlain(cluster.entries[entry].url, "/claims/submit", "claim", {
+        key: options.caller ?? demoKeys.caseworkers,
+        headers: { "idempotency-key": options.key ?? key },
+    });
+}
+
+function countRuns(workspace = "caseworkers"): number {
+    return cluster.slots.reduce((sum, slot) => sum + (slot.upstream.runsByKey.get(`${workspace}/${key}`) ?? 0), 0);
+}
+
+describe("a keyed request", () => {
+    it("runs once however often it is sent through entries of two data centres", async () => {
+        const results = await Promise.all(Array.from({ length: 12 }, (item, index) => submit(index % 2)));
+        results.push(...await Promise.all(Array.from({ length: 12 }, (item, index) => submit(index % 2))));
+        const answers = new Set(results.map(({ status, outcome }) => `${status} ${outcome}`));
+        expect([countRuns(), results.some(result => result.whole), [...answers].sort()]).toMatchInlineSnapshot(`
+          [
+            1,
+            true,
+            [
+              "200 run",
+              "409 unknown",
+            ],
+          ]
+        `);
+    });
+
+    it("runs once for each of two workspaces", async () => {
+        const results = await Promise.all([submit(0), submit(0, { caller: demoKeys.batch })]);
+        expect([results.map(result => result.whole), countRuns(), countRuns("batch")]).toMatchInlineSnapshot(`
+          [
+            [
+              true,
+              true,
+            ],
+            1,
+            1,
+          ]
+        `);
+    });
+
+    it("runs once when the log loses the answers to its appends", async () => {
+        cluster.log.faults.loseAnswers = 3;
+        const results = await Promise.all([submit(0), submit(1), submit(0)]);
+        cluster.log.faults.loseAnswers = 0;
+        expect([countRuns(), results.some(result => result.whole)]).toMatchInlineSnapshot(`
+          [
+            1,
+            true,
+          ]
+        `);
+    });
+
+    it("does not run while the log is down, and runs once afterwards", async () => {
+        cluster.log.faults.down = true;
+        const refused = await submit(0);
+        const runsWhileDown = countRuns();
+        cluster.log.faults.down = false;
+        const later = await submit(0);
+        const { status, outcome, retryAfter } = refused;
+        expect([{ status, outcome, retryAfter }, runsWhileDown, later.whole, countRuns()]).toMatchInlineSnapshot(`
+          [
+            {
+              "outcome": "not-run",
+              "retryAfter": "2",
+              "status": 503,
+            },
+            0,
+            true,
+            1,
+          ]
+        `);
+    });
+
+    it.each([
+        { name: "without a mint time", text: () => "claim-17", told: [400, "not-run"] },
+        { name: "past its window", text: () => createKey(Date.now() - 16 * 60_000), told: [409, "unknown"] },
+    ])("is refused with a key $name", async ({ text, told }) => {
+        const { status, outcome } = await submit(0, { key: text() });
+        expect([status, outcome, countRuns()]).toEqual([...told, 0]);
+    });
+
+    it("does not run again when its claimer was killed after the claim", async () => {
+        const first = submit(0);
+        const claimer = await waitForRun();
+        claimer.process.kill("SIGKILL");
+        await claimer.process.exited;
+        const answered = await first;
+        const retries = await Promise.all([submit(0), submit(1), submit(0), submit(1)]);
+        await cluster.restartSlot(claimer);
+        retries.push(...await Promise.all([submit(0), submit(1)]));
+        const outcomes = new Set([answered, ...retries].map(result => result.outcome));
+        expect([countRuns(), [...outcomes].sort()]).toMatchInlineSnapshot(`
+          [
+            1,
+            [
+              "unknown",
+            ],
+          ]
+        `);
+    });
+});
+
+/** Resolves with the slot whose upstream runs the present key. */
+function waitForRun() {
+    return vi.waitFor(() => {
+        const found = cluster.slots.find(slot => slot.upstream.runsByKey.has(`caseworkers/${key}`));
+        return found ?? expect.unreachable("no upstream runs the key");
+    }, { timeout: 10_000, interval: 5 });
+}
