--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -52,7 +52,7 @@
     private incarnation: string | undefined;
     private stream: SlotStream | undefined;
     private deadline: NodeJS.Timeout | undefined;
-    private retryReason = "";
+    private retryReason: RetryReason | undefined;
     private waitsForCaller = false;
     private ended = false;
 
@@ -102,7 +102,7 @@
         const { table, dataCentre, retryBudget } = this.context;
         const { route, tokens } = this.exchange;
         const now = Date.now();
-        if (this.state.attempt > 1 && !admitRetry(retryBudget, now)) {
+        if (this.needsBudget() && !admitRetry(retryBudget, now)) {
             const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
             this.apply({ kind: "retry-refused", retryAfterSeconds });
             return;
@@ -114,7 +114,7 @@
             return;
         }
         const cost = `estimated cost ${estimateCost(this.upstream)} tokens`;
-        const reason = this.retryReason === "" ? cost : `retry, ${this.retryReason}; ${cost}`;
+        const reason = this.retryReason === undefined ? cost : `retry (${this.retryReason}), ${cost}`;
         beginAttempt(this.record, this.upstream.instance, reason, now);
         this.tried.add(this.upstream.instance);
         this.incarnation = this.upstream.report?.incarnation;
@@ -122,6 +122,11 @@
         this.apply({ kind: "chosen" });
     }
 
+    /** A retry adds load, unless the slot proved that the attempt before had not reached it. */
+    private needsBudget(): boolean {
+        return this.retryReason !== undefined && this.retryReason !== RetryReason.neverArrived;
+    }
+
     private send(): void {
         const params = createRunParams(this.exchange, this.state, this.incarnation);
         this.stream = this.context.slots.run(this.upstream!.url, params, this.createListener());
@@ -188,10 +193,10 @@
         this.stream?.resume();
     }
 
-    private prepareRetry(reason: string): void {
+    private prepareRetry(reason: RetryReason): void {
         this.context.metrics.retries.inc({ reason });
         endAttempt(this.record, reason, Date.now());
-        this.retryReason = `${this.upstream!.instance} ${reason}`;
+        this.retryReason = reason;
         if (reason === RetryReason.neverArrived) {
             this.tried.delete(this.upstream!.instance);
         }
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -111,8 +111,11 @@
     }
 
     abandon(): void {
-        if (!this.over) {
-            this.close();
+        if (this.over) {
+            return;
+        }
+        this.close();
+        if (!this.ended) {
             this.controller?.abort(new Error("abandoned"));
         }
     }
--- /dev/null
+++ b/tests/integration/shutdown.test.ts
@@ -0,0 +1,108 @@
+import { afterEach, beforeEach, expect, it, vi } from "vitest";
+import { createDemoDocument, demoKeys } from "../../src/demo/document.js";
+import { callChat, callPlain } from "../../src/standin/caller.js";
+import { type Cluster, startCluster } from "../../src/standin/cluster.js";
+import { publishDocument } from "../../src/standin/publish.js";
+import { formatRequest, openRaw, parseRawAnswer } from "../../src/standin/rawCaller.js";
+
+let cluster: Cluster;
+let url: string;
+
+beforeEach(async () => {
+    cluster = await startCluster([{ instance: "entry-1", dataCentre: "dc-a", balancerLagMs: 1000 }], [
+        { instance: "slot-1", dataCentre: "dc-a", pool: "assistant", kind: "engine" },
+        { instance: "slot-2", dataCentre: "dc-a", pool: "claims", kind: "plain", serviceMs: 300 },
+    ]);
+    await publishDocument(cluster, createDemoDocument());
+    url = cluster.entries[0].url;
+});
+
+afterEach(() => cluster.stop());
+
+const keys = { assistant: { key: demoKeys.reception }, claims: { key: demoKeys.caseworkers } };
+
+function openChat(tokens: number, connection: string) {
+    const chat = { model: "assistant", stream: true, max_tokens: tokens, messages: [{ role: "user", content: "p" }] };
+    const headers = [`authorization: Bearer ${demoKeys.reception}`, `connection: ${connection}`];
+    return openRaw(url, formatRequest("POST /v1/chat/completions HTTP/1.1", headers, JSON.stringify(chat)));
+}
+
+const hasData = (text: string) => text.includes("data: ");
+
+it("finishes every answer after SIGTERM, and serves callers while the balancer lags", async () => {
+    const { process } = cluster.entries[0];
+    const claim = formatRequest(
+        "POST /claims HTTP/1.1",
+        [`authorization: Bearer ${demoKeys.caseworkers}`],
+        "x".repeat(3_000_000),
+    );
+    const slowReader = openRaw(url, claim);
+    slowReader.socket.pause();
+    const keptAlive = openChat(200, "keep-alive");
+    const streams = Array.from({ length: 8 }, (item, index) => callChat(url, `p${index}`, 150, keys.assistant));
+    const calls = Array.from({ length: 8 }, (item, index) => callPlain(url, "/claims/a", `c${index}`, keys.claims));
+    await keptAlive.waitForText(hasData);
+    process.kill("SIGTERM");
+    await process.waitForLine(line => line.msg.endsWith("The entry is leaving."));
+    const ready = await openRaw(url, formatRequest("GET /healthz/ready HTTP/1.1", ["connection: close"])).closed;
+    const late = await openRaw(
+        url,
+        formatRequest("POST /claims HTTP/1.1", [`authorization: Bearer ${demoKeys.caseworkers}`], "late"),
+    ).closed;
+    expect([ready.status, late.status, late.whole, late.headers.connection]).toEqual([503, 200, true, "close"]);
+    const results = await Promise.all([...streams, ...calls]);
+    expect(results.filter(result => !result.whole)).toEqual([]);
+    await keptAlive.waitForText(text => parseRawAnswer(text, false).whole);
+    slowReader.socket.resume();
+    expect([(await slowReader.closed).whole, (await keptAlive.closed).whole]).toEqual([true, true]);
+    expect(await process.exited).toBe(0);
+});
+
+it("breaks answers visibly when the entry is killed", async () => {
+    const streams = Array.from({ length: 5 }, () => openChat(200, "close"));
+    await Promise.all(streams.map(stream => stream.waitForText(hasData)));
+    cluster.entries[0].process.kill("SIGKILL");
+    const answers = await Promise.all(streams.map(stream => stream.closed));
+    expect(answers.map(answer => [answer.whole, answer.body.includes("[DONE]")])).toEqual(
+        answers.map(() => [false, false]),
+    );
+});
+
+it("breaks a stream visibly, with a last event, when its slot is killed", async () => {
+    const stream = openChat(500, "close");
+    await stream.waitForText(hasData);
+    cluster.slots[0].process.kill("SIGKILL");
+    const { whole, body } = await stream.closed;
+    const last = body.trimEnd().split("\n\n").pop() ?? "";
+    const problem = JSON.parse(last.replace("event: error\ndata: ", "")) as { status: number; outcome: string; };
+    expect([whole, last.startsWith("event: error\n"), problem.status, problem.outcome]).toEqual([
+        false,
+        true,
+        502,
+        "run",
+    ]);
+});
+
+it("tells unknown when the slot is killed during a non-idempotent call, and runs nothing after it", async () => {
+    const call = callPlain(url, "/claims/a", "c", keys.claims);
+    const stream = openChat(20, "close");
+    await stream.closed;
+    cluster.slots[1].process.kill("SIGKILL");
+    const during = await call;
+    const after = await callPlain(url, "/claims/a", "d", keys.claims);
+    const runs = cluster.slots[1].upstream.runs;
+    expect([during.status, during.outcome, after.status, after.outcome]).toEqual([502, "unknown", 502, "unknown"]);
+    expect(runs.get(after.requestId)).toBeUndefined();
+});
+
+it("answers an idempotent request whole through another slot when its slot is killed before the first byte", async () => {
+    const plan = { instance: "slot-3", dataCentre: "dc-a", pool: "claims", kind: "plain", serviceMs: 300 } as const;
+    await cluster.startSlot(plan);
+    cluster.listInstances();
+    const [, first] = cluster.slots;
+    const calls = Array.from({ length: 10 }, (item, index) => callPlain(url, "/lookups/a", `l${index}`, keys.claims));
+    await vi.waitFor(() => expect(first.upstream.runs.size).toBeGreaterThan(0), { interval: 5 });
+    first.process.kill("SIGKILL");
+    const results = await Promise.all(calls);
+    expect(results.filter(result => !result.whole)).toEqual([]);
+});
