--- /dev/null
+++ b/src/bench/pathLoad.ts
@@ -0,0 +1,118 @@
+/** Load generator of the path bench: closed loops and a paced pair of loops, over kept connections. */
+import { build, type Histogram } from "hdr-histogram-js";
+import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Agent, request } from "undici";
+
+export interface Target {
+    url: string;
+    headers: Record<string, string>;
+}
+
+export interface StreamResult {
+    tokens: number;
+    streams: number;
+    firstToken: Histogram;
+    seconds: number;
+}
+
+const agent = new Agent({ connections: 1024, headersTimeout: 0, bodyTimeout: 0 });
+const microsecondsPerMs = 1000;
+
+function createHistogram(): Histogram {
+    return build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 });
+}
+
+/** Reads a percentile in milliseconds. */
+export function getPercentile(histogram: Histogram, percentile: number): number {
+    return histogram.getValueAtPercentile(percentile) / microsecondsPerMs;
+}
+
+async function callOnce(target: Target, body: string, histogram: Histogram): Promise<void> {
+    const startedAt = performance.now();
+    const response = await request(target.url, { method: "POST", headers: target.headers, body, dispatcher: agent });
+    await response.body.text();
+    if (response.statusCode !== 200) {
+        throw new Error(`${target.url} answered ${response.statusCode}`);
+    }
+    histogram.recordValue(Math.max(1, Math.round((performance.now() - startedAt) * microsecondsPerMs)));
+}
+
+/** Calls both targets in turn at `rate` calls a second each; returns their latencies. */
+export async function measurePair(
+    direct: Target,
+    through: Target,
+    rate: number,
+    seconds: number,
+): Promise<[Histogram, Histogram]> {
+    const histograms: [Histogram, Histogram] = [createHistogram(), createHistogram()];
+    const calls: Promise<void>[] = [];
+    const startedAt = performance.now();
+    for (let index = 0; index < rate * seconds * 2; index++) {
+        const due = startedAt + index * 500 / rate;
+        await sleep(Math.max(0, due - performance.now()));
+        calls.push(callOnce(index % 2 === 0 ? direct : through, "claim", histograms[index % 2]));
+    }
+    await Promise.all(calls);
+    return histograms;
+}
+
+/** Calls one target in `loops` closed loops. */
+export async function measureCalls(target: Target, loops: number, seconds: number) {
+    const histogram = createHistogram();
+    const startedAt = performance.now();
+    const endsAt = startedAt + seconds * 1000;
+    await Promise.all(Array.from({ length: loops }, async () => {
+        while (performance.now() < endsAt) {
+            await callOnce(target, "claim", histogram);
+        }
+    }));
+    return { histogram, calls: histogram.totalCount, seconds: (performance.now() - startedAt) / 1000 };
+}
+
+/** Reads streams of `tokens` tokens in `loops` closed loops; each must end with its last event. */
+export async function measureStreams(
+    target: Target,
+    loops: number,
+    tokens: number,
+    seconds: number,
+): Promise<StreamResult> {
+    const result: StreamResult = { tokens: 0, streams: 0, firstToken: createHistogram(), seconds: 0 };
+    const startedAt = performance.now();
+    const endsAt = startedAt + seconds * 1000;
+    const chat = { model: "assistant", stream: true, max_tokens: tokens, messages: [{ role: "user", content: "p" }] };
+    const body = JSON.stringify(chat);
+    await Promise.all(Array.from({ length: loops }, async () => {
+        while (performance.now() < endsAt) {
+            await readStream(target, body, tokens, result);
+        }
+    }));
+    result.seconds = (performance.now() - startedAt) / 1000;
+    return result;
+}
+
+async function readStream(target: Target, body: string, tokens: number, result: StreamResult): Promise<void> {
+    const startedAt = performance.now();
+    const response = await request(target.url, { method: "POST", headers: target.headers, body, dispatcher: agent });
+    let seen = 0;
+    for await (const chunk of response.body) {
+        if (seen === 0) {
+            result.firstToken.recordValue(Math.round((performance.now() - startedAt) * microsecondsPerMs));
+        }
+        seen += countEvents(chunk as Buffer);
+    }
+    if (seen !== tokens + 1) {
+        throw new Error(`a stream of ${tokens} tokens had ${seen} events`);
+    }
+    result.tokens += tokens;
+    result.streams += 1;
+}
+
+/** Counts the ends of events; an event of the engine's is never split inside its end in one write. */
+function countEvents(chunk: Buffer): number {
+    let count = 0;
+    for (let at = chunk.indexOf("\n\n"); at >= 0; at = chunk.indexOf("\n\n", at + 2)) {
+        count += 1;
+    }
+    return count;
+}
--- a/src/standin/publish.ts
+++ b/src/standin/publish.ts
@@ -1,9 +1,16 @@
 /** Publishes and promotes a document with the operators' command line and waits until it is in force. */
 import { runCommand } from "../command/main.js";
 import type { Cluster } from "./cluster.js";
+import type { StandinProcess } from "./process.js";
+
+export interface PublishTarget extends Pick<Cluster, "writeFile"> {
+    log: { url: string; };
+    entries: { process: StandinProcess; }[];
+    slots: { process: StandinProcess; }[];
+}
 
 /** Resolves when every process serves with the document and the entries know their upstreams. */
-export async function publishDocument(cluster: Cluster, document: object): Promise<void> {
+export async function publishDocument(cluster: PublishTarget, document: object): Promise<void> {
     const file = cluster.writeFile("document.yaml", document);
     for (const argv of [["publish", file], ["promote"]]) {
         if (await runCommand([...argv, "--log", cluster.log.url, "--author", "demo"]) !== 0) {
