--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -1,13 +1,13 @@
 /** Wires an entry: configuration, instance list, load probes and the callers' server. */
 import { type ConfigState, createConfigState } from "../config/fold.js";
-import { streamConfig } from "../config/loadConfig.js";
+import { createStateKeeper } from "../config/loadState.js";
 import type { EntrySettings } from "../config/settings.js";
 import { pollEvery } from "../core/streams.js";
 import type { LoadReport } from "../core/types.js";
-import { createLogClient } from "../log/client.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
+import { chooseProbes } from "../routing/probes.js";
 import { createUpstreamTable, noteReport, updateInstances } from "../routing/table.js";
 import { listenOn } from "../wire/listen.js";
 import { InternalPath } from "../wire/messages.js";
@@ -33,16 +33,24 @@
     const { instance, dataCentre, environment, platform, listen, internal } = settings;
     const makeLogger = createLoggers("beechdock-entry", instance, settings.logLevel);
     const logger = makeLogger(Prefix.entry);
-    const configLogger = makeLogger(Prefix.config);
     const peersLogger = makeLogger(Prefix.peers);
     const metrics = createMetrics();
     const table = createUpstreamTable();
     const slots = createSlotClient(settings);
     let config: ConfigState = createConfigState(environment);
-    let configured = false;
     let stopping = false;
     let probed = false;
 
+    const state = createStateKeeper({
+        settings,
+        role: "entry",
+        makeLogger,
+        metrics,
+        getLoad: () => 0,
+        onConfig: next => {
+            config = next;
+        },
+    });
     const context = {
         identity: settings,
         dataCentre,
@@ -52,7 +60,7 @@
         logger,
         maxBodyBytes: settings.maxBodyBytes,
         getConfig: () => config,
-        isReady: () => configured && !stopping,
+        isReady: () => state.isReady() && !stopping,
         isStopping: () => stopping,
         retryBudget: createRetryBudget(retryRatio, retryFloorPerSecond),
         journal: createJournal(journalCapacity),
@@ -61,36 +69,30 @@
     const admin = createInternalServer({
         identity: settings,
         registry: metrics.registry,
-        handlers: { [InternalPath.rpc]: createRpcHandler({ explain: createExplainMethod(context.journal) }) },
+        handlers: {
+            [InternalPath.rpc]: createRpcHandler({ ...state.methods, explain: createExplainMethod(context.journal) }),
+        },
     });
     const port = await listenOn(server, listen.host, listen.port);
     const internalPort = await listenOn(admin, internal.host, internal.port);
 
-    void streamConfig(
-        createLogClient(platform.log),
-        environment,
-        e => configLogger.warn("Reading the log failed.", { error: e.message }),
-    )
-        .observe(update => {
-            if (update.state.revision !== config.revision) {
-                configLogger.info("A revision is in force.", { revision: update.state.revision });
-                metrics.revision.set(update.state.revision);
-            }
-            config = update.state;
-            configured = update.atEnd;
-        });
+    state.start(internalPort);
     void streamInstances(
         platform.list,
         e => peersLogger.warn("Reading the instance list failed.", { error: e.message }),
     )
-        .observe(instances => updateInstances(table, instances));
+        .observe(instances => updateInstances(table, state.updateInstances(instances)));
     const probe = async () => {
-        await Promise.all([...table.upstreams.values()].map(async upstream => {
-            const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() => undefined);
-            if (report !== undefined) {
-                noteReport(table, upstream.instance, report, Date.now());
-            }
-        }));
+        await Promise.all(
+            chooseProbes(table.upstreams.values(), Date.now()).map(async upstream => {
+                const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() =>
+                    undefined
+                );
+                if (report !== undefined) {
+                    noteReport(table, upstream.instance, report, Date.now());
+                }
+            }),
+        );
         const known = [...table.upstreams.values()].filter(upstream => upstream.report !== undefined).length;
         if (known > 0 && known === table.upstreams.size && !probed) {
             probed = true;
@@ -104,10 +106,12 @@
         stop: async () => {
             stopping = true;
             logger.info("The entry is leaving.");
+            void state.announceLeaving("the process was told to stop");
             await new Promise(resolve => setTimeout(resolve, settings.balancerLagMs));
             server.close();
             await drain();
             server.closeIdleConnections();
+            await state.stop();
             logger.info("The entry has stopped.");
         },
     };
--- a/src/slot/runner.ts
+++ b/src/slot/runner.ts
@@ -8,47 +8,57 @@
     releaseRequest,
     type Waiting,
 } from "../routing/admission.js";
-import type { Frame, RunParams } from "../wire/messages.js";
-import { type Ledger, recordFrame, type RunRecord } from "./ledger.js";
+import type { FrameBody, RunParams } from "../wire/messages.js";
+import type { ClaimsDriver } from "./driverClaims.js";
+import { executeRun, type Pending, type RunContext } from "./execute.js";
+import { executeKeyed, type KeyedContext } from "./executeKeyed.js";
+import { createKeyedRuns, expireKeys, isKeyed } from "./keyedRuns.js";
+import { type Ledger, noteDelivered, recordFrame, type RunRecord } from "./ledger.js";
 import type { UpstreamClient } from "./upstream.js";
 
 export interface Runner {
     /** Starts or queues a run that the ledger has admitted. */
     start: (record: RunRecord, params: RunParams, weight: number) => void;
-    /** Stops a run whose caller has gone; returns whether it had not reached the upstream. */
+    /** Stops a run whose caller has gone, unless its key lets the caller ask for the answer again. */
     cancel: (record: RunRecord) => void;
-    /** Calls `listener` on every new frame of a record until the returned function is called. */
-    subscribe: (record: RunRecord, listener: (frame: Frame) => void) => () => void;
+    /** Calls `listener` after every new frame of a record until the returned function is called. */
+    subscribe: (record: RunRecord, listener: () => void) => () => void;
+    /** Notes that a reader has taken the frames before `sequence`; reading from the upstream goes on. */
+    noteDelivered: (record: RunRecord, sequence: number) => void;
     report: () => LoadReport;
+    /** Forgets keys that can't be claimed any more. */
+    expire: () => void;
     /** Resolves when nothing runs or waits. */
     drain: () => Promise<void>;
 }
 
-interface Pending {
-    record: RunRecord;
-    params: RunParams;
-    abort: AbortController;
-    listeners: Set<(frame: Frame) => void>;
-}
-
 /** Creates a runner over one upstream. */
-export function createRunner(ledger: Ledger, admission: AdmissionState, upstream: UpstreamClient): Runner {
+export function createRunner(
+    ledger: Ledger,
+    admission: AdmissionState,
+    upstream: UpstreamClient,
+    claims: ClaimsDriver,
+): Runner {
     const pending = new Map<string, Pending>();
     const idle: (() => void)[] = [];
     let serviceMs = 0;
 
-    const emit = (item: Pending, frame: Frame) => {
-        recordFrame(item.record, frame, Date.now());
-        item.listeners.forEach(listener => listener(frame));
+    const emit = (item: Pending, body: FrameBody) => {
+        const { requestId, attempt, next: sequence } = item.record;
+        recordFrame(ledger, item.record, { ...body, requestId, attempt, sequence }, Date.now());
+        item.listeners.forEach(listener => listener());
+    };
+    const settleIdle = () => {
+        if (pending.size === 0) {
+            idle.splice(0).forEach(resolve => resolve());
+        }
     };
     const finish = (id: string) => {
         pending.delete(id);
         const { started, expired } = releaseRequest(admission, id, Date.now());
         expired.forEach(item => refuseRun(pending, item, emit, "The request waited too long"));
         started.forEach(item => void execute(item.id));
-        if (pending.size === 0) {
-            idle.splice(0).forEach(resolve => resolve());
-        }
+        settleIdle();
     };
     const execute = async (id: string) => {
         const item = pending.get(id);
@@ -56,7 +66,7 @@
             return;
         }
         const startedAt = performance.now();
-        await executeRun(item, upstream, emit, report);
+        await (isKeyed(item.params) ? executeKeyed(context, keyed, item) : executeRun(context, item));
         serviceMs += ((performance.now() - startedAt) - serviceMs) * 0.1;
         finish(id);
     };
@@ -68,13 +78,26 @@
         state: ledger.leaving ? "leaving" : "live",
         serviceMs,
     });
+    const subscribe = (record: RunRecord, listener: () => void) => {
+        const item = pending.get(formatId(record));
+        item?.listeners.add(listener);
+        return () => item?.listeners.delete(listener);
+    };
+    const context: RunContext = { ledger, upstream, emit, report };
+    const keyed: KeyedContext = { keyed: createKeyedRuns(), claims, subscribe };
 
     return {
         start: (record, params, weight) => {
             const id = formatId(record);
-            const item: Pending = { record, params, abort: new AbortController(), listeners: new Set() };
+            const item: Pending = {
+                record,
+                params,
+                abort: new AbortController(),
+                listeners: new Set(),
+                wake: undefined,
+            };
             pending.set(id, item);
-            emit(item, { ...createFrameBase(record), kind: "accepted", incarnation: ledger.incarnation });
+            emit(item, { kind: "accepted", incarnation: ledger.incarnation });
             const waiting = createWaiting(id, params, weight);
             const decision = admitRequest(admission, waiting);
             if (decision === "run") {
@@ -89,69 +112,33 @@
             const item = pending.get(id);
             if (item !== undefined && cancelWaiting(admission, id)) {
                 refuseRun(pending, { id }, emit, "The caller has gone");
+                settleIdle();
+            }
+            if (item !== undefined && !isKeyed(item.params)) {
+                item.abort.abort();
             }
-            item?.abort.abort();
         },
-        subscribe: (record, listener) => {
-            const item = pending.get(formatId(record));
-            item?.listeners.add(listener);
-            return () => item?.listeners.delete(listener);
+        subscribe,
+        noteDelivered: (record, sequence) => {
+            noteDelivered(ledger, record, sequence);
+            pending.forEach(item => item.wake?.());
         },
         report,
+        expire: () => expireKeys(keyed.keyed, Date.now()),
         drain: () => pending.size === 0 ? Promise.resolve() : new Promise(resolve => idle.push(resolve)),
     };
 }
 
-async function executeRun(
-    item: Pending,
-    upstream: UpstreamClient,
-    emit: (item: Pending, frame: Frame) => void,
-    report: () => LoadReport,
-): Promise<void> {
-    const { record, params, abort } = item;
-    const deadline = setTimeout(() => abort.abort(), params.deadlineMs);
-    let length = 0;
-    try {
-        const answer = await upstream.run(params, abort.signal);
-        emit(item, { ...createFrameBase(record), kind: "head", status: answer.status, headers: answer.headers });
-        for await (const chunk of answer.body) {
-            length += chunk.length;
-            emit(item, { ...createFrameBase(record), kind: "data", data: chunk.toString("latin1") });
-        }
-        emit(item, { ...createFrameBase(record), kind: "end", length, load: report() });
-    }
-    catch (error) {
-        const outcome = hasNeverConnected(error) ? RunOutcome.notRun : RunOutcome.unknown;
-        emit(item, {
-            ...createFrameBase(record),
-            kind: "failed",
-            outcome,
-            status: 502,
-            title: "The upstream did not finish its answer",
-        });
-    }
-    finally {
-        clearTimeout(deadline);
-    }
-}
-
-/** Whether the error says that no connection was made, so that no byte was sent. */
-function hasNeverConnected(error: unknown): boolean {
-    const code = (error as { code?: string; }).code;
-    return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT" || code === "EHOSTUNREACH";
-}
-
 function refuseRun(
     pending: Map<string, Pending>,
     { id }: { id: string; },
-    emit: (item: Pending, frame: Frame) => void,
+    emit: RunContext["emit"],
     title: string,
 ): void {
     const item = pending.get(id);
     pending.delete(id);
     if (item !== undefined) {
         emit(item, {
-            ...createFrameBase(item.record),
             kind: "failed",
             outcome: RunOutcome.notRun,
             status: 503,
@@ -166,10 +153,6 @@
     return { id, workspace, weight, urgency, tokens, expiresAt: Date.now() + params.deadlineMs / 2 };
 }
 
-function createFrameBase(record: RunRecord): { requestId: string; attempt: number; sequence: number; } {
-    return { requestId: record.requestId, attempt: record.attempt, sequence: record.frames.length };
-}
-
 function formatId(record: RunRecord): string {
     return `${record.requestId}/${record.attempt}`;
 }
