--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -8,6 +8,16 @@
 export const maxAttempts = 3;
 const maxResumes = 3;
 
+/** Why a request is tried again. */
+export const RetryReason = {
+    refused: "refused",
+    /** The slot proved that the request had not reached it. */
+    neverArrived: "never-arrived",
+    unreachable: "unreachable",
+    lost: "lost",
+} as const;
+export type RetryReason = (typeof RetryReason)[keyof typeof RetryReason];
+
 const Phase = { choosing: "choosing", waiting: "waiting", streaming: "streaming", done: "done" } as const;
 type Phase = (typeof Phase)[keyof typeof Phase];
 
@@ -18,6 +28,8 @@
     nextSequence: number;
     bodyLength: number;
     resumes: number;
+    /** Whether a connection to the slot of the present attempt may have carried the run. */
+    sent: boolean;
     /** Whether part of the answer has reached the caller. */
     answered: boolean;
     idempotent: boolean;
@@ -25,6 +37,8 @@
     deadline: number;
     /** Whether an earlier attempt may have run. */
     mayHaveRun: boolean;
+    /** Frames of other requests are dropped; without it, frames count as this request's. */
+    requestId?: string;
 }
 
 export type AttemptEvent =
@@ -35,7 +49,10 @@
     | { kind: "broken"; }
     /** A connection to the slot could not be made, so that nothing was sent. */
     | { kind: "unreachable"; }
-    | { kind: "deadline"; };
+    /** The retry budget does not admit the attempt that was about to begin. */
+    | { kind: "retry-refused"; retryAfterSeconds: number; }
+    | { kind: "deadline"; }
+    | { kind: "caller-gone"; };
 
 export type AttemptAction =
     | { kind: "choose"; }
@@ -43,23 +60,27 @@
     | { kind: "resume"; nextSequence: number; }
     | { kind: "relay"; frame: Frame; }
     | { kind: "drop"; }
-    | { kind: "retry"; reason: string; }
+    | { kind: "retry"; reason: RetryReason; }
+    /** Tells the slot that nobody waits for the answer. */
+    | { kind: "cancel"; }
     | { kind: "finish"; }
     /** Ends the answer with an error, or breaks it visibly when it has begun. */
     | { kind: "fail"; outcome: RunOutcome; status: number; title: string; retryAfterSeconds?: number; };
 
 /** Creates the state of a request that has no upstream yet. */
-export function createAttemptState(idempotent: boolean, deadline: number): AttemptState {
+export function createAttemptState(idempotent: boolean, deadline: number, requestId?: string): AttemptState {
     return {
         phase: Phase.choosing,
         attempt: 1,
         nextSequence: 0,
         bodyLength: 0,
         resumes: 0,
+        sent: false,
         answered: false,
         idempotent,
         deadline,
         mayHaveRun: false,
+        requestId,
     };
 }
 
@@ -80,10 +101,20 @@
     frame: (state, event, now) => handleFrame(state, event.frame, now),
     broken: (state, event, now) => handleBroken(state, now),
     unreachable: (state, event, now) =>
-        state.resumes > 0 ?
+        state.sent ?
             handleBroken(state, now) :
-            retryElsewhere(state, RunOutcome.notRun, now, "unreachable", 502, "The slot cannot be reached"),
-    deadline: state => failRequest(state, RunOutcome.unknown, 504, "The deadline has passed"),
+            retryElsewhere(state, RunOutcome.notRun, now, RetryReason.unreachable, 502, "The slot cannot be reached"),
+    "retry-refused": (state, event) =>
+        failRequest(state, RunOutcome.notRun, 503, "Too many requests are being retried", event.retryAfterSeconds),
+    deadline: state => {
+        const outcome = state.phase === Phase.choosing ? RunOutcome.notRun : RunOutcome.unknown;
+        return failRequest(state, outcome, 504, "The deadline has passed");
+    },
+    "caller-gone": state => {
+        const sent = state.phase !== Phase.choosing;
+        state.phase = Phase.done;
+        return sent ? [{ kind: "cancel" }] : [];
+    },
 };
 
 /** Applies an event to the state and returns what to do, in order. */
@@ -95,12 +126,10 @@
 }
 
 function handleFrame(state: AttemptState, frame: Frame, now: number): AttemptAction[] {
-    if (
-        frame.attempt !== state.attempt ||
-        (frame.kind !== "keepalive" && frame.kind !== "failed" && frame.sequence < state.nextSequence)
-    ) {
+    if (isForeign(state, frame)) {
         return [{ kind: "drop" }];
     }
+    state.sent = true;
     if (frame.kind === "keepalive") {
         return frame.sequence > state.nextSequence ? handleBroken(state, now) : [];
     }
@@ -115,10 +144,21 @@
     return applyFrame(state, frame);
 }
 
+/** Whether a frame belongs to another request or attempt, or has been applied before. */
+function isForeign(state: AttemptState, frame: Frame): boolean {
+    if (frame.attempt !== state.attempt || (state.requestId ?? frame.requestId) !== frame.requestId) {
+        return true;
+    }
+    return frame.kind !== "keepalive" && frame.kind !== "failed" && frame.sequence < state.nextSequence;
+}
+
 function applyFrame(state: AttemptState, frame: Exclude<Frame, { kind: "failed"; }>): AttemptAction[] {
     if (frame.kind === "accepted") {
         return [];
     }
+    if ((frame.kind === "head") === state.answered || (frame.kind === "head" && !isFinalStatus(frame.status))) {
+        return failRequest(state, RunOutcome.unknown, 502, "The slot broke the protocol");
+    }
     if (frame.kind === "data") {
         state.bodyLength += frame.data.length;
     }
@@ -134,18 +174,25 @@
     return [{ kind: "relay", frame }];
 }
 
+function isFinalStatus(status: number): boolean {
+    return status >= 200 && status <= 599;
+}
+
 function handleFailed(state: AttemptState, frame: Extract<Frame, { kind: "failed"; }>, now: number): AttemptAction[] {
     if (state.answered) {
         return failRequest(state, frame.outcome, frame.status, frame.title);
     }
-    return retryElsewhere(state, frame.outcome, now, "refused", frame.status, frame.title, frame.retryAfterSeconds);
+    const asked = state.resumes > 0 && state.nextSequence === 0;
+    const reason = asked && frame.outcome === RunOutcome.notRun ? RetryReason.neverArrived : RetryReason.refused;
+    return retryElsewhere(state, frame.outcome, now, reason, frame.status, frame.title, frame.retryAfterSeconds);
 }
 
 function handleBroken(state: AttemptState, now: number): AttemptAction[] {
+    state.sent = true;
     if (state.resumes >= maxResumes) {
         return state.answered ?
             failRequest(state, RunOutcome.unknown, 502, "The slot was lost") :
-            retryElsewhere(state, RunOutcome.unknown, now, "lost", 502, "The slot was lost");
+            retryElsewhere(state, RunOutcome.unknown, now, RetryReason.lost, 502, "The slot was lost");
     }
     state.resumes += 1;
     return [{ kind: "resume", nextSequence: state.nextSequence }];
@@ -156,7 +203,7 @@
     state: AttemptState,
     outcome: RunOutcome,
     now: number,
-    reason: string,
+    reason: RetryReason,
     status: number,
     title: string,
     retryAfterSeconds?: number,
@@ -171,6 +218,7 @@
     state.nextSequence = 0;
     state.bodyLength = 0;
     state.resumes = 0;
+    state.sent = false;
     return [{ kind: "retry", reason }, { kind: "choose" }];
 }
 
@@ -182,6 +230,7 @@
     retryAfterSeconds?: number,
 ): AttemptAction[] {
     state.phase = Phase.done;
-    const told = outcome === RunOutcome.notRun && state.mayHaveRun ? RunOutcome.unknown : outcome;
+    const proven = outcome === RunOutcome.notRun && state.mayHaveRun ? RunOutcome.unknown : outcome;
+    const told = state.answered ? RunOutcome.run : proven;
     return [{ kind: "fail", outcome: told, status, title, retryAfterSeconds }];
 }
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -76,6 +76,12 @@
     return baseline.tokens + (report.tokensInFlight - baseline.tokens) * weight + baseline.echo * ownSince;
 }
 
+/** Estimates the tokens in flight at an upstream from its last report and this entry's work since, for explanations. */
+export function estimateCost(upstream: UpstreamEntry): number {
+    const reported = (upstream.report?.tokensInFlight ?? 0) + upstream.ownTokens - upstream.ownAtReport;
+    return Math.max(upstream.ownTokens, reported);
+}
+
 /** Computes the mean load and this entry's part of it from the reports. */
 export function computeBaseline(candidates: UpstreamEntry[], policy = defaultPolicy): Baseline {
     let tokens = 0;
