Send runs only to slots whose incarnation is known

Cause: a slot refuses a run that names no incarnation, and a listed slot that had not been probed was chosen all the same; each such choice took a retry, and after a kill the budget of retries was spent (shutdown test: 4 of 10 idempotent calls refused with 503 'unknown'). Ruled out: the size of the budget, which its own tests and the target fix at 10 %. Change: only upstreams that have reported are candidates; a refusal carries the slot's incarnation, and a changed one makes the entry forget the old report until the next probe. The test now waits until the entry knows the third slot, and the fake slot has reported.

--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -2,6 +2,7 @@
 import type { Metrics } from "../observe/metrics.js";
 import { chooseUpstream, estimateCost } from "../routing/choose.js";
 import {
+    dropReport,
     ejectUpstream,
     noteDone,
     noteReport,
@@ -156,6 +157,9 @@
                 if (own && frame.kind === "accepted") {
                     this.incarnation = frame.incarnation;
                 }
+                if (own && frame.kind === "failed") {
+                    this.noteRestart(frame.incarnation);
+                }
                 this.apply({ kind: "frame", frame });
             },
             onBroken: (sent: boolean) => {
@@ -166,6 +170,13 @@
         };
     }
 
+    /** A slot that refuses as another incarnation has restarted since its report. */
+    private noteRestart(incarnation: string | undefined): void {
+        if (incarnation !== undefined && incarnation !== this.upstream?.report?.incarnation) {
+            dropReport(this.context.table, this.upstream!.instance);
+        }
+    }
+
     private relay(frame: Frame): void {
         const { response, requestId, receivedAt } = this.exchange;
         if (frame.kind === "head") {
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -90,6 +90,9 @@
                     undefined
                 );
                 if (report !== undefined) {
+                    if (upstream.report === undefined) {
+                        logger.info("An upstream is known.", { upstream: upstream.instance });
+                    }
                     noteReport(table, upstream.instance, report, Date.now());
                 }
             }),
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -101,7 +101,8 @@
 function listCandidates(table: UpstreamTable, choice: Choice, now: number): UpstreamEntry[] {
     const usable: UpstreamEntry[] = [];
     for (const upstream of table.upstreams.values()) {
-        if (upstream.pool === choice.pool && !upstream.leaving && !choice.excluded.has(upstream.instance)) {
+        const { pool, leaving, report, instance } = upstream;
+        if (pool === choice.pool && !leaving && report !== undefined && !choice.excluded.has(instance)) {
             usable.push(upstream);
         }
     }
--- a/src/slot/server.ts
+++ b/src/slot/server.ts
@@ -64,7 +64,11 @@
     }
     const result = beginRun(context.ledger, params, Date.now());
     if (result.kind === "refuse") {
-        sendFailed(response, params, RunOutcome.notRun, result.status, result.title);
+        sendFailed(context, response, params, {
+            outcome: RunOutcome.notRun,
+            status: result.status,
+            title: result.title,
+        });
         return;
     }
     if (result.kind === "begin") {
@@ -81,22 +85,22 @@
     }
     const result = resumeRun(context.ledger, params, Date.now());
     if (result.kind === "refuse") {
-        sendFailed(response, params, result.outcome, 503, result.title);
+        sendFailed(context, response, params, { outcome: result.outcome, status: 503, title: result.title });
         return;
     }
     streamFrames(context.runner, result.record, params.nextSequence, response);
 }
 
 function sendFailed(
+    context: SlotContext,
     response: ServerResponse,
     run: { requestId: string; attempt: number; },
-    outcome: RunOutcome,
-    status: number,
-    title: string,
+    failure: { outcome: RunOutcome; status: number; title: string; },
 ): void {
     const { requestId, attempt } = run;
+    const { incarnation } = context.ledger;
     response.writeHead(200, { "content-type": "application/x-ndjson" });
     response.end(
-        encodeFrame({ requestId, attempt, sequence: 0, kind: "failed", outcome, status, title, retryAfterSeconds: 1 }),
+        encodeFrame({ requestId, attempt, sequence: 0, kind: "failed", ...failure, retryAfterSeconds: 1, incarnation }),
     );
 }
--- a/src/standin/process.ts
+++ b/src/standin/process.ts
@@ -9,6 +9,7 @@
     level: number;
     msg: string;
     port?: number;
+    upstream?: string;
     internalPort?: number;
     revision?: number;
 }
--- a/tests/integration/shutdown.test.ts
+++ b/tests/integration/shutdown.test.ts
@@ -99,6 +99,9 @@
     const plan = { instance: "slot-3", dataCentre: "dc-a", pool: "claims", kind: "plain", serviceMs: 300 } as const;
     await cluster.startSlot(plan);
     cluster.listInstances();
+    await cluster.entries[0].process.waitForLine(l =>
+        l.msg.endsWith("An upstream is known.") && l.upstream === "slot-3"
+    );
     const [, first] = cluster.slots;
     const calls = Array.from({ length: 10 }, (item, index) => callPlain(url, "/lookups/a", `l${index}`, keys.claims));
     await vi.waitFor(() => expect(first.upstream.runs.size).toBeGreaterThan(0), { interval: 5 });
