--- a/src/command/operator.ts
+++ b/src/command/operator.ts
@@ -55,7 +55,7 @@
     params: unknown,
 ): Promise<Answer<T>> {
     try {
-        const options = { timeoutMs: callTimeoutMs };
+        const options = { timeoutMs: callTimeoutMs, target: instance.instance };
         return { instance, result: await requestRpc<T>(settings, instance.url, method, params, options) };
     }
     catch (error) {
--- a/src/config/spread.ts
+++ b/src/config/spread.ts
@@ -88,10 +88,9 @@
     event: Extract<SpreadEvent, { kind: "log"; }>,
     now: number,
 ): SpreadAction[] {
-    foldBatch(state.fold, event.batch);
+    const offers = foldRevisions(state.fold, event.batch);
     state.logAnsweredAt = now;
-    const { revision, digest, author, document } = state.fold;
-    const actions = acceptRevision(state, { revision, digest, author, document }, Source.log, now);
+    const actions = offers.length === 0 ? [] : acceptRevisions(state, offers, Source.log, now);
     if (event.atEnd && state.fold.anchored) {
         actions.push(...makeReady(state, Source.log));
     }
@@ -106,7 +105,7 @@
     if (computeDigest(offer.document) !== offer.digest) {
         return [];
     }
-    return acceptRevision(state, offer, Source.peer, now);
+    return acceptRevisions(state, [offer], Source.peer, now);
 }
 
 function handlePeersAsked(
@@ -127,8 +126,26 @@
     return [{ kind: "ready", source }];
 }
 
-function acceptRevision(state: SpreadState, offer: Revision, source: Source, now: number): SpreadAction[] {
+/** Folds a batch; returns each revision that it brought, oldest first. */
+function foldRevisions(fold: FoldState, { records, oldest, next }: ReadBatch): Revision[] {
+    const offers: Revision[] = [];
+    const foldPart = (part: ReadBatch) => {
+        const before = fold.revision;
+        foldBatch(fold, part);
+        const { revision, digest, author, document } = fold;
+        if (revision > before) {
+            offers.push({ revision, digest, author, document });
+        }
+    };
+    records.forEach(record => foldPart({ records: [record], oldest, next: record.offset + 1 }));
+    foldPart({ records: [], oldest, next });
+    return offers;
+}
+
+/** Takes in revisions, oldest first; the newest one that this version can use comes into force. */
+function acceptRevisions(state: SpreadState, offers: Revision[], source: Source, now: number): SpreadAction[] {
     const { newest } = state;
+    const offer = offers[offers.length - 1];
     if (offer.revision === newest.revision && offer.digest !== newest.digest) {
         state.conflicts += 1;
         return [{ kind: "conflict", revision: offer.revision }];
@@ -137,7 +154,16 @@
         return [];
     }
     state.newest = offer;
-    return [useRevision(state, offer, source, now)];
+    state.refused = undefined;
+    const actions: SpreadAction[] = [];
+    for (const candidate of offers.filter(o => o.revision > state.inForce.revision).reverse()) {
+        const action = useRevision(state, candidate, source, now);
+        actions.push(action);
+        if (action.kind === "inForce") {
+            break;
+        }
+    }
+    return actions;
 }
 
 function useRevision(state: SpreadState, offer: Revision, source: Source, now: number): SpreadAction {
@@ -146,10 +172,9 @@
     if (!result.success) {
         const [issue] = result.error.issues;
         const reason = `${issue.path.join(".")}: ${issue.message}`;
-        state.refused = { revision, reason };
+        state.refused ??= { revision, reason };
         return { kind: "refused", revision, reason };
     }
-    state.refused = undefined;
     state.inForce = { environment: state.inForce.environment, revision, author, document: result.data };
     state.source = source;
     state.since = now;
--- a/src/entry/internal.ts
+++ b/src/entry/internal.ts
@@ -14,7 +14,8 @@
     };
     const handleRpc = async (message: IncomingMessage, response: ServerResponse) => {
         const body = (await readBody(message, maxRpcBytes))?.toString();
-        const call = { environment: settings.environment, path: InternalPath.rpc, body: body ?? "" };
+        const { environment, instance: target } = settings;
+        const call = { environment, path: InternalPath.rpc, body: body ?? "", target };
         const header = message.headers[authHeader] as string | undefined;
         if (body === undefined || !verifyCall(settings.internalKeys, call, header, Date.now())) {
             response.writeHead(401).end();
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -17,8 +17,6 @@
     failures: number;
     /** Time until which the member is not called, in milliseconds. */
     quietUntil: number;
-    /** Messages that will still carry this member's news. */
-    retellings: number;
     /** Whether the list named the member last time. */
     listed: boolean;
     /** State that the list last gave. */
@@ -32,6 +30,10 @@
     load: number;
     /** Members by instance name, without this one. */
     members: Map<string, Member>;
+    /** Keys of `members`, for sampling. */
+    names: string[];
+    /** Messages that will still carry a member's news, by instance name. */
+    retellings: Map<string, number>;
     /** Addresses from the settings, used while no member is known. */
     seeds: string[];
     /** Members not taken in because the table was full. */
@@ -54,16 +56,27 @@
 
 const maxMembers = 2000;
 const newsPerMessage = 2;
+const maxSamples = 64;
 const retellFactor = 2;
 const ownCentreShare = 0.8;
 const silentMs = 10_000;
 const quietStepMs = 2000;
-const maxQuietMs = 30_000;
+const maxQuietMs = 8000;
 const forgetMs = 120_000;
 
 /** Creates the state of a process that knows nobody. */
 export function createGossipState(self: News, seeds: string[]): GossipState {
-    return { self, revision: 0, digest: "", load: 0, members: new Map(), seeds, dropped: 0 };
+    return {
+        self,
+        revision: 0,
+        digest: "",
+        load: 0,
+        members: new Map(),
+        names: [],
+        retellings: new Map(),
+        seeds,
+        dropped: 0,
+    };
 }
 
 /** Takes in the platform's list, which lags: it adds members and leaving marks, and takes nothing back. */
@@ -77,7 +90,7 @@
     for (const member of state.members.values()) {
         member.listed = names.has(member.instance);
         if (!member.listed && now - member.heardAt > forgetMs) {
-            state.members.delete(member.instance);
+            dropMember(state, member);
         }
     }
 }
@@ -94,7 +107,7 @@
     member.url = url;
     if (isNewMark && member.state !== InstanceState.leaving) {
         member.state = InstanceState.leaving;
-        member.retellings = countRetellings(state);
+        announceMember(state, member);
     }
 }
 
@@ -111,31 +124,41 @@
         heardAt: 0,
         failures: 0,
         quietUntil: now,
-        retellings: 0,
         listed: false,
         listedState: undefined,
     };
     state.members.set(news.instance, member);
+    state.names.push(news.instance);
     return member;
 }
 
-function countRetellings(state: GossipState): number {
-    return retellFactor * Math.ceil(Math.log2(state.members.size + 2));
+function dropMember(state: GossipState, member: Member): void {
+    state.members.delete(member.instance);
+    state.retellings.delete(member.instance);
+    state.names.splice(state.names.indexOf(member.instance), 1);
+}
+
+function announceMember(state: GossipState, member: Member): void {
+    state.retellings.set(member.instance, retellFactor * Math.ceil(Math.log2(state.members.size + 2)));
 }
 
-/** Composes the next message; its size is bounded. */
+/** Builds the next message; its size is bounded. The news told least often goes first. */
 export function buildMessage(state: GossipState, random: Random): GossipMessage {
     const { self, revision, digest, load } = state;
-    const fresh = [...state.members.values()]
-        .filter(member => member.retellings > 0)
-        .sort((a, b) => b.retellings - a.retellings)
-        .slice(0, newsPerMessage);
-    fresh.forEach(member => {
-        member.retellings -= 1;
+    const fresh = [...state.retellings].sort(([, a], [, b]) => b - a).slice(0, newsPerMessage).map(([name]) => name);
+    fresh.forEach(name => {
+        const left = state.retellings.get(name)! - 1;
+        if (left === 0) {
+            state.retellings.delete(name);
+        }
+        else {
+            state.retellings.set(name, left);
+        }
     });
-    const known = [...state.members.values()].filter(member => member.incarnation > 0 && !fresh.includes(member));
-    const filler = fresh.length < newsPerMessage && known.length > 0 ? [known[random.pickIndex(known.length)]] : [];
-    return { sender: self, revision, digest, load, news: [...fresh, ...filler].map(toNews) };
+    const filler = state.names[random.pickIndex(state.names.length)];
+    const names = fresh.length < newsPerMessage && filler !== undefined ? [...new Set([...fresh, filler])] : fresh;
+    const news = names.map(name => state.members.get(name)!).filter(member => member.incarnation > 0).map(toNews);
+    return { sender: self, revision, digest, load, news };
 }
 
 function toNews({ instance, incarnation, state, role, dataCentre, url }: Member): News {
@@ -174,8 +197,10 @@
         const isFirst = known !== undefined && known.incarnation === 0;
         const marked = isFirst && known.state === InstanceState.leaving;
         Object.assign(member, news, marked ? { state: InstanceState.leaving } : {});
-        member.retellings = countRetellings(state);
         member.quietUntil = now;
+        if (!isFirst || isLeaving) {
+            announceMember(state, member);
+        }
     }
     return member;
 }
@@ -184,7 +209,7 @@
 function dropAddress(state: GossipState, holder: Member): void {
     for (const member of state.members.values()) {
         if (member !== holder && member.url === holder.url && member.incarnation < holder.incarnation) {
-            state.members.delete(member.instance);
+            dropMember(state, member);
         }
     }
 }
@@ -200,19 +225,23 @@
 
 /** Chooses whom to call next: mostly in the own data centre, sometimes across, seeds while nobody else is known. */
 export function choosePartner(state: GossipState, random: Random, now: number): Partner | undefined {
-    const ready = [...state.members.values()].filter(member => member.quietUntil <= now);
-    const own = ready.filter(member => member.dataCentre === state.self.dataCentre);
-    const others = ready.filter(member => member.dataCentre !== state.self.dataCentre);
-    const preferOwn = random.next() < ownCentreShare;
-    const preferred = preferOwn ? own : others;
-    const candidates = preferred.length > 0 ? preferred : [...own, ...others];
-    if (candidates.length > 0) {
-        const { instance, url } = candidates[random.pickIndex(candidates.length)];
-        return { instance, url };
+    const wantsOwn = random.next() < ownCentreShare;
+    let fallback: Member | undefined;
+    for (let tries = 0; tries < maxSamples && state.names.length > 0; tries++) {
+        const member = state.members.get(state.names[random.pickIndex(state.names.length)])!;
+        if (member.quietUntil > now) {
+            continue;
+        }
+        fallback = member;
+        if ((member.dataCentre === state.self.dataCentre) === wantsOwn) {
+            break;
+        }
+    }
+    if (fallback !== undefined) {
+        return { instance: fallback.instance, url: fallback.url };
     }
-    return state.seeds.length === 0 ?
-        undefined :
-        { instance: undefined, url: state.seeds[random.pickIndex(state.seeds.length)] };
+    const { seeds } = state;
+    return seeds.length === 0 ? undefined : { instance: undefined, url: seeds[random.pickIndex(seeds.length)] };
 }
 
 /** Tells whether a member has answered lately and is not leaving: only direct evidence makes it live. */
--- a/src/peers/loadPeers.ts
+++ b/src/peers/loadPeers.ts
@@ -94,7 +94,7 @@
         try {
             const message = compose();
             options.countBytes("sent", JSON.stringify(message).length);
-            const call = { dispatcher: agent, timeoutMs: callTimeoutMs };
+            const call = { dispatcher: agent, timeoutMs: callTimeoutMs, target: partner.instance };
             const answer = await requestRpc(options.identity, partner.url, PeerMethod.gossip, message, call);
             const parsed = GossipMessageSchema.parse(answer);
             await Promise.all(receive(parsed));
--- a/src/slot/server.ts
+++ b/src/slot/server.ts
@@ -61,10 +61,10 @@
         response.writeHead(413).end();
         return;
     }
-    const { environment, internalKeys } = context.settings;
+    const { environment, internalKeys, instance: target } = context.settings;
     const text = body.toString();
     const header = message.headers[authHeader] as string | undefined;
-    if (!verifyCall(internalKeys, { environment, path, body: text }, header, Date.now())) {
+    if (!verifyCall(internalKeys, { environment, path, body: text, target }, header, Date.now())) {
         response.writeHead(401).end();
         return;
     }
--- a/src/wire/auth.ts
+++ b/src/wire/auth.ts
@@ -3,6 +3,7 @@
 
 export const authHeader = "x-beechdock-auth";
 const maxSkewMs = 30_000;
+const maxNonces = 200_000;
 const processNonce = randomBytes(9).toString("base64url");
 let nonceCounter = 0;
 
@@ -10,25 +11,75 @@
     environment: string;
     path: string;
     body: string;
+    /** Name of the instance that is called; when verifying, the own name. */
+    target?: string;
 }
 
-/** Signs a call with the first key; the signature covers time, nonce, environment, path and body. */
+/** Nonces of verified calls, kept for as long as their calls could be repeated. */
+export interface NonceCache {
+    /** Calls signed before this time are refused: an earlier process may have taken them. In milliseconds. */
+    startedAt: number;
+    rotatedAt: number;
+    current: Set<string>;
+    previous: Set<string>;
+}
+
+/** Creates the cache of a process that starts at `now`. */
+export function createNonceCache(now: number): NonceCache {
+    return { startedAt: now, rotatedAt: now, current: new Set(), previous: new Set() };
+}
+
+const processCache = createNonceCache(Date.now());
+
+/** Signs a call with the first key; the signature covers time, nonce, environment, target, path and body. */
 export function signCall(keys: string[], call: CallToSign, now: number): string {
     const nonce = `${processNonce}${(nonceCounter++).toString(36)}`;
-    return `${now}.${nonce}.${computeSignature(keys[0], call, `${now}.${nonce}`)}`;
+    const stamp = `${now}.${nonce}.${encodeTarget(call.target)}`;
+    return `${stamp}.${computeSignature(keys[0], call, stamp)}`;
 }
 
-/** Verifies a call against every key of the rotating pair. */
-export function verifyCall(keys: string[], call: CallToSign, header: string | undefined, now: number): boolean {
-    const [time, nonce, signature] = (header ?? "").split(".");
-    if (signature === undefined || Math.abs(now - Number(time)) > maxSkewMs) {
+/**
+ * Verifies a call against every key of the rotating pair. A call is taken once, within the time window, by the
+ * environment and the instance that it was signed for.
+ */
+export function verifyCall(
+    keys: string[],
+    call: CallToSign,
+    header: string | undefined,
+    now: number,
+    cache: NonceCache = processCache,
+): boolean {
+    const [time, nonce, target, signature] = (header ?? "").split(".");
+    if (signature === undefined || !(Math.abs(now - Number(time)) <= maxSkewMs) || Number(time) < cache.startedAt) {
+        return false;
+    }
+    if (target !== "" && target !== encodeTarget(call.target)) {
         return false;
     }
     const given = Buffer.from(signature);
-    return keys.some(key => {
-        const wanted = Buffer.from(computeSignature(key, call, `${time}.${nonce}`));
+    const isSigned = keys.some(key => {
+        const wanted = Buffer.from(computeSignature(key, call, `${time}.${nonce}.${target}`));
         return wanted.length === given.length && timingSafeEqual(wanted, given);
     });
+    return isSigned && recordNonce(cache, nonce, now);
+}
+
+/** Records a nonce; false when it was seen before or the cache is full. */
+function recordNonce(cache: NonceCache, nonce: string, now: number): boolean {
+    if (now - cache.rotatedAt >= 2 * maxSkewMs) {
+        cache.previous = cache.current;
+        cache.current = new Set();
+        cache.rotatedAt = now;
+    }
+    if (cache.current.has(nonce) || cache.previous.has(nonce) || cache.current.size >= maxNonces) {
+        return false;
+    }
+    cache.current.add(nonce);
+    return true;
+}
+
+function encodeTarget(target: string | undefined): string {
+    return Buffer.from(target ?? "").toString("base64url");
 }
 
 function computeSignature(key: string, call: CallToSign, stamp: string): string {
--- a/src/wire/rpc.ts
+++ b/src/wire/rpc.ts
@@ -17,6 +17,8 @@
 export interface RpcCallOptions {
     timeoutMs?: number;
     dispatcher?: Dispatcher;
+    /** Name of the instance that alone may take the call. */
+    target?: string;
 }
 
 export type RpcMethods = Record<string, (params: never) => unknown>;
@@ -45,7 +47,7 @@
 ): Promise<string> {
     const response = await request(`${url}${path}`, {
         method: "POST",
-        headers: createSignedHeaders(identity, path, body),
+        headers: createSignedHeaders(identity, path, body, options.target),
         body,
         dispatcher: options.dispatcher,
         signal: AbortSignal.timeout(options.timeoutMs ?? callTimeoutMs),
@@ -58,8 +60,13 @@
 }
 
 /** Creates the headers of a signed internal call. */
-export function createSignedHeaders(identity: RpcIdentity, path: string, body: string): Record<string, string> {
-    const call = { environment: identity.environment, path, body };
+export function createSignedHeaders(
+    identity: RpcIdentity,
+    path: string,
+    body: string,
+    target?: string,
+): Record<string, string> {
+    const call = { environment: identity.environment, path, body, target };
     return { "content-type": "application/json", [authHeader]: signCall(identity.internalKeys, call, Date.now()) };
 }
 
