--- a/src/bench/peers.ts
+++ b/src/bench/peers.ts
@@ -17,6 +17,7 @@
 const cutShares = [0, 0.1];
 const warmUpRounds = 3;
 const maxRounds = 60;
+const rateRounds = 30;
 
 /** Measures the spread of a revision and of a leaving mark, both told to one node only. */
 export async function runBench(options: BenchOptions): Promise<object> {
@@ -49,6 +50,10 @@
         done.revision ||= countInForce(driver, 1) === count ? rounds : 0;
         done.leaving ||= countLeaving(driver, self.instance) === count - 1 ? rounds : 0;
     }
+    const spreadRounds = rounds;
+    for (; rounds < Math.max(spreadRounds, rateRounds); rounds++) {
+        runRound(driver);
+    }
     const seconds = (driver.now - startedAt) / roundMs;
     const rates = driver.nodes.map(node => node.bytes / seconds).sort((a, b) => a - b);
     return {
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -7,14 +7,23 @@
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
+import { chooseProbes } from "../routing/probes.js";
+import { selectSlots } from "../routing/subset.js";
 import { createUpstreamTable, noteReport, updateInstances } from "../routing/table.js";
 import { listenOn } from "../wire/listen.js";
+import { InternalPath } from "../wire/messages.js";
 import { requestRpc } from "../wire/rpc.js";
-import { createInternalServer } from "./internal.js";
+import { createInternalServer, createRpcHandler } from "../wire/server.js";
+import { createExplainMethod } from "./explain.js";
+import { createJournal } from "./journal.js";
+import { createRetryBudget } from "./retryBudget.js";
 import { createEntryServer } from "./server.js";
 import { createSlotClient } from "./slotClient.js";
 
 const probeIntervalMs = 1000;
+const retryRatio = 0.1;
+const retryFloorPerSecond = 1;
+const journalCapacity = 8192;
 
 export interface RunningProcess {
     stop: () => Promise<void>;
@@ -53,9 +62,18 @@
         maxBodyBytes: settings.maxBodyBytes,
         getConfig: () => config,
         isReady: () => state.isReady() && !stopping,
+        isStopping: () => stopping,
+        retryBudget: createRetryBudget(retryRatio, retryFloorPerSecond),
+        journal: createJournal(journalCapacity),
     };
     const { server, drain } = createEntryServer(context);
-    const admin = createInternalServer(settings, metrics, state.methods);
+    const admin = createInternalServer({
+        identity: settings,
+        registry: metrics.registry,
+        handlers: {
+            [InternalPath.rpc]: createRpcHandler({ ...state.methods, explain: createExplainMethod(context.journal) }),
+        },
+    });
     const port = await listenOn(server, listen.host, listen.port);
     const internalPort = await listenOn(admin, internal.host, internal.port);
 
@@ -64,14 +82,18 @@
         platform.list,
         e => peersLogger.warn("Reading the instance list failed.", { error: e.message }),
     )
-        .observe(instances => updateInstances(table, state.updateInstances(instances)));
+        .observe(instances => updateInstances(table, selectSlots(state.updateInstances(instances), settings)));
     const probe = async () => {
-        await Promise.all([...table.upstreams.values()].map(async upstream => {
-            const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() => undefined);
-            if (report !== undefined) {
-                noteReport(table, upstream.instance, report, Date.now());
-            }
-        }));
+        await Promise.all(
+            chooseProbes(table.upstreams.values(), Date.now()).map(async upstream => {
+                const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() =>
+                    undefined
+                );
+                if (report !== undefined) {
+                    noteReport(table, upstream.instance, report, Date.now());
+                }
+            }),
+        );
         const known = [...table.upstreams.values()].filter(upstream => upstream.report !== undefined).length;
         if (known > 0 && known === table.upstreams.size && !probed) {
             probed = true;
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -57,7 +57,10 @@
 const maxMembers = 2000;
 const newsPerMessage = 2;
 const maxSamples = 64;
-const retellFactor = 2;
+/** Characters of a digest that messages carry; the document's own digest is checked in full. */
+const digestLength = 12;
+/** Messages that carry one piece of news, as multiples of the logarithm of the number of members. */
+const retellFactors = { live: 1, leaving: 3 };
 const ownCentreShare = 0.8;
 const silentMs = 10_000;
 const quietStepMs = 2000;
@@ -139,12 +142,12 @@
 }
 
 function announceMember(state: GossipState, member: Member): void {
-    state.retellings.set(member.instance, retellFactor * Math.ceil(Math.log2(state.members.size + 2)));
+    state.retellings.set(member.instance, retellFactors[member.state] * Math.ceil(Math.log2(state.members.size + 2)));
 }
 
 /** Builds the next message; its size is bounded. The news told least often goes first. */
 export function buildMessage(state: GossipState, random: Random): GossipMessage {
-    const { self, revision, digest, load } = state;
+    const { self, revision, load } = state;
     const fresh = [...state.retellings].sort(([, a], [, b]) => b - a).slice(0, newsPerMessage).map(([name]) => name);
     fresh.forEach(name => {
         const left = state.retellings.get(name)! - 1;
@@ -156,8 +159,9 @@
         }
     });
     const filler = state.names[random.pickIndex(state.names.length)];
-    const names = fresh.length < newsPerMessage && filler !== undefined ? [...new Set([...fresh, filler])] : fresh;
+    const names = fresh.length === 0 && filler !== undefined ? [filler] : fresh;
     const news = names.map(name => state.members.get(name)!).filter(member => member.incarnation > 0).map(toNews);
+    const digest = state.digest.slice(0, digestLength);
     return { sender: self, revision, digest, load, news };
 }
 
@@ -198,7 +202,7 @@
         const marked = isFirst && known.state === InstanceState.leaving;
         Object.assign(member, news, marked ? { state: InstanceState.leaving } : {});
         member.quietUntil = now;
-        if (!isFirst || isLeaving) {
+        if (!isFirst || member.state === InstanceState.leaving) {
             announceMember(state, member);
         }
     }
--- a/src/peers/tests/gossip.test.ts
+++ b/src/peers/tests/gossip.test.ts
@@ -117,6 +117,17 @@
         expect(Math.max(...messages.map(message => message.news.length))).toBeLessThanOrEqual(2);
     });
 
+    it.each([
+        ["known by the list only", [createListed("b", "live")]],
+        ["not known", []],
+    ])("passes on the leaving mark of a member that is %s", (name, listed) => {
+        const state = create();
+        updateMembers(state, listed, 0);
+        const news = [createNews("b", { state: "leaving" })];
+        receiveMessage(state, createMessage(createNews("c"), { news }), 0);
+        expect(buildMessage(state, createRandom(1)).news).toContainEqual(news[0]);
+    });
+
     it("keeps the table of members bounded and counts what it leaves out", () => {
         const state = create();
         for (let index = 0; index < 2010; index++) {
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -4,29 +4,34 @@
 import { createStateKeeper } from "../config/loadState.js";
 import type { SlotSettings } from "../config/settings.js";
 import { pollEvery } from "../core/streams.js";
+import { createLogClient } from "../log/client.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
 import { createAdmission } from "../routing/admission.js";
 import { listenOn } from "../wire/listen.js";
 import { RevokeParamsSchema } from "../wire/messages.js";
+import { createClaims } from "./claims.js";
+import { createClaimsDriver } from "./driverClaims.js";
 import { createLedger, expireRecords } from "./ledger.js";
 import { createRunner } from "./runner.js";
 import { createSlotServer } from "./server.js";
-import { createUpstreamClient } from "./upstream.js";
+import { createUpstreamClient, silenceLimits } from "./upstream.js";
 
 const expiryIntervalMs = 5000;
 const defaultLimits = { concurrency: 64, tokens: 200_000, queue: 128 };
 
 /** Starts a slot; resolves once it listens. */
 export async function startSlot(settings: SlotSettings): Promise<{ stop: () => Promise<void>; }> {
-    const { instance, environment, platform, internal } = settings;
+    const { instance, environment, platform, internal, upstream } = settings;
     const makeLogger = createLoggers("beechdock-slot", instance, settings.logLevel);
     const logger = makeLogger(Prefix.slot);
     const metrics = createMetrics();
     const ledger = createLedger(randomUUID());
     const admission = createAdmission(defaultLimits);
-    const runner = createRunner(ledger, admission, createUpstreamClient(settings.upstream.url));
+    const claims = createClaimsDriver(createLogClient(platform.log), createClaims(ledger.incarnation));
+    const client = createUpstreamClient(upstream.url, silenceLimits[upstream.kind]);
+    const runner = createRunner(ledger, admission, client, claims);
     let config: ConfigState = createConfigState(environment);
 
     const state = createStateKeeper({
@@ -75,7 +80,11 @@
                 markLeaving("the instance list says so");
             }
         });
-    void pollEvery(expiryIntervalMs, async () => expireRecords(ledger, Date.now()), () => undefined).drain();
+    const expire = async () => {
+        expireRecords(ledger, Date.now());
+        runner.expire();
+    };
+    void pollEvery(expiryIntervalMs, expire, () => undefined).drain();
     logger.info("The slot listens.", { port });
 
     return {
--- /dev/null
+++ b/tests/integration/config.test.ts
@@ -0,0 +1,104 @@
+import { afterEach, expect, it } from "vitest";
+import { readCluster } from "../../src/bench/clusterStatus.js";
+import { runCommand } from "../../src/command/main.js";
+import { createDemoDocument } from "../../src/demo/document.js";
+import { auditStream } from "../../src/observe/audit.js";
+import { type Cluster, type SlotPlan, startCluster } from "../../src/standin/cluster.js";
+import { publishDocument } from "../../src/standin/publish.js";
+
+let cluster: Cluster;
+
+afterEach(() => cluster.stop());
+
+const createSlot = (instance: string, dataCentre = "dc-a"): SlotPlan => ({
+    instance,
+    dataCentre,
+    pool: "claims",
+    kind: "plain",
+});
+
+async function startPublished(entries: string[], slots: string[]): Promise<void> {
+    cluster = await startCluster(
+        entries.map(instance => ({ instance, dataCentre: "dc-a" })),
+        slots.map(instance => createSlot(instance)),
+    );
+    await publishDocument(cluster, createDemoDocument());
+}
+
+/** Waits until every process runs `revision`. */
+async function waitForRevision(revision: number, members = [...cluster.entries, ...cluster.slots]): Promise<void> {
+    await Promise.all(members.map(member =>
+        member.process.waitForLine(line => line.msg.endsWith("A revision is in force.") && line.revision === revision)
+    ));
+}
+
+const promote = (...options: string[]) => runCommand(["promote", "--log", cluster.log.url, ...options]);
+
+it("lets one of six racing operators win, with lost answers, and every process runs its revision", async () => {
+    await startPublished(["entry-1"], ["slot-1"]);
+    cluster.log.faults.loseAnswers = 3;
+    const names = Array.from({ length: 6 }, (item, index) => `operator-${index}`);
+    const codes = await Promise.all(names.map(author => promote("--from", "1", "--author", author)));
+    expect(codes.sort()).toEqual([0, 3, 3, 3, 3, 3]);
+    await waitForRevision(2);
+    expect(await promote("--from", "1")).toBe(3);
+    expect(await promote("--from", "9")).toBe(2);
+});
+
+it("starts from peers while the log is down, and takes the log's revision when it is back", async () => {
+    await startPublished(["entry-1"], ["slot-1"]);
+    cluster.log.faults.down = true;
+    const fresh = await cluster.startEntry({ instance: "entry-2", dataCentre: "dc-a" });
+    cluster.listInstances();
+    await waitForRevision(1, [fresh]);
+    const line = await fresh.process.waitForLine(l => l.msg.endsWith("The configuration is ready."));
+    expect(line).toMatchObject({ source: "peer" });
+    expect(await promote()).toBe(1);
+    cluster.log.faults.down = false;
+    expect(await promote()).toBe(0);
+    await waitForRevision(2);
+});
+
+it("starts from a snapshot's successor only, when the log has dropped what came before", async () => {
+    await startPublished([], ["slot-1"]);
+    cluster.log.truncate("beechdock-config", 2);
+    const fresh = await cluster.startSlot(createSlot("slot-2"));
+    cluster.listInstances();
+    const line = await fresh.process.waitForLine(l => l.msg.endsWith("A revision is in force."));
+    expect(line).toMatchObject({ source: "peer", revision: 1 });
+});
+
+it("follows the log on a new connection after its connections have gone silent", async () => {
+    await startPublished([], ["slot-1"]);
+    expect(cluster.logProxy.freeze()).toBeGreaterThan(0);
+    expect(await promote()).toBe(0);
+    await waitForRevision(2);
+});
+
+it("keeps a process cut off from the log up to date by its peers", async () => {
+    await startPublished(["entry-1"], ["slot-1"]);
+    cluster.logProxy.cut();
+    expect(await promote()).toBe(0);
+    const direct = await cluster.startSlot(createSlot("slot-2"), { log: cluster.log.url });
+    cluster.listInstances();
+    await waitForRevision(2, [direct]);
+    await waitForRevision(2);
+});
+
+it("keeps the previous revision when a document cannot be used, and says so in status", async () => {
+    await startPublished(["entry-1"], ["slot-1"]);
+    await cluster.appendDocument({ ...createDemoDocument(), fieldOfALaterVersion: 1 });
+    const [entry] = cluster.entries;
+    await entry.process.waitForLine(line => line.msg.includes("cannot be used"));
+    const status = await readCluster(cluster);
+    expect(status.map(({ revision, refused }) => [revision, refused?.revision])).toEqual([[1, 2], [1, 2]]);
+});
+
+it("leaves an audit trail after the processes are gone", async () => {
+    await startPublished([], ["slot-1"]);
+    const [{ process }] = cluster.slots;
+    process.kill("SIGTERM");
+    await process.exited;
+    const kinds = cluster.log.list(auditStream).map(record => (record.data as { kind: string; }).kind);
+    expect(kinds).toEqual(["start", "revision-in-force", "leaving", "stop"]);
+});
