--- a/src/config/publish.ts
+++ b/src/config/publish.ts
@@ -26,7 +26,7 @@
 
     /** Reads the configuration of an environment up to the stream's end; throws a `CallError` when it is not known. */
     async read(environment: string): Promise<FoldState> {
-        const state = await this.retry(() => this.readOnce(environment));
+        const state = await this.retry("the log cannot be read", () => this.readOnce(environment));
         if (!state.anchored) {
             throw new CallError("the log has dropped records and holds no snapshot yet; try again in a minute");
         }
@@ -46,7 +46,8 @@
             digest: computeDigest(document),
             document,
         };
-        return this.retry(() => this.promoteOnce(record));
+        const failure = "whether the document was accepted is unknown, since the log fails";
+        return this.retry(failure, () => this.promoteOnce(record));
     }
 
     private async promoteOnce(record: PromoteRecord): Promise<Verdict> {
@@ -73,16 +74,14 @@
         }
     }
 
-    private async retry<T>(task: () => Promise<T>): Promise<T> {
+    private async retry<T>(failure: string, task: () => Promise<T>): Promise<T> {
         for (let failures = 1;; failures++) {
             try {
                 return await task();
             }
             catch (error) {
                 if (failures === maxTries) {
-                    throw new CallError("whether the document was accepted is unknown, since the log fails", {
-                        cause: error,
-                    });
+                    throw new CallError(failure, { cause: error });
                 }
                 this.onRetry(error as Error);
                 await new Promise(resolve => setTimeout(resolve, computeBackoffMs(failures, Math.random())));
--- a/src/standin/cluster.ts
+++ b/src/standin/cluster.ts
@@ -14,12 +14,16 @@
 export interface EntryPlan {
     instance: string;
     dataCentre: string;
+    /** Address of the log in place of the proxy before it. */
+    logUrl?: string;
     balancerLagMs?: number;
 }
 
 export interface SlotPlan {
     instance: string;
     dataCentre: string;
+    /** Address of the log in place of the proxy before it. */
+    logUrl?: string;
     pool: string;
     kind: "engine" | "plain";
     engine?: EngineOptions;
@@ -104,7 +108,7 @@
         instance: plan.instance,
         dataCentre: plan.dataCentre,
         environment,
-        platform: { log: cluster.logProxy.url, list: cluster.list.url },
+        platform: { log: plan.logUrl ?? cluster.logProxy.url, list: cluster.list.url },
         internalKeys,
     };
 }
--- a/tests/integration/config.test.ts
+++ b/tests/integration/config.test.ts
@@ -1,9 +1,11 @@
-import { afterEach, expect, it } from "vitest";
-import { readCluster } from "../../src/bench/clusterStatus.js";
+import { afterEach, expect, it, vi } from "vitest";
 import { runCommand } from "../../src/command/main.js";
+import { computeDigest } from "../../src/config/digest.js";
+import { configStream } from "../../src/config/records.js";
 import { createDemoDocument } from "../../src/demo/document.js";
+import { createLogClient } from "../../src/log/client.js";
 import { auditStream } from "../../src/observe/audit.js";
-import { type Cluster, type SlotPlan, startCluster } from "../../src/standin/cluster.js";
+import { type Cluster, environment, internalKeys, type SlotPlan, startCluster } from "../../src/standin/cluster.js";
 import { publishDocument } from "../../src/standin/publish.js";
 
 let cluster: Cluster;
@@ -25,11 +27,20 @@
     await publishDocument(cluster, createDemoDocument());
 }
 
+async function readStream(stream: string): Promise<Record<string, unknown>[]> {
+    const { records } = await createLogClient(cluster.log.url).read(stream, 0, 0);
+    return records.map(record => record.data as Record<string, unknown>);
+}
+
 /** Waits until every process runs `revision`. */
 async function waitForRevision(revision: number, members = [...cluster.entries, ...cluster.slots]): Promise<void> {
-    await Promise.all(members.map(member =>
-        member.process.waitForLine(line => line.msg.endsWith("A revision is in force.") && line.revision === revision)
-    ));
+    await Promise.all(
+        members.map(member =>
+            member.process.waitForLine(line =>
+                line.msg.endsWith("A revision is in force.") && line.revision === revision
+            )
+        ),
+    );
 }
 
 const promote = (...options: string[]) => runCommand(["promote", "--log", cluster.log.url, ...options]);
@@ -59,7 +70,7 @@
     await waitForRevision(2);
 });
 
-it("starts from a snapshot's successor only, when the log has dropped what came before", async () => {
+it("takes the revision from a peer when the log has dropped it and holds no snapshot", async () => {
     await startPublished([], ["slot-1"]);
     cluster.log.truncate("beechdock-config", 2);
     const fresh = await cluster.startSlot(createSlot("slot-2"));
@@ -79,7 +90,7 @@
     await startPublished(["entry-1"], ["slot-1"]);
     cluster.logProxy.cut();
     expect(await promote()).toBe(0);
-    const direct = await cluster.startSlot(createSlot("slot-2"), { log: cluster.log.url });
+    const direct = await cluster.startSlot({ ...createSlot("slot-2"), logUrl: cluster.log.url });
     cluster.listInstances();
     await waitForRevision(2, [direct]);
     await waitForRevision(2);
@@ -87,18 +98,33 @@
 
 it("keeps the previous revision when a document cannot be used, and says so in status", async () => {
     await startPublished(["entry-1"], ["slot-1"]);
-    await cluster.appendDocument({ ...createDemoDocument(), fieldOfALaterVersion: 1 });
-    const [entry] = cluster.entries;
-    await entry.process.waitForLine(line => line.msg.includes("cannot be used"));
-    const status = await readCluster(cluster);
-    expect(status.map(({ revision, refused }) => [revision, refused?.revision])).toEqual([[1, 2], [1, 2]]);
+    const document = { ...createDemoDocument(), fieldOfALaterVersion: 1 };
+    const baseDigest = computeDigest((await readStream(configStream))[1].document);
+    const record = { kind: "promote", id: "later", environment, base: 1, baseDigest, author: "later" };
+    const data = { ...record, digest: computeDigest(document), document };
+    await createLogClient(cluster.log.url).append(configStream, [{ id: "later", data }]);
+    const members = [...cluster.entries, ...cluster.slots];
+    await Promise.all(members.map(m => m.process.waitForLine(line => line.msg.includes("cannot be used"))));
+    const output = vi.spyOn(process.stdout, "write").mockReturnValue(true);
+    const platform = { log: cluster.log.url, list: cluster.list.url };
+    const file = cluster.writeFile("operator.yaml", { environment, platform, internalKeys });
+    expect(await runCommand(["status", "--json", "--settings", file])).toBe(0);
+    const { instances } = JSON.parse(output.mock.calls.map(call => String(call[0])).join("")) as {
+        instances: object[];
+    };
+    output.mockRestore();
+    const notes = "cannot use revision 2: : Unrecognized key: \"fieldOfALaterVersion\"";
+    expect(instances).toMatchObject([
+        { instance: "entry-1", revision: 1, source: "log", ready: "yes", notes },
+        { instance: "slot-1", revision: 1, source: "log", ready: "yes", notes },
+    ]);
 });
 
 it("leaves an audit trail after the processes are gone", async () => {
     await startPublished([], ["slot-1"]);
-    const [{ process }] = cluster.slots;
-    process.kill("SIGTERM");
-    await process.exited;
-    const kinds = cluster.log.list(auditStream).map(record => (record.data as { kind: string; }).kind);
+    const [slot] = cluster.slots;
+    slot.process.kill("SIGTERM");
+    await slot.process.exited;
+    const kinds = (await readStream(auditStream)).map(record => record.kind);
     expect(kinds).toEqual(["start", "revision-in-force", "leaving", "stop"]);
 });
