Learn of new slots from peers, and halve the control traffic

Cause: idle processes spent more than the target's 4 KB/s: by the kernel's counters an entry 5,162 B/s (list 1.5 K, gossip 2.2 K, probes 1.2 K) and a slot 6,431 B/s, with 3 entries and 6 slots. Ruled out: log lines and the log's long polls (some 100 B/s). Change: one gossip round in two seconds, one repeat probe a second, the list at 512 B/s, no Date header on internal answers. So that a slower list costs nothing, news of a slot carry its pool and entries take in slots that the list has never shown; they are used once they have reported.

--- a/src/config/loadState.ts
+++ b/src/config/loadState.ts
@@ -30,6 +30,8 @@
 export interface StateOptions {
     settings: CommonSettings;
     role: Role;
+    /** Pool of upstreams that a slot belongs to. */
+    pool?: string;
     makeLogger: (prefix: Prefix) => Logger;
     metrics: Metrics;
     /** Load of the upstream in tokens. */
@@ -64,8 +66,10 @@
     isReady: () => boolean;
     /** Starts to follow the log and to gossip; `port` is that of the bound internal interface. */
     start: (port: number) => void;
-    /** Takes in the platform's list and returns it with the leaving marks that peers told. */
-    updateInstances: (instances: InstanceRecord[]) => InstanceRecord[];
+    /** Takes in the platform's list. */
+    updateInstances: (instances: InstanceRecord[]) => void;
+    /** Instances of the last list and those that peers told of, with leaving marks from either. */
+    listInstances: () => InstanceRecord[];
     /** Tells peers and the audit trail that this process is leaving. */
     announceLeaving: (reason: string) => Promise<void>;
     stop: () => Promise<void>;
@@ -106,6 +110,7 @@
         audit,
         isReady: () => spread.ready,
         updateInstances: instances => peers.updateInstances(instances),
+        listInstances: () => peers.listInstances(),
         announceLeaving: async reason => {
             audit.record({ kind: AuditKind.leaving, subject: instance, reason });
             await peers.announceLeaving();
@@ -152,11 +157,11 @@
 
 function createKeeperPeers(keeper: Keeper): Peers {
     const { options, spread } = keeper;
-    const { settings, role } = options;
+    const { settings, role, pool } = options;
     const { instance, dataCentre, peers: seeds } = settings;
     return createPeers({
         identity: settings,
-        self: { instance, incarnation: Date.now(), state: "live", role, dataCentre, url: "" },
+        self: { instance, incarnation: Date.now(), state: "live", role, dataCentre, url: "", pool },
         seeds,
         random: createRandom(Math.floor(Math.random() * 2 ** 31)),
         getRevision: () => spread.newest,
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -82,8 +82,9 @@
         platform.list,
         e => peersLogger.warn("Reading the instance list failed.", { error: e.message }),
     )
-        .observe(instances => updateInstances(table, selectSlots(state.updateInstances(instances), settings)));
+        .observe(instances => state.updateInstances(instances));
     const probe = async () => {
+        updateInstances(table, selectSlots(state.listInstances(), settings));
         await Promise.all(
             chooseProbes(table.upstreams.values(), Date.now()).map(async upstream => {
                 const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() =>
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -165,8 +165,30 @@
     return { sender: self, revision, digest, load, news };
 }
 
-function toNews({ instance, incarnation, state, role, dataCentre, url }: Member): News {
-    return { instance, incarnation, state, role, dataCentre, url };
+function toNews({ instance, incarnation, state, role, dataCentre, url, pool }: Member): News {
+    return { instance, incarnation, state, role, dataCentre, url, pool };
+}
+
+/** Combines the platform's list with what peers told: leaving marks, and slots that the list has never shown. */
+export function combineInstances(state: GossipState, listed: InstanceRecord[]): InstanceRecord[] {
+    const isLeaving = (name: string) => state.members.get(name)?.state === InstanceState.leaving;
+    const marked = listed.map(record =>
+        isLeaving(record.instance) ? { ...record, state: InstanceState.leaving } : record
+    );
+    const told = [...state.members.values()].filter(member =>
+        member.pool !== undefined && member.state === InstanceState.live && member.listedState === undefined
+    );
+    return [
+        ...marked,
+        ...told.map(({ instance, role, dataCentre, url, pool }): InstanceRecord => ({
+            instance,
+            role,
+            dataCentre,
+            url,
+            pool,
+            state: InstanceState.live,
+        })),
+    ];
 }
 
 /** Takes in a message that arrived directly from its sender. */
--- a/src/peers/loadList.ts
+++ b/src/peers/loadList.ts
@@ -5,10 +5,10 @@
 import { CallError } from "../core/errors.js";
 import { type InstanceRecord, InstanceState, Role } from "../core/types.js";
 
-const minIntervalMs = 1000;
+const minIntervalMs = 2000;
 const timeoutMs = 2000;
 /** Budget for reading the list: a longer list is polled less often, and gossip tells of changes meanwhile. */
-const listBytesPerSecond = 1024;
+const listBytesPerSecond = 512;
 
 const ListSchema = z.object({
     instances: z.array(z.object({
--- a/src/peers/loadPeers.ts
+++ b/src/peers/loadPeers.ts
@@ -7,6 +7,7 @@
 import {
     buildMessage,
     choosePartner,
+    combineInstances,
     createGossipState,
     type FetchRevision,
     type GossipState,
@@ -18,7 +19,7 @@
 } from "./gossip.js";
 import { type GossipMessage, GossipMessageSchema, type News, PeerMethod, RevisionSchema } from "./messages.js";
 
-const intervalMs = 1000;
+const intervalMs = 2000;
 const callTimeoutMs = 1000;
 const fetchTimeoutMs = 3000;
 const keepAliveMs = 300_000;
@@ -43,8 +44,10 @@
     methods: RpcMethods;
     /** Starts to gossip under the internal address of this process. */
     start: (url: string) => void;
-    /** Takes in the platform's list and returns it with the leaving marks that peers told. */
-    updateInstances: (instances: InstanceRecord[]) => InstanceRecord[];
+    /** Takes in the platform's list. */
+    updateInstances: (instances: InstanceRecord[]) => void;
+    /** Instances of the last list and those that peers told of, with leaving marks from either. */
+    listInstances: () => InstanceRecord[];
     /** Asks peers of the own data centre at once; tells how many answered and their highest revision. */
     askOwnCentre: () => Promise<{ answered: number; newest: number; }>;
     /** Tells peers that this process is leaving, at once. */
@@ -61,6 +64,7 @@
     const agent = new Agent({ connections: 2, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs });
     const fetching = new Set<string>();
     let timer: NodeJS.Timeout | undefined;
+    let listed: InstanceRecord[] = [];
 
     const compose = () => {
         const { revision, digest } = options.getRevision();
@@ -128,10 +132,10 @@
             timer = setInterval(() => void runRound(), intervalMs);
         },
         updateInstances: instances => {
+            listed = instances;
             updateMembers(state, instances, Date.now());
-            const isLeaving = (name: string) => state.members.get(name)?.state === "leaving";
-            return instances.map(record => isLeaving(record.instance) ? { ...record, state: "leaving" } : record);
         },
+        listInstances: () => combineInstances(state, listed),
         askOwnCentre: async () => {
             const answers = await Promise.all(listOwnCentre(state).map(exchangeWith));
             const revisions = answers.filter(revision => revision !== undefined);
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -11,6 +11,8 @@
     role: z.enum(Role),
     dataCentre: z.string().max(100),
     url: z.string().max(200),
+    /** Pool of upstreams that a slot belongs to. */
+    pool: z.string().max(64).optional(),
 });
 export type News = z.infer<typeof NewsSchema>;
 
--- a/src/routing/probes.ts
+++ b/src/routing/probes.ts
@@ -8,7 +8,7 @@
 }
 
 /** Probes a second for upstreams that have reported before; one costs some 600 bytes, both ways together. */
-export const probesPerSecond = 2;
+export const probesPerSecond = 1;
 /** Probes a second for upstreams that have never reported. */
 export const firstProbesPerSecond = 16;
 /** Reports younger than this need no probe, in milliseconds. */
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -37,6 +37,7 @@
     const state = createStateKeeper({
         settings,
         role: "slot",
+        pool: settings.pool,
         makeLogger,
         metrics,
         getLoad: () => runner.report().tokensInFlight,
--- a/src/wire/server.ts
+++ b/src/wire/server.ts
@@ -17,6 +17,7 @@
 /** Creates the server; the caller listens on it. */
 export function createInternalServer(options: InternalServerOptions): Server {
     return createServer((message, response) => {
+        response.sendDate = false;
         handleMessage(options, message, response).catch(() => {
             if (response.headersSent) {
                 response.destroy();
