Relay claims to one slot a partition and data centre

Cause: at 860 slots each has a third of a keyed request a second, so batches per slot hold one key, and every slot reads the partitions that it claims in. Change: a claim goes to the slot that rendezvous hashing picks for its partition in the data centre, or is appended by the claimant when that one fails; the log still decides. A remembered owner no longer counts as won without a new claim, since its release may have gone through another slot. Proof: src/slot/tests/claims.test.ts (seven wrong variants), driverClaims.test.ts, tests/integration/claims.test.ts.

--- a/src/bench/claimDriver.ts
+++ b/src/bench/claimDriver.ts
@@ -7,6 +7,7 @@
 import type { LogRecord, ReadResult } from "../log/types.js";
 import {
     type advanceClaims,
+    type Claim,
     type ClaimAction,
     type ClaimKey,
     type ClaimState,
@@ -34,8 +35,10 @@
     keyed: KeyedRuns;
     /** Difference between the slot's clock and the log's, in milliseconds. */
     skewMs: number;
-    waiting: Map<string, (verdict: ClaimVerdict) => void>;
-    released: Map<string, (ok: boolean) => void>;
+    /** Calls of this process that wait for a verdict. */
+    calls: Set<object>;
+    /** Claims that this process settles, with the way of their answer. */
+    settling: Map<Claim, (verdict: ClaimVerdict) => void>;
 }
 
 interface Stream {
@@ -44,6 +47,7 @@
 }
 
 const slotCount = 3;
+const callTimeoutMs = 1000;
 const requestCount = 12;
 const retentionMs = 20 * 60_000;
 const startMs = 1_760_000_000_000;
@@ -119,8 +123,8 @@
         return {
             claims: createClaims(this.rules.formatIncarnation(index, starts)),
             keyed: createKeyedRuns(),
-            waiting: new Map(),
-            released: new Map(),
+            calls: new Set<object>(),
+            settling: new Map(),
         };
     }
 
@@ -129,7 +133,7 @@
             if (this.random.next() < 0.5) {
                 this.queue.schedule(this.random.next() * 5000, () => {
                     slot.starts += 1;
-                    this.open -= slot.waiting.size + slot.released.size;
+                    this.open -= slot.calls.size;
                     Object.assign(slot, this.createProcess(slot.index, slot.starts));
                 });
             }
@@ -150,19 +154,46 @@
         }
         const entered = this.rules.enterKey(slot.keyed, params, begun.record, this.queue.now + slot.skewMs);
         if (entered.kind === "claim") {
-            this.open += 1;
-            const { claims } = slot;
-            slot.waiting.set(entered.key.hash, verdict => {
-                slot.waiting.delete(entered.key.hash);
-                this.settle(slot, entered.key, verdict, `${workspace}/${text}`);
+            const { key } = entered;
+            this.call(slot, key, false, verdict => this.finishClaim(slot, key, verdict, `${workspace}/${text}`));
+        }
+    }
+
+    /** Asks a process, which may be the same, to settle a claim; the question or its answer may be lost. */
+    private call(slot: Slot, key: ClaimKey, release: boolean, onVerdict: (verdict: ClaimVerdict) => void): void {
+        const call = {};
+        const { calls } = slot;
+        const claim: Claim = { claimant: slot.claims.incarnation, key, release };
+        const end = (verdict: ClaimVerdict) => {
+            if (slot.calls === calls && calls.delete(call)) {
+                this.open -= 1;
+                onVerdict(verdict);
+            }
+        };
+        const isLost = () => this.faulty && this.random.next() < 0.1;
+        calls.add(call);
+        this.open += 1;
+        this.queue.schedule(callTimeoutMs, () => end("failed"));
+        if (!isLost()) {
+            this.queue.schedule(this.sampleDelay(), () => {
+                const appender = this.slots[this.random.pickIndex(slotCount)];
+                appender.settling.set(claim, verdict => {
+                    if (!isLost()) {
+                        this.queue.schedule(this.sampleDelay(), () => end(verdict));
+                    }
+                });
+                const { claims } = appender;
+                this.apply(appender, claims, this.rules.advanceClaims(claims, { kind: "claim", claim }));
             });
-            this.apply(slot, claims, this.rules.advanceClaims(claims, { kind: "claim", key: entered.key }));
         }
     }
 
-    private settle(slot: Slot, key: ClaimKey, verdict: ClaimVerdict, name: string): void {
+    private sampleDelay(): number {
+        return this.faulty && this.random.next() < 0.1 ? this.random.next() * 10_000 : this.random.next() * 5;
+    }
+
+    private finishClaim(slot: Slot, key: ClaimKey, verdict: ClaimVerdict, name: string): void {
         if (verdict !== "won") {
-            this.open -= 1;
             dropKey(slot.keyed, key);
             return;
         }
@@ -171,18 +202,13 @@
         if (outcome !== RunOutcome.notRun) {
             this.effects.set(name, (this.effects.get(name) ?? 0) + 1);
         }
-        if (!this.rules.isReleased(outcome)) {
-            this.open -= 1;
-            return;
+        if (this.rules.isReleased(outcome)) {
+            this.call(slot, key, true, released => {
+                if (released === "won") {
+                    dropKey(slot.keyed, key);
+                }
+            });
         }
-        slot.released.set(key.hash, ok => {
-            slot.released.delete(key.hash);
-            this.open -= 1;
-            if (ok) {
-                dropKey(slot.keyed, key);
-            }
-        });
-        this.apply(slot, slot.claims, this.rules.advanceClaims(slot.claims, { kind: "release", key }));
     }
 
     /** Carries out actions of a process; those of one that has crashed meanwhile are dropped. */
@@ -205,8 +231,8 @@
             advance(action.delayMs, () => ({ kind: "flush", stream: action.stream }));
         }
         else if (action.kind === "append") {
-            const { ok, delayMs } = this.append(action.stream, action.record);
-            advance(delayMs, () => ({ kind: "appended", stream: action.stream, ok }));
+            const delayMs = this.append(action.stream, action.record);
+            advance(delayMs, () => ({ kind: "appended", stream: action.stream }));
         }
         else if (action.kind === "read") {
             advance(this.random.next() * 10, () => {
@@ -214,32 +240,25 @@
                 return { kind: "read", stream: action.stream, result };
             });
         }
-        else if (action.kind === "settle") {
-            slot.waiting.get(action.hash)?.(action.verdict);
-        }
         else {
-            slot.released.get(action.hash)?.(action.ok);
+            slot.settling.get(action.claim)?.(action.verdict);
+            slot.settling.delete(action.claim);
         }
     }
 
-    /** Appends now, late, or not at all; the answer may be lost in each case. */
-    private append(name: string, record: { id: string; data: unknown; }): { ok: boolean; delayMs: number; } {
+    /** Appends now, late or not at all, and returns when the append ends, with or without an answer. */
+    private append(name: string, record: { id: string; data: unknown; }): number {
         const fate = this.faulty ? this.random.next() : 1;
         const delayMs = this.random.next() * 20;
-        const store = () => {
-            const stream = this.streams.get(name) ?? { records: [], next: 0 };
-            this.streams.set(name, stream);
-            stream.records.push({ ...record, offset: stream.next++, time: this.queue.now });
-        };
-        if (this.isDown || fate < 0.1) {
-            return { ok: false, delayMs };
-        }
-        if (fate < 0.2) {
-            this.queue.schedule(this.random.next() * 20_000, store);
-            return { ok: false, delayMs };
+        if (!this.isDown && fate > 0.1) {
+            const effectMs = fate < 0.2 ? this.random.next() * 20_000 : delayMs / 2;
+            this.queue.schedule(effectMs, () => {
+                const stream = this.streams.get(name) ?? { records: [], next: 0 };
+                this.streams.set(name, stream);
+                stream.records.push({ ...record, offset: stream.next++, time: this.queue.now });
+            });
         }
-        this.queue.schedule(delayMs / 2, store);
-        return { ok: fate > 0.3, delayMs };
+        return delayMs;
     }
 
     private read(name: string, from: number): ReadResult | undefined {
--- a/src/slot/claims.ts
+++ b/src/slot/claims.ts
@@ -24,13 +24,12 @@
     maxKeys: number;
 }
 
-export const defaultClaimOptions: ClaimOptions = { partitions: 64, flushMs: 10, maxKeys: 500 };
+export const defaultClaimOptions: ClaimOptions = { partitions: 8, flushMs: 10, maxKeys: 500 };
 
 const ClaimDataSchema = z.object({
-    incarnation: z.string(),
-    /** Hashes of keys. */
-    keys: z.array(z.string()),
-    /** Whether the owner gives the keys up and will not run them. */
+    /** Hashes of keys by the incarnation of the process that claims them. */
+    claims: z.record(z.string(), z.array(z.string())),
+    /** Whether the owners give the keys up and will not run them. */
     release: z.boolean().optional(),
 });
 type ClaimData = z.infer<typeof ClaimDataSchema>;
@@ -54,11 +53,18 @@
 } as const;
 export type ClaimVerdict = (typeof ClaimVerdict)[keyof typeof ClaimVerdict];
 
+/** A claim, or a release, of one process. */
+export interface Claim {
+    /** Incarnation of the process that wants to run the key, or gives it up. */
+    claimant: string;
+    key: ClaimKey;
+    release: boolean;
+}
+
 interface Batch {
     id: string;
     release: boolean;
-    keys: string[];
-    appended: boolean;
+    claims: Claim[];
 }
 
 interface StreamState {
@@ -68,7 +74,7 @@
     /** Incarnation that owns a key, by hash. */
     owners: Map<string, string>;
     /** Claims and releases that wait for the next batch. */
-    waiting: { key: string; release: boolean; }[];
+    waiting: Claim[];
     batch: Batch | undefined;
 }
 
@@ -80,19 +86,18 @@
 }
 
 export type ClaimEvent =
-    | { kind: "claim"; key: ClaimKey; }
-    | { kind: "release"; key: ClaimKey; }
+    | { kind: "claim"; claim: Claim; }
     | { kind: "flush"; stream: string; }
-    | { kind: "appended"; stream: string; ok: boolean; }
+    /** The append has ended; whether it was answered makes no difference. */
+    | { kind: "appended"; stream: string; }
     | { kind: "read"; stream: string; result: ReadResult | undefined; };
 
 export type ClaimAction =
     | { kind: "schedule"; stream: string; delayMs: number; }
     | { kind: "append"; stream: string; record: AppendRecord; }
     | { kind: "read"; stream: string; from: number; }
-    | { kind: "settle"; hash: string; verdict: ClaimVerdict; }
-    /** Whether the release is in the log. */
-    | { kind: "released"; hash: string; ok: boolean; };
+    /** A release that the log shows is won. */
+    | { kind: "settle"; claim: Claim; verdict: ClaimVerdict; };
 
 export type KeyResult =
     | { success: true; key: ClaimKey; }
@@ -116,7 +121,7 @@
         return { success: false, reason: "ahead" };
     }
     const span = Math.floor(mintedAt / spanMs);
-    const closesAt = span * spanMs + keyWindowMs;
+    const closesAt = computeClosingOfSpan(span);
     if (now >= closesAt) {
         return { success: false, reason: "stale" };
     }
@@ -126,28 +131,29 @@
     return { success: true, key: { hash, stream: `claims-${span}-${partition}`, closesAt } };
 }
 
+/** Computes when a stream closes from its name, in milliseconds. */
+export function computeClosing(stream: string): number {
+    return computeClosingOfSpan(Number(stream.split("-")[1]));
+}
+
+function computeClosingOfSpan(span: number): number {
+    return span * spanMs + keyWindowMs;
+}
+
 type Handlers = {
     [K in ClaimEvent["kind"]]: (state: ClaimState, event: Extract<ClaimEvent, { kind: K; }>) => ClaimAction[];
 };
 
 const handlers: Handlers = {
-    claim: (state, { key }) => {
-        const stream = openStream(state, key);
-        const owner = stream.owners.get(key.hash);
-        return owner === undefined ?
-            queueKey(state, key, false) :
-            [{ kind: "settle", hash: key.hash, verdict: decideVerdict(state, owner) }];
-    },
-    release: (state, { key }) => {
-        openStream(state, key);
-        return queueKey(state, key, true);
+    claim: (state, { claim }) => {
+        const stream = openStream(state, claim.key);
+        const owner = stream.owners.get(claim.key.hash);
+        return claim.release || owner === undefined || owner === claim.claimant ?
+            queueClaim(state, stream, claim) :
+            [{ kind: "settle", claim, verdict: ClaimVerdict.lost }];
     },
     flush: (state, { stream }) => beginBatch(state, stream),
-    appended: (state, event) => {
-        const stream = state.streams.get(event.stream)!;
-        stream.batch!.appended = event.ok;
-        return [{ kind: "read", stream: event.stream, from: stream.next }];
-    },
+    appended: (state, { stream }) => [{ kind: "read", stream, from: state.streams.get(stream)!.next }],
     read: (state, event) => finishRead(state, event.stream, event.result),
 };
 
@@ -178,11 +184,10 @@
     return stream;
 }
 
-function queueKey(state: ClaimState, key: ClaimKey, release: boolean): ClaimAction[] {
-    const stream = state.streams.get(key.stream)!;
-    stream.waiting.push({ key: key.hash, release });
+function queueClaim(state: ClaimState, stream: StreamState, claim: Claim): ClaimAction[] {
+    stream.waiting.push(claim);
     return stream.batch === undefined && stream.waiting.length === 1 ?
-        [{ kind: "schedule", stream: key.stream, delayMs: state.options.flushMs }] :
+        [{ kind: "schedule", stream: claim.key.stream, delayMs: state.options.flushMs }] :
         [];
 }
 
@@ -190,13 +195,15 @@
 function beginBatch(state: ClaimState, name: string): ClaimAction[] {
     const stream = state.streams.get(name)!;
     const { release } = stream.waiting[0];
-    const taken = stream.waiting.filter(item => item.release === release).slice(0, state.options.maxKeys);
-    stream.waiting = stream.waiting.filter(item => !taken.includes(item));
-    const keys = [...new Set(taken.map(item => item.key))];
+    const claims = stream.waiting.filter(item => item.release === release).slice(0, state.options.maxKeys);
+    stream.waiting = stream.waiting.filter(item => !claims.includes(item));
     state.batches += 1;
     const id = `${state.incarnation}-${state.batches}`;
-    stream.batch = { id, release, keys, appended: false };
-    const data: ClaimData = { incarnation: state.incarnation, keys, ...(release ? { release } : {}) };
+    stream.batch = { id, release, claims };
+    const data: ClaimData = { claims: {}, ...(release ? { release } : {}) };
+    for (const { claimant, key } of claims) {
+        data.claims[claimant] = [...data.claims[claimant] ?? [], key.hash];
+    }
     return [{ kind: "append", stream: name, record: { id, data } }];
 }
 
@@ -216,10 +223,7 @@
             [{ kind: "read", stream: name, from: stream.next }] :
             endBatch(state, name, () => ClaimVerdict.failed);
     }
-    return endBatch(state, name, hash => {
-        const owner = stream.owners.get(hash);
-        return owner === undefined ? ClaimVerdict.stale : decideVerdict(state, owner);
-    }, true);
+    return endBatch(state, name, claim => decideVerdict(stream, claim));
 }
 
 /** Applies a record of a stream: the first claim of a key owns it until that owner releases it. */
@@ -228,34 +232,38 @@
     if (!data.success) {
         return;
     }
-    const { incarnation, keys, release } = data.data;
-    for (const key of keys) {
-        const owner = stream.owners.get(key);
-        if (release === true && owner === incarnation) {
-            stream.owners.delete(key);
-        }
-        else if (release !== true && owner === undefined && record.time < stream.closesAt) {
-            stream.owners.set(key, incarnation);
-        }
+    const { claims, release } = data.data;
+    for (const [claimant, keys] of Object.entries(claims)) {
+        keys.forEach(key => foldKey(stream, claimant, key, release === true, record.time));
     }
 }
 
-function endBatch(
-    state: ClaimState,
-    name: string,
-    judge: (hash: string) => ClaimVerdict,
-    found = false,
-): ClaimAction[] {
+function foldKey(stream: StreamState, claimant: string, key: string, release: boolean, time: number): void {
+    const owner = stream.owners.get(key);
+    if (release && owner === claimant) {
+        stream.owners.delete(key);
+    }
+    else if (!release && owner === undefined && time < stream.closesAt) {
+        stream.owners.set(key, claimant);
+    }
+}
+
+function endBatch(state: ClaimState, name: string, decide: (claim: Claim) => ClaimVerdict): ClaimAction[] {
     const stream = state.streams.get(name)!;
-    const { keys, release } = stream.batch!;
+    const { claims } = stream.batch!;
     stream.batch = undefined;
-    const settled = keys.map((hash): ClaimAction =>
-        release ? { kind: "released", hash, ok: found } : { kind: "settle", hash, verdict: judge(hash) }
-    );
+    const settled = claims.map((claim): ClaimAction => ({ kind: "settle", claim, verdict: decide(claim) }));
     const next: ClaimAction[] = stream.waiting.length > 0 ? [{ kind: "schedule", stream: name, delayMs: 0 }] : [];
     return [...settled, ...next];
 }
 
-function decideVerdict(state: ClaimState, owner: string): ClaimVerdict {
-    return owner === state.incarnation ? ClaimVerdict.won : ClaimVerdict.lost;
+function decideVerdict(stream: StreamState, { claimant, key, release }: Claim): ClaimVerdict {
+    const owner = stream.owners.get(key.hash);
+    if (release) {
+        return ClaimVerdict.won;
+    }
+    if (owner === undefined) {
+        return ClaimVerdict.stale;
+    }
+    return owner === claimant ? ClaimVerdict.won : ClaimVerdict.lost;
 }
--- a/src/slot/driverClaims.ts
+++ b/src/slot/driverClaims.ts
@@ -1,21 +1,58 @@
-/** Carries out the appends and reads of claims. */
+/** Carries out claims: through the slot that appends for a stream, or by appends of this process's own. */
 import type { LogClient } from "../log/types.js";
-import { advanceClaims, type ClaimAction, type ClaimKey, type ClaimState, ClaimVerdict } from "./claims.js";
+import { advanceClaims, type Claim, type ClaimAction, type ClaimState, ClaimVerdict } from "./claims.js";
 
-/** Longest wait for a verdict; the claim itself goes on, for the benefit of a retry. */
+/** Longest wait for a verdict; the claim itself may go on, for the benefit of a retry. */
 const claimTimeoutMs = 1000;
+/** How long a slot that did not answer is passed over. */
+const avoidMs = 10_000;
 
 export interface ClaimsDriver {
-    /** Claims a key; never rejects. */
-    claim: (key: ClaimKey) => Promise<ClaimVerdict>;
-    /** Gives up an owned key that has not run; resolves with whether the log has recorded it. */
-    release: (key: ClaimKey) => Promise<boolean>;
+    /** Settles a claim or a release of any process by an append of this one. */
+    settle: (claim: Claim) => Promise<ClaimVerdict>;
+    /** Settles a claim or a release, through another slot where one appends for the stream; never rejects. */
+    claim: (claim: Claim) => Promise<ClaimVerdict>;
 }
 
-/** Creates a driver over the log. */
-export function createClaimsDriver(log: LogClient, state: ClaimState): ClaimsDriver {
-    const claims = new Map<string, (verdict: ClaimVerdict) => void>();
-    const releases = new Map<string, (ok: boolean) => void>();
+export interface ClaimRelay {
+    /** Finds the slot that appends for a stream; undefined for this one. */
+    chooseAppender: (stream: string, avoided: ReadonlySet<string>) => string | undefined;
+    /** Asks the slot at `url` to settle a claim. */
+    send: (url: string, claim: Claim, timeoutMs: number) => Promise<ClaimVerdict>;
+}
+
+/** Creates a driver over the log; each environment has streams of its own. */
+export function createClaimsDriver(
+    log: LogClient,
+    environment: string,
+    state: ClaimState,
+    relay: ClaimRelay,
+): ClaimsDriver {
+    const settle = createSettler(log, environment, state);
+    const avoided = new Set<string>();
+    const claim = async (claim: Claim): Promise<ClaimVerdict> => {
+        const url = relay.chooseAppender(claim.key.stream, avoided);
+        if (url === undefined) {
+            return settle(claim);
+        }
+        try {
+            return await relay.send(url, claim, claimTimeoutMs / 2);
+        }
+        catch {
+            avoided.add(url);
+            setTimeout(() => avoided.delete(url), avoidMs).unref();
+            return settle(claim);
+        }
+    };
+    return { settle, claim: item => limitTime(claim(item)) };
+}
+
+function createSettler(
+    log: LogClient,
+    environment: string,
+    state: ClaimState,
+): (claim: Claim) => Promise<ClaimVerdict> {
+    const waiting = new Map<Claim, (verdict: ClaimVerdict) => void>();
     const apply = (actions: ClaimAction[]) => actions.forEach(execute);
     const execute = (action: ClaimAction): void => {
         switch (action.kind) {
@@ -26,46 +63,34 @@
                 );
                 return;
             case "append":
-                void append(action.stream, action.record);
+                void log.append(`${environment}-${action.stream}`, [action.record])
+                    .catch(() => undefined)
+                    .then(() => apply(advanceClaims(state, { kind: "appended", stream: action.stream })));
                 return;
             case "read":
-                void read(action.stream, action.from);
+                void log.read(`${environment}-${action.stream}`, action.from, 0)
+                    .catch(() => undefined)
+                    .then(result => apply(advanceClaims(state, { kind: "read", stream: action.stream, result })));
                 return;
             case "settle":
-                claims.get(action.hash)?.(action.verdict);
-                return;
-            case "released":
-                releases.get(action.hash)?.(action.ok);
+                waiting.get(action.claim)?.(action.verdict);
+                waiting.delete(action.claim);
                 return;
         }
     };
-    const append = async (stream: string, record: Extract<ClaimAction, { kind: "append"; }>["record"]) => {
-        const ok = await log.append(stream, [record]).then(() => true, () => false);
-        apply(advanceClaims(state, { kind: "appended", stream, ok }));
-    };
-    const read = async (stream: string, from: number) => {
-        const result = await log.read(stream, from, 0).catch(() => undefined);
-        apply(advanceClaims(state, { kind: "read", stream, result }));
-    };
-    return {
-        claim: key =>
-            new Promise(resolve => {
-                const settle = (verdict: ClaimVerdict) => {
-                    clearTimeout(timer);
-                    claims.delete(key.hash);
-                    resolve(verdict);
-                };
-                const timer = setTimeout(settle, claimTimeoutMs, ClaimVerdict.failed);
-                claims.set(key.hash, settle);
-                apply(advanceClaims(state, { kind: "claim", key }));
-            }),
-        release: key =>
-            new Promise(resolve => {
-                releases.set(key.hash, ok => {
-                    releases.delete(key.hash);
-                    resolve(ok);
-                });
-                apply(advanceClaims(state, { kind: "release", key }));
-            }),
-    };
+    return claim =>
+        new Promise(resolve => {
+            waiting.set(claim, resolve);
+            apply(advanceClaims(state, { kind: "claim", claim }));
+        });
+}
+
+function limitTime(verdict: Promise<ClaimVerdict>): Promise<ClaimVerdict> {
+    return new Promise(resolve => {
+        const timer = setTimeout(resolve, claimTimeoutMs, ClaimVerdict.failed);
+        void verdict.then(value => {
+            clearTimeout(timer);
+            resolve(value);
+        });
+    });
 }
--- a/src/slot/executeKeyed.ts
+++ b/src/slot/executeKeyed.ts
@@ -32,7 +32,8 @@
     item: Pending,
     key: ClaimKey,
 ): Promise<void> {
-    const verdict = await claims.claim(key);
+    const claimant = context.ledger.incarnation;
+    const verdict = await claims.claim({ claimant, key, release: false });
     if (verdict !== ClaimVerdict.won) {
         dropKey(keyed, key);
         context.emit(item, claimRefusals[verdict]);
@@ -40,7 +41,10 @@
     }
     await executeRun(context, item);
     const last = item.record.frames[item.record.frames.length - 1];
-    if (last?.kind === "failed" && last.outcome === RunOutcome.notRun && await claims.release(key)) {
+    if (last?.kind !== "failed" || last.outcome !== RunOutcome.notRun) {
+        return;
+    }
+    if (await claims.claim({ claimant, key, release: true }) === ClaimVerdict.won) {
         dropKey(keyed, key);
     }
 }
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -11,6 +11,7 @@
 import { createAdmission } from "../routing/admission.js";
 import { listenOn } from "../wire/listen.js";
 import { RevokeParamsSchema } from "../wire/messages.js";
+import { type Appender, createClaimMethods, createClaimRelay } from "./claimRelay.js";
 import { createClaims } from "./claims.js";
 import { createClaimsDriver } from "./driverClaims.js";
 import { createLedger, expireRecords } from "./ledger.js";
@@ -29,7 +30,10 @@
     const metrics = createMetrics();
     const ledger = createLedger(randomUUID());
     const admission = createAdmission(defaultLimits);
-    const claims = createClaimsDriver(createLogClient(platform.log), createClaims(ledger.incarnation));
+    let neighbours: Appender[] = [];
+    const relay = createClaimRelay(settings, instance, () => neighbours);
+    const log = createLogClient(platform.log);
+    const claims = createClaimsDriver(log, environment, createClaims(ledger.incarnation), relay);
     const client = createUpstreamClient(upstream.url, silenceLimits[upstream.kind]);
     const runner = createRunner(ledger, admission, client, claims);
     let config: ConfigState = createConfigState(environment);
@@ -60,6 +64,7 @@
         getWeight: workspace => config.document?.workspaces.find(w => w.name === workspace)?.weight ?? 1,
         methods: {
             ...state.methods,
+            ...createClaimMethods(claims),
             cancel: (params: unknown) => {
                 const { requestId, attempt } = RevokeParamsSchema.parse(params);
                 const record = ledger.records.get(`${requestId}/${attempt}`);
@@ -76,6 +81,9 @@
     void streamInstances(platform.list, e => logger.warn("Reading the instance list failed.", { error: e.message }))
         .observe(instances => {
             state.updateInstances(instances);
+            neighbours = instances.filter(i =>
+                i.role === "slot" && i.state === "live" && i.dataCentre === settings.dataCentre
+            );
             if (instances.some(i => i.instance === instance && i.state === "leaving")) {
                 markLeaving("the instance list says so");
             }
--- a/src/slot/tests/claims.test.ts
+++ b/src/slot/tests/claims.test.ts
@@ -22,7 +22,7 @@
 }
 
 const wrongRules: Record<string, Partial<ClaimRules>> = {
-    "an append that was answered counts as won": {
+    "an append counts as won without a look at earlier claims": {
         advanceClaims: (state, event) =>
             advanceClaims(state, event).map(action =>
                 action.kind === "settle" && action.verdict === "lost" ? { ...action, verdict: "won" } : action
@@ -36,6 +36,16 @@
     },
     "a restarted slot takes over its keys": { formatIncarnation: slot => `slot-${slot}` },
     "a key is released although its run is unknown": { isReleased: outcome => outcome !== "run" },
+    "a remembered owner counts as won without a new claim": {
+        advanceClaims: (state, event) => {
+            const known = event.kind === "claim" && !event.claim.release ?
+                state.streams.get(event.claim.key.stream)?.owners.get(event.claim.key.hash) :
+                undefined;
+            return event.kind === "claim" && known === event.claim.claimant ?
+                [{ kind: "settle", claim: event.claim, verdict: "won" }] :
+                advanceClaims(state, event);
+        },
+    },
     "a slot forgets what it ran": {
         enterKey: (keyed, params, record, now) => {
             keyed.runs.clear();
@@ -80,7 +90,7 @@
     const create = (time: number) => `${format(time)}-7abc-8abc-0123456789ab`;
 
     it.each([
-        { name: "fresh", text: create(now), result: "claims-29333333-58" },
+        { name: "fresh", text: create(now), result: "claims-29333333-2" },
         { name: "of version 4", text: "f47ac10b-58cc-4372-a567-0e02b2c3d479", result: "unreadable" },
         { name: "no UUID", text: "claim-17", result: "unreadable" },
         { name: "past the window", text: create(now - keyWindowMs), result: "stale" },
--- /dev/null
+++ b/src/slot/tests/driverClaims.test.ts
@@ -0,0 +1,58 @@
+import { afterEach, beforeEach, expect, it, vi } from "vitest";
+import type { LogClient, LogRecord } from "../../log/types.js";
+import { createClaims, safeParseKey } from "../claims.js";
+import { type ClaimRelay, createClaimsDriver } from "../driverClaims.js";
+
+const now = 1_760_000_030_000;
+const parsed = safeParseKey("w", "0199c82c-c930-7abc-8abc-0123456789ab", now);
+const key = parsed.success ? parsed.key : expect.unreachable();
+const alone: ClaimRelay = { chooseAppender: () => undefined, send: () => expect.unreachable() };
+const unreachable: ClaimRelay = {
+    chooseAppender: (stream, avoided) => avoided.size === 0 ? "http://gone" : undefined,
+    send: () => Promise.reject(new Error("unreachable")),
+};
+
+beforeEach(() => void vi.useFakeTimers({ now }));
+
+afterEach(() => void vi.useRealTimers());
+
+function createLog(): LogClient & { records: LogRecord[]; } {
+    const records: LogRecord[] = [];
+    return {
+        records,
+        append: async (stream, added) => {
+            added.forEach(record => records.push({ ...record, offset: records.length, time: Date.now() }));
+            return records.length - 1;
+        },
+        read: async (stream, from) => ({ records: records.slice(from), next: records.length, oldest: 0 }),
+    };
+}
+
+function claim(log: LogClient, claimant: string, relay = alone): Promise<string> {
+    return createClaimsDriver(log, "trial", createClaims(claimant), relay).claim({ claimant, key, release: false });
+}
+
+const fail = () => Promise.reject(new Error("down"));
+const hang = () => new Promise<never>(() => undefined);
+
+it.each([
+    { name: "the first claim", change: {}, verdict: "won" },
+    { name: "a claim whose answer is lost", change: { loseAnswer: true }, verdict: "won" },
+    { name: "a claim that the log refuses", change: { append: fail }, verdict: "failed" },
+    { name: "a claim while reads fail", change: { read: fail }, verdict: "failed" },
+    { name: "a claim while the log is silent", change: { append: hang }, verdict: "failed" },
+    { name: "a claim whose appender can't be reached", change: {}, relay: unreachable, verdict: "won" },
+    { name: "a claim after another's", change: {}, earlier: "i0", verdict: "lost" },
+])("settles $name as $verdict", async ({ change, relay, earlier, verdict }) => {
+    const log = createLog();
+    const { append } = log;
+    if ("loseAnswer" in change) {
+        log.append = (stream, records) => append(stream, records).then(fail);
+    }
+    const settled = earlier === undefined ? Promise.resolve("") : claim(log, earlier);
+    await vi.advanceTimersByTimeAsync(100);
+    await settled;
+    const result = claim({ ...log, ...change }, "i1", relay);
+    await vi.advanceTimersByTimeAsync(1000);
+    expect(await result).toBe(verdict);
+});
--- a/tests/integration/claims.test.ts
+++ b/tests/integration/claims.test.ts
@@ -29,7 +29,7 @@
     key = createKey(Date.now());
 });
 
-function submit(entry: number, options: { key?: string; caller?: string; } = {}): Promise<CallResult> {
+function sendClaim(entry: number, options: { key?: string; caller?: string; } = {}): Promise<CallResult> {
     return callPlain(cluster.entries[entry].url, "/claims/submit", "claim", {
         key: options.caller ?? demoKeys.caseworkers,
         headers: { "idempotency-key": options.key ?? key },
@@ -42,8 +42,8 @@
 
 describe("a keyed request", () => {
     it("runs once however often it is sent through entries of two data centres", async () => {
-        const results = await Promise.all(Array.from({ length: 12 }, (item, index) => submit(index % 2)));
-        results.push(...await Promise.all(Array.from({ length: 12 }, (item, index) => submit(index % 2))));
+        const results = await Promise.all(Array.from({ length: 12 }, (item, index) => sendClaim(index % 2)));
+        results.push(...await Promise.all(Array.from({ length: 12 }, (item, index) => sendClaim(index % 2))));
         const answers = new Set(results.map(({ status, outcome }) => `${status} ${outcome}`));
         expect([countRuns(), results.some(result => result.whole), [...answers].sort()]).toMatchInlineSnapshot(`
           [
@@ -58,7 +58,7 @@
     });
 
     it("runs once for each of two workspaces", async () => {
-        const results = await Promise.all([submit(0), submit(0, { caller: demoKeys.batch })]);
+        const results = await Promise.all([sendClaim(0), sendClaim(0, { caller: demoKeys.batch })]);
         expect([results.map(result => result.whole), countRuns(), countRuns("batch")]).toMatchInlineSnapshot(`
           [
             [
@@ -73,7 +73,7 @@
 
     it("runs once when the log loses the answers to its appends", async () => {
         cluster.log.faults.loseAnswers = 3;
-        const results = await Promise.all([submit(0), submit(1), submit(0)]);
+        const results = await Promise.all([sendClaim(0), sendClaim(1), sendClaim(0)]);
         cluster.log.faults.loseAnswers = 0;
         expect([countRuns(), results.some(result => result.whole)]).toMatchInlineSnapshot(`
           [
@@ -85,10 +85,10 @@
 
     it("does not run while the log is down, and runs once afterwards", async () => {
         cluster.log.faults.down = true;
-        const refused = await submit(0);
+        const refused = await sendClaim(0);
         const runsWhileDown = countRuns();
         cluster.log.faults.down = false;
-        const later = await submit(0);
+        const later = await sendClaim(0);
         const { status, outcome, retryAfter } = refused;
         expect([{ status, outcome, retryAfter }, runsWhileDown, later.whole, countRuns()]).toMatchInlineSnapshot(`
           [
@@ -108,19 +108,19 @@
         { name: "without a mint time", text: () => "claim-17", told: [400, "not-run"] },
         { name: "past its window", text: () => createKey(Date.now() - 16 * 60_000), told: [409, "unknown"] },
     ])("is refused with a key $name", async ({ text, told }) => {
-        const { status, outcome } = await submit(0, { key: text() });
+        const { status, outcome } = await sendClaim(0, { key: text() });
         expect([status, outcome, countRuns()]).toEqual([...told, 0]);
     });
 
     it("does not run again when its claimer was killed after the claim", async () => {
-        const first = submit(0);
+        const first = sendClaim(0);
         const claimer = await waitForRun();
         claimer.process.kill("SIGKILL");
         await claimer.process.exited;
         const answered = await first;
-        const retries = await Promise.all([submit(0), submit(1), submit(0), submit(1)]);
+        const retries = await Promise.all([sendClaim(0), sendClaim(1), sendClaim(0), sendClaim(1)]);
         await cluster.restartSlot(claimer);
-        retries.push(...await Promise.all([submit(0), submit(1)]));
+        retries.push(...await Promise.all([sendClaim(0), sendClaim(1)]));
         const outcomes = new Set([answered, ...retries].map(result => result.outcome));
         expect([countRuns(), [...outcomes].sort()]).toMatchInlineSnapshot(`
           [
