--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -8,6 +8,7 @@
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
 import { chooseProbes } from "../routing/probes.js";
+import { selectSlots } from "../routing/subset.js";
 import { createUpstreamTable, noteReport, updateInstances } from "../routing/table.js";
 import { listenOn } from "../wire/listen.js";
 import { InternalPath } from "../wire/messages.js";
@@ -81,7 +82,7 @@
         platform.list,
         e => peersLogger.warn("Reading the instance list failed.", { error: e.message }),
     )
-        .observe(instances => updateInstances(table, state.updateInstances(instances)));
+        .observe(instances => updateInstances(table, selectSlots(state.updateInstances(instances), settings)));
     const probe = async () => {
         await Promise.all(
             chooseProbes(table.upstreams.values(), Date.now()).map(async upstream => {
