Keep a stopping slot until its answers have arrived, and tell entries whom they met

Cause: a slot that had nothing more to run ended at once, so that an entry whose connection had gone silent could not resume; a refusal did not tell the entry the slot's present incarnation, and probes are too rare for that at 860 slots. Change: a stopping slot stays until its answers were delivered and could be resumed; refusals carry the load report; metrics for answer buffers, records, claims and silent upstream connections.

--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -156,6 +156,9 @@
                 if (own && frame.kind === "accepted") {
                     this.incarnation = frame.incarnation;
                 }
+                if (own && frame.kind === "failed" && frame.load !== undefined) {
+                    noteReport(this.context.table, this.upstream!.instance, frame.load, Date.now());
+                }
                 this.apply({ kind: "frame", frame });
             },
             onBroken: (sent: boolean) => {
--- a/src/slot/execute.ts
+++ b/src/slot/execute.ts
@@ -28,7 +28,10 @@
     const { upstream, emit, report } = context;
     const { params, abort } = item;
     const deadline = setTimeout(() => abort.abort(), params.deadlineMs);
-    const watch = createSilenceWatch(() => abort.abort(new CallError("the upstream is silent")));
+    const watch = createSilenceWatch(() => {
+        upstream.onSilence();
+        abort.abort(new CallError("the upstream is silent"));
+    });
     let length = 0;
     try {
         watch.start(upstream.silence.headMs);
--- a/src/slot/server.ts
+++ b/src/slot/server.ts
@@ -64,7 +64,7 @@
     }
     const result = beginRun(context.ledger, params, Date.now());
     if (result.kind === "refuse") {
-        sendFailed(response, params, RunOutcome.notRun, result.status, result.title);
+        sendFailed(context, response, params, RunOutcome.notRun, result.status, result.title);
         return;
     }
     if (result.kind === "begin") {
@@ -81,13 +81,15 @@
     }
     const result = resumeRun(context.ledger, params, Date.now());
     if (result.kind === "refuse") {
-        sendFailed(response, params, result.outcome, 503, result.title);
+        sendFailed(context, response, params, result.outcome, 503, result.title);
         return;
     }
     streamFrames(context.runner, result.record, params.nextSequence, response);
 }
 
+/** Refuses a run; the load report tells the entry which process it has met. */
 function sendFailed(
+    context: SlotContext,
     response: ServerResponse,
     run: { requestId: string; attempt: number; },
     outcome: RunOutcome,
@@ -96,7 +98,18 @@
 ): void {
     const { requestId, attempt } = run;
     response.writeHead(200, { "content-type": "application/x-ndjson" });
+    const load = context.runner.report();
     response.end(
-        encodeFrame({ requestId, attempt, sequence: 0, kind: "failed", outcome, status, title, retryAfterSeconds: 1 }),
+        encodeFrame({
+            requestId,
+            attempt,
+            sequence: 0,
+            kind: "failed",
+            outcome,
+            status,
+            title,
+            retryAfterSeconds: 1,
+            load,
+        }),
     );
 }
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -15,11 +15,14 @@
 import { createClaims } from "./claims.js";
 import { createClaimsDriver } from "./driverClaims.js";
 import { createLedger, expireRecords } from "./ledger.js";
+import { createSlotMetrics } from "./metrics.js";
 import { createRunner } from "./runner.js";
 import { createSlotServer } from "./server.js";
+import { computeLinger } from "./shutdown.js";
 import { createUpstreamClient, silenceLimits } from "./upstream.js";
 
 const expiryIntervalMs = 5000;
+const lingerStepMs = 100;
 const defaultLimits = { concurrency: 64, tokens: 200_000, queue: 128 };
 
 /** Starts a slot; resolves once it listens. */
@@ -34,8 +37,16 @@
     const relay = createClaimRelay(settings, instance, () => neighbours);
     const log = createLogClient(platform.log);
     const claims = createClaimsDriver(log, environment, createClaims(ledger.incarnation), relay);
-    const client = createUpstreamClient(upstream.url, silenceLimits[upstream.kind]);
-    const runner = createRunner(ledger, admission, client, claims);
+    const slotMetrics = createSlotMetrics(metrics.registry, ledger);
+    const client = createUpstreamClient(upstream.url, silenceLimits[upstream.kind], () => slotMetrics.silences.inc());
+    const runner = createRunner(ledger, admission, client, {
+        ...claims,
+        claim: async claim => {
+            const verdict = await claims.claim(claim);
+            slotMetrics.claims.inc({ verdict });
+            return verdict;
+        },
+    });
     let config: ConfigState = createConfigState(environment);
 
     const state = createStateKeeper({
@@ -99,6 +110,9 @@
         stop: async () => {
             markLeaving("the process was told to stop");
             await runner.drain();
+            for (let ms = computeLinger(ledger, Date.now()); ms > 0; ms = computeLinger(ledger, Date.now())) {
+                await new Promise(resolve => setTimeout(resolve, Math.min(ms, lingerStepMs)));
+            }
             server.close();
             server.closeIdleConnections();
             await state.stop();
--- a/src/slot/upstream.ts
+++ b/src/slot/upstream.ts
@@ -38,6 +38,8 @@
 
 export interface UpstreamClient {
     silence: SilenceLimits;
+    /** Called when a connection is given up for silence. */
+    onSilence: () => void;
     run: (params: RunParams, signal: AbortSignal) => Promise<UpstreamAnswer>;
 }
 
@@ -48,11 +50,12 @@
  * Creates a client for the upstream at `url`. Connections that were idle for a moment may have been lost, so they
  * are not used again, whatever the upstream proposes; requests that can't be repeated get fresher ones.
  */
-export function createUpstreamClient(url: string, silence: SilenceLimits): UpstreamClient {
+export function createUpstreamClient(url: string, silence: SilenceLimits, onSilence: () => void): UpstreamClient {
     const idempotent = createAgent(maxIdleMs.idempotent);
     const other = createAgent(maxIdleMs.other);
     return {
         silence,
+        onSilence,
         run: (params, signal) => requestUpstream(params.idempotent ? idempotent : other, url, params, signal),
     };
 }
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -61,7 +61,14 @@
         /** `length` is the number of body bytes of the whole answer. */
         | { kind: "end"; length: number; load: LoadReport; }
         | { kind: "keepalive"; }
-        | { kind: "failed"; outcome: RunOutcome; status: number; title: string; retryAfterSeconds?: number; }
+        | {
+            kind: "failed";
+            outcome: RunOutcome;
+            status: number;
+            title: string;
+            retryAfterSeconds?: number;
+            load?: LoadReport;
+        }
     );
 
 /** A frame without its place in an answer. */
@@ -89,6 +96,7 @@
         status: z.number().int(),
         title: z.string(),
         retryAfterSeconds: z.number().optional(),
+        load: LoadReportSchema.optional(),
     }),
 ]);
 
