--- a/src/slot/execute.ts
+++ b/src/slot/execute.ts
@@ -11,8 +11,6 @@
     params: RunParams;
     abort: AbortController;
     listeners: Set<() => void>;
-    /** Continues reading from the upstream. */
-    wake: (() => void) | undefined;
 }
 
 /** What a run needs of its surroundings. */
@@ -21,6 +19,8 @@
     upstream: UpstreamClient;
     emit: (item: Pending, frame: FrameBody) => void;
     report: () => LoadReport;
+    /** Wakes the runs that wait until a reader has taken more. */
+    paused: Set<() => void>;
 }
 
 /** Runs a request; every failure ends as a frame. */
@@ -42,7 +42,7 @@
             watch.stop();
             length += chunk.length;
             emit(item, { kind: "data", data: chunk.toString("latin1") });
-            await waitForRoom(context.ledger, item);
+            await waitForRoom(context, item);
             watch.start(upstream.silence.bodyMs);
         }
         emit(item, { kind: "end", length, load: report() });
@@ -59,14 +59,18 @@
 }
 
 /** Waits while the answer's buffer is full; throws when the run is aborted meanwhile. */
-async function waitForRoom(ledger: Ledger, item: Pending): Promise<void> {
+async function waitForRoom({ ledger, paused }: RunContext, item: Pending): Promise<void> {
     const { signal } = item.abort;
     while (isOverLimit(ledger, item.record)) {
         await new Promise<void>(resolve => {
-            item.wake = resolve;
-            signal.addEventListener("abort", () => resolve(), { once: true });
+            const wake = () => {
+                paused.delete(wake);
+                signal.removeEventListener("abort", wake);
+                resolve();
+            };
+            paused.add(wake);
+            signal.addEventListener("abort", wake);
         });
-        item.wake = undefined;
         signal.throwIfAborted();
     }
 }
--- a/src/slot/runner.ts
+++ b/src/slot/runner.ts
@@ -83,7 +83,7 @@
         item?.listeners.add(listener);
         return () => item?.listeners.delete(listener);
     };
-    const context: RunContext = { ledger, upstream, emit, report };
+    const context: RunContext = { ledger, upstream, emit, report, paused: new Set() };
     const keyed: KeyedContext = { keyed: createKeyedRuns(), claims, subscribe };
 
     return {
@@ -94,7 +94,6 @@
                 params,
                 abort: new AbortController(),
                 listeners: new Set(),
-                wake: undefined,
             };
             pending.set(id, item);
             emit(item, { kind: "accepted", incarnation: ledger.incarnation });
@@ -121,7 +120,7 @@
         subscribe,
         noteDelivered: (record, sequence) => {
             noteDelivered(ledger, record, sequence);
-            pending.forEach(item => item.wake?.());
+            context.paused.forEach(wake => wake());
         },
         report,
         expire: () => expireKeys(keyed.keyed, Date.now()),
--- /dev/null
+++ b/src/slot/tests/runner.test.ts
@@ -0,0 +1,216 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createAdmission } from "../../routing/admission.js";
+import type { RunParams } from "../../wire/messages.js";
+import type { Claim, ClaimVerdict } from "../claims.js";
+import { beginRun, createLedger, type RunRecord } from "../ledger.js";
+import { createRunner, type Runner } from "../runner.js";
+import { computeLinger } from "../shutdown.js";
+
+const now = 1_760_000_030_000;
+const params: RunParams = {
+    requestId: "r1",
+    attempt: 1,
+    incarnation: "i1",
+    workspace: "w",
+    method: "POST",
+    path: "/",
+    headers: {},
+    body: "claim",
+    idempotent: false,
+    urgency: 3,
+    tokens: 1,
+    deadlineMs: 60_000,
+};
+const idempotencyKey = "0199c82c-c930-7abc-8abc-0123456789ab";
+const parts = Array.from({ length: 10 }, (part, index) => String(index).repeat(1000));
+
+beforeEach(() => void vi.useFakeTimers({ now }));
+
+afterEach(() => void vi.useRealTimers());
+
+interface Fixture {
+    runner: Runner;
+    begin: (change?: Partial<RunParams>) => RunRecord;
+    /** Parts that were read from the upstream, over all runs. */
+    read: () => number;
+    runs: () => number;
+    claims: Claim[];
+}
+
+interface Behaviour {
+    /** What the upstream does at a part; runs before it is sent. */
+    atPart?: (index: number, signal: AbortSignal) => Promise<void> | void;
+    connect?: () => void;
+    verdict?: ClaimVerdict;
+}
+
+function createFixture({ atPart, connect, verdict = "won" }: Behaviour): Fixture {
+    const ledger = createLedger("i1", { answerBytes: 4000, totalBytes: 100_000, records: 10 });
+    const claims: Claim[] = [];
+    let read = 0;
+    let runs = 0;
+    async function* streamParts(signal: AbortSignal) {
+        for (const [index, part] of parts.entries()) {
+            await atPart?.(index, signal);
+            read += 1;
+            yield Buffer.from(part);
+        }
+    }
+    const runner = createRunner(ledger, createAdmission({ concurrency: 9, tokens: 99, queue: 9 }), {
+        silence: { headMs: 10_000, bodyMs: 2000 },
+        onSilence: () => undefined,
+        run: async (run, signal) => {
+            connect?.();
+            runs += 1;
+            return { status: 200, headers: {}, body: streamParts(signal) };
+        },
+    }, {
+        settle: () => expect.unreachable(),
+        claim: async claim => {
+            claims.push(claim);
+            return claim.release ? "won" : verdict;
+        },
+    });
+    const begin = (change: Partial<RunParams> = {}) => {
+        const run = { ...params, ...change };
+        const result = beginRun(ledger, run, Date.now());
+        const record = result.kind === "begin" ? result.record : expect.unreachable();
+        runner.start(record, run, 1);
+        return record;
+    };
+    return { runner, begin, read: () => read, runs: () => runs, claims };
+}
+
+function describeEnd(record: RunRecord): string {
+    const last = record.frames[record.frames.length - 1];
+    return last.kind === "failed" ? `${last.outcome}: ${last.title}` : last.kind;
+}
+
+/** Takes every frame of a record as a reader that never lags. */
+function readAlong(runner: Runner, record: RunRecord): void {
+    runner.subscribe(record, () => runner.noteDelivered(record, record.next));
+}
+
+/** Never sends a part, but breaks off when the run is aborted. */
+function waitForAbort(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => signal.addEventListener("abort", () => reject(signal.reason as Error)));
+}
+
+describe("runner", () => {
+    it("stops reading from the upstream while its reader lags", async () => {
+        const fixture = createFixture({});
+        const record = fixture.begin();
+        await vi.advanceTimersByTimeAsync(5000);
+        const whileLagging = fixture.read();
+        fixture.runner.noteDelivered(record, record.next);
+        await vi.advanceTimersByTimeAsync(1);
+        const afterDelivery = fixture.read();
+        readAlong(fixture.runner, record);
+        fixture.runner.noteDelivered(record, record.next);
+        await vi.advanceTimersByTimeAsync(1);
+        expect([whileLagging, afterDelivery, fixture.read(), describeEnd(record)]).toMatchInlineSnapshot(`
+          [
+            3,
+            7,
+            10,
+            "end",
+          ]
+        `);
+    });
+
+    it.each([
+        { name: "is silent within an answer", behaviour: { atPart: waitAt(3) }, end: "unknown" },
+        { name: "can't be connected to", behaviour: { connect: refuseConnection }, end: "not-run" },
+        { name: "breaks off", behaviour: { atPart: failAt(3) }, end: "unknown" },
+    ])("tells the truth when the upstream $name", async ({ behaviour, end }) => {
+        const fixture = createFixture(behaviour);
+        const record = fixture.begin();
+        readAlong(fixture.runner, record);
+        await vi.advanceTimersByTimeAsync(2000);
+        expect(describeEnd(record)).toBe(`${end}: The upstream did not finish its answer`);
+    });
+
+    it("stays after the last answer until it was delivered and can't be resumed any more", async () => {
+        const ledger = createLedger("i1");
+        const result = beginRun(ledger, params, now);
+        const record = result.kind === "begin" ? result.record : expect.unreachable();
+        const running = computeLinger(ledger, now);
+        Object.assign(record, { state: "ended", next: 3, delivered: 2 });
+        const undelivered = computeLinger(ledger, now);
+        record.delivered = 3;
+        expect([running, undelivered, computeLinger(ledger, now), computeLinger(ledger, now + 2500)]).toEqual([
+            0,
+            5000,
+            2500,
+            0,
+        ]);
+    });
+});
+
+describe("keyed runs", () => {
+    it("repeat the recorded answer for the same key and request", async () => {
+        const fixture = createFixture({});
+        const records = ["r1", "r2"].map(requestId => fixture.begin({ requestId, idempotencyKey }));
+        records.forEach(record => readAlong(fixture.runner, record));
+        await vi.advanceTimersByTimeAsync(1);
+        const other = fixture.begin({ requestId: "r3", idempotencyKey, body: "another" });
+        await vi.advanceTimersByTimeAsync(1);
+        expect([fixture.runs(), ...[...records, other].map(describeEnd)]).toMatchInlineSnapshot(`
+          [
+            1,
+            "end",
+            "end",
+            "not-run: Idempotency-Key was used with another request",
+          ]
+        `);
+    });
+
+    it("go on when their caller has gone, so that a retry gets the answer", async () => {
+        const fixture = createFixture({});
+        const record = fixture.begin({ idempotencyKey });
+        readAlong(fixture.runner, record);
+        fixture.runner.cancel(record);
+        await vi.advanceTimersByTimeAsync(1);
+        expect(describeEnd(record)).toBe("end");
+    });
+
+    it.each(
+        [
+            { verdict: "lost", end: "unknown: Another process has claimed the Idempotency-Key" },
+            { verdict: "stale", end: "unknown: Idempotency-Key is older than 15 minutes" },
+            { verdict: "failed", end: "not-run: The Idempotency-Key could not be claimed in the log" },
+        ] as const,
+    )("don't reach the upstream when the claim is $verdict", async ({ verdict, end }) => {
+        const fixture = createFixture({ verdict });
+        const record = fixture.begin({ idempotencyKey });
+        await vi.advanceTimersByTimeAsync(1);
+        expect([fixture.runs(), describeEnd(record).startsWith(end)]).toEqual([0, true]);
+    });
+
+    it("give up the key of a run that never reached the upstream", async () => {
+        const fixture = createFixture({ connect: refuseConnection });
+        const record = fixture.begin({ idempotencyKey });
+        await vi.advanceTimersByTimeAsync(1);
+        expect([describeEnd(record), fixture.claims.map(claim => claim.release)]).toMatchInlineSnapshot(`
+          [
+            "not-run: The upstream did not finish its answer",
+            [
+              false,
+              true,
+            ],
+          ]
+        `);
+    });
+});
+
+function refuseConnection(): void {
+    throw Object.assign(new Error("refused"), { code: "ECONNREFUSED" });
+}
+
+function waitAt(part: number) {
+    return (index: number, signal: AbortSignal) => index === part ? waitForAbort(signal) : undefined;
+}
+
+function failAt(part: number) {
+    return (index: number) => index === part ? Promise.reject(new Error("reset")) : undefined;
+}
