Settle claims by a read when the connection to the log has gone silent

Cause: a call on a silent connection to the log took 5 s and blocked the claims of its stream. Change: each call gets 400 ms; an append without an answer is settled by a read on another connection. Proof: driverClaims.test.ts (a claim whose connection goes silent), claims.test.ts (runs although every connection to the log has gone silent).

--- a/src/slot/driverClaims.ts
+++ b/src/slot/driverClaims.ts
@@ -4,6 +4,8 @@
 
 /** Longest wait for a verdict; the claim itself may go on, for the benefit of a retry. */
 const claimTimeoutMs = 1000;
+/** Longest wait for one call of the log; an append is then settled by a read, which takes another connection. */
+const callTimeoutMs = 400;
 /** How long a slot that did not answer is passed over. */
 const avoidMs = 10_000;
 
@@ -44,7 +46,7 @@
             return settle(claim);
         }
     };
-    return { settle, claim: item => limitTime(claim(item)) };
+    return { settle, claim: item => limitTime(claim(item), claimTimeoutMs, ClaimVerdict.failed) };
 }
 
 function createSettler(
@@ -63,13 +65,11 @@
                 );
                 return;
             case "append":
-                void log.append(`${environment}-${action.stream}`, [action.record])
-                    .catch(() => undefined)
+                void limitTime(log.append(`${environment}-${action.stream}`, [action.record]), callTimeoutMs, undefined)
                     .then(() => apply(advanceClaims(state, { kind: "appended", stream: action.stream })));
                 return;
             case "read":
-                void log.read(`${environment}-${action.stream}`, action.from, 0)
-                    .catch(() => undefined)
+                void limitTime(log.read(`${environment}-${action.stream}`, action.from, 0), callTimeoutMs, undefined)
                     .then(result => apply(advanceClaims(state, { kind: "read", stream: action.stream, result })));
                 return;
             case "settle":
@@ -85,12 +85,14 @@
         });
 }
 
-function limitTime(verdict: Promise<ClaimVerdict>): Promise<ClaimVerdict> {
+/** Resolves with `fallback` when the promise rejects or takes longer than `limitMs`. */
+function limitTime<T, F>(promise: Promise<T>, limitMs: number, fallback: F): Promise<T | F> {
     return new Promise(resolve => {
-        const timer = setTimeout(resolve, claimTimeoutMs, ClaimVerdict.failed);
-        void verdict.then(value => {
+        const timer = setTimeout(resolve, limitMs, fallback);
+        const settle = (value: T | F) => {
             clearTimeout(timer);
             resolve(value);
-        });
+        };
+        promise.then(settle, () => settle(fallback));
     });
 }
--- a/src/slot/tests/driverClaims.test.ts
+++ b/src/slot/tests/driverClaims.test.ts
@@ -38,6 +38,7 @@
 it.each([
     { name: "the first claim", change: {}, verdict: "won" },
     { name: "a claim whose answer is lost", change: { loseAnswer: true }, verdict: "won" },
+    { name: "a claim whose connection goes silent", change: { silent: true }, verdict: "won" },
     { name: "a claim that the log refuses", change: { append: fail }, verdict: "failed" },
     { name: "a claim while reads fail", change: { read: fail }, verdict: "failed" },
     { name: "a claim while the log is silent", change: { append: hang }, verdict: "failed" },
@@ -46,6 +47,9 @@
 ])("settles $name as $verdict", async ({ change, relay, earlier, verdict }) => {
     const log = createLog();
     const { append } = log;
+    if ("silent" in change) {
+        log.append = (stream, records) => append(stream, records).then(hang);
+    }
     if ("loseAnswer" in change) {
         log.append = (stream, records) => append(stream, records).then(fail);
     }
--- a/tests/integration/claims.test.ts
+++ b/tests/integration/claims.test.ts
@@ -83,6 +83,13 @@
         `);
     });
 
+    it("runs although every connection to the log has gone silent", async () => {
+        cluster.logProxy.freeze();
+        const results = await Promise.all([sendClaim(0), sendClaim(1)]);
+        const whole = results.filter(result => result.whole).length;
+        expect([countRuns(), whole > 0]).toEqual([1, true]);
+    });
+
     it("does not run while the log is down, and runs once afterwards", async () => {
         cluster.log.faults.down = true;
         const refused = await sendClaim(0);
