--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -67,7 +67,8 @@
             status: number;
             title: string;
             retryAfterSeconds?: number;
-            load?: LoadReport;
+            /** Incarnation of the slot that answers. */
+            incarnation?: string;
         }
     );
 
@@ -96,7 +97,7 @@
         status: z.number().int(),
         title: z.string(),
         retryAfterSeconds: z.number().optional(),
-        load: LoadReportSchema.optional(),
+        incarnation: z.string().optional(),
     }),
 ]);
 
--- a/src/wire/server.ts
+++ b/src/wire/server.ts
@@ -59,10 +59,10 @@
         response.writeHead(413).end();
         return;
     }
-    const { environment, internalKeys } = options.identity;
+    const { environment, internalKeys, instance: target } = options.identity;
     const text = body.toString();
     const header = message.headers[authHeader] as string | undefined;
-    if (!verifyCall(internalKeys, { environment, path, body: text }, header, Date.now())) {
+    if (!verifyCall(internalKeys, { environment, path, body: text, target }, header, Date.now())) {
         response.writeHead(401).end();
         return;
     }
