--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -23,7 +23,7 @@
 const probeIntervalMs = 1000;
 const retryRatio = 0.1;
 const retryFloorPerSecond = 1;
-const journalCapacity = 8192;
+const journalCapacity = 4096;
 
 export interface RunningProcess {
     stop: () => Promise<void>;
