Reach a restarted slot with the next request

Cause: a slot that restarted was left out until the next probe had found its incarnation; with one slot in the pool every request in between ended not-run. Change: the refusal names the new incarnation; the entry takes it over and may try the same slot again. Proof: tests/integration/shutdown.test.ts, 'reaches a restarted slot with the next request, before any probe has found it': four of four calls failed on the code before, all pass now.

--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -2,7 +2,6 @@
 import type { Metrics } from "../observe/metrics.js";
 import { chooseUpstream, estimateCost } from "../routing/choose.js";
 import {
-    dropReport,
     ejectUpstream,
     noteDone,
     noteReport,
@@ -170,11 +169,16 @@
         };
     }
 
-    /** A slot that refuses as another incarnation has restarted since its report. */
+    /** A slot that refuses as another incarnation has restarted idle since its report; it may be tried again. */
     private noteRestart(incarnation: string | undefined): void {
-        if (incarnation !== undefined && incarnation !== this.upstream?.report?.incarnation) {
-            dropReport(this.context.table, this.upstream!.instance);
+        const known = this.upstream?.report;
+        if (incarnation === undefined || known === undefined || incarnation === known.incarnation) {
+            return;
         }
+        const { instance } = this.upstream!;
+        const report = { ...known, incarnation, tokensInFlight: 0, requestsInFlight: 0, queued: 0 };
+        noteReport(this.context.table, instance, report, Date.now());
+        this.tried.delete(instance);
     }
 
     private relay(frame: Frame): void {
--- a/src/routing/table.ts
+++ b/src/routing/table.ts
@@ -79,15 +79,6 @@
     upstream.leaving = upstream.leaving || report.state === "leaving";
 }
 
-/** Forgets the report of an upstream whose slot has restarted; it is not chosen before it has reported again. */
-export function dropReport(table: UpstreamTable, instance: string): void {
-    const upstream = table.upstreams.get(instance);
-    if (upstream !== undefined) {
-        upstream.report = undefined;
-        upstream.reportedAt = 0;
-    }
-}
-
 /** Notes work that this entry sends. */
 export function noteSent(table: UpstreamTable, instance: string, tokens: number, now: number): void {
     const upstream = table.upstreams.get(instance);
--- a/tests/integration/shutdown.test.ts
+++ b/tests/integration/shutdown.test.ts
@@ -109,3 +109,17 @@
     const results = await Promise.all(calls);
     expect(results.filter(result => !result.whole)).toEqual([]);
 });
+
+it("reaches a restarted slot with the next request, before any probe has found it", async () => {
+    const [, claims] = cluster.slots;
+    const results = [];
+    for (let i = 0; i < 4; i++) {
+        claims.process.kill("SIGKILL");
+        await claims.process.exited;
+        await cluster.restartSlot(claims);
+        results.push(await callPlain(url, "/claims/a", `restart ${i}`, keys.claims));
+    }
+    expect(results.map(({ whole, requestId }) => [whole, claims.upstream.runs.get(requestId)])).toEqual(
+        results.map(() => [true, 1]),
+    );
+});
