--- a/src/entry/tests/answers.test.ts
+++ b/src/entry/tests/answers.test.ts
@@ -22,59 +22,18 @@
 const end = (length: number) => ({ kind: "end", length, load: fakeLoad });
 const failed = { kind: "failed", outcome: "unknown", status: 502, title: "lost" };
 
+// dprint-ignore
 it.each([
-    {
-        name: "plain answer",
-        line: "POST /claims HTTP/1.1",
-        frames: [head(200, plain), data("ok"), end(2)],
-        body: "ok",
-        whole: true,
-    },
-    {
-        name: "caller of HTTP/1.0",
-        line: "POST /claims HTTP/1.0",
-        frames: [head(200, plain), data("ok"), end(2)],
-        body: "ok",
-        whole: true,
-    },
+    { name: "plain answer", line: "POST /claims HTTP/1.1", frames: [head(200, plain), data("ok"), end(2)], body: "ok", whole: true },
+    { name: "caller of HTTP/1.0", line: "POST /claims HTTP/1.0", frames: [head(200, plain), data("ok"), end(2)], body: "ok", whole: true },
     { name: "HEAD", line: "HEAD /lookups HTTP/1.1", frames: [head(200, plain), end(0)], body: "", whole: true },
     { name: "204", line: "POST /claims HTTP/1.1", frames: [head(204, {}), end(0)], body: "", whole: true },
     { name: "304", line: "GET /lookups HTTP/1.1", frames: [head(304, { etag: "1" }), end(0)], body: "", whole: true },
-    {
-        name: "events with ids",
-        line: "POST /claims HTTP/1.1",
-        frames: [head(200, events), data("id: 7\ndata: a\n\n"), end(15)],
-        body: "id: 7\ndata: a\n\n",
-        whole: true,
-    },
-    {
-        name: "wrong length",
-        line: "POST /claims HTTP/1.1",
-        frames: [head(200, plain), data("ok"), end(9)],
-        body: "ok",
-        whole: false,
-    },
-    {
-        name: "failure after data",
-        line: "POST /claims HTTP/1.1",
-        frames: [head(200, plain), data("ok"), failed],
-        body: "ok",
-        whole: false,
-    },
-    {
-        name: "failure between events",
-        line: "POST /claims HTTP/1.1",
-        frames: [head(200, events), data("data: a\n\n"), failed],
-        body: "data: a\n\nevent: error\ndata: ",
-        whole: false,
-    },
-    {
-        name: "failure inside an event",
-        line: "POST /claims HTTP/1.1",
-        frames: [head(200, events), data("data: {\"a"), failed],
-        body: "data: {\"a",
-        whole: false,
-    },
+    { name: "events with ids", line: "POST /claims HTTP/1.1", frames: [head(200, events), data("id: 7\ndata: a\n\n"), end(15)], body: "id: 7\ndata: a\n\n", whole: true },
+    { name: "wrong length", line: "POST /claims HTTP/1.1", frames: [head(200, plain), data("ok"), end(9)], body: "ok", whole: false },
+    { name: "failure after data", line: "POST /claims HTTP/1.1", frames: [head(200, plain), data("ok"), failed], body: "ok", whole: false },
+    { name: "failure between events", line: "POST /claims HTTP/1.1", frames: [head(200, events), data("data: a\n\n"), failed], body: "data: a\n\nevent: error\ndata: ", whole: false },
+    { name: "failure inside an event", line: "POST /claims HTTP/1.1", frames: [head(200, events), data("data: {\"a"), failed], body: "data: {\"a", whole: false },
 ])("delivers or visibly breaks: $name", async ({ line, frames, body, whole }) => {
     const first = whole ? frames : frames.slice(0, -1);
     fake = await startFakeSlot(fakeCall => sendAll(fakeCall, [accepted, ...first]));
@@ -87,6 +46,7 @@
     expect([answer.body.split("{\"type\"")[0], answer.whole]).toEqual([body, whole]);
 });
 
+// dprint-ignore
 it.each([
     { name: "wrong length", last: end(9), status: 502, outcome: "run" },
     { name: "failure", last: failed, status: 502, outcome: "run" },
@@ -98,22 +58,14 @@
     expect(Number(headers["content-length"])).toBe(answer.body.length);
 });
 
+// dprint-ignore
 it.each([
     { name: "text that is no frame", send: (c: FakeCall) => c.response.write("garbage\n") },
     { name: "frame without fields", send: (c: FakeCall) => c.send({ kind: "head", sequence: 1 }) },
     { name: "frame of an unknown kind", send: (c: FakeCall) => c.send({ kind: "tail", sequence: 1 }) },
     { name: "end of the stream", send: (c: FakeCall) => c.response.end() },
-    {
-        name: "gap in the sequence",
-        send: (c: FakeCall) => ["b", "c", "d", "e"].forEach((text, i) => c.send({ sequence: 3 + i, ...data(text) })),
-    },
-    {
-        name: "frames of another request",
-        send: (c: FakeCall) => {
-            c.send({ sequence: 2, requestId: "other", ...data("zz") });
-            c.response.end();
-        },
-    },
+    { name: "gap in the sequence", send: (c: FakeCall) => ["b", "c", "d", "e"].forEach((text, i) => c.send({ sequence: 3 + i, ...data(text) })) },
+    { name: "frames of another request", send: (c: FakeCall) => { c.send({ sequence: 2, requestId: "other", ...data("zz") }); c.response.end(); } },
 ])("resumes the answer after $name", async ({ send }) => {
     fake = await startFakeSlot(fakeCall => {
         if (fakeCall.path === "/run") {
@@ -131,16 +83,13 @@
     expect([status, body, whole, fake.calls.map(c => c.path)]).toEqual([200, "ab", true, ["/run", "/resume"]]);
 });
 
+// dprint-ignore
 it.each([
     { name: "refuses every call", status: 401, frames: [] },
     { name: "ends every stream at once", status: 200, frames: [] },
     { name: "answers with an impossible status", status: 200, frames: [accepted, head(99, {})] },
     { name: "ends before a head", status: 200, frames: [accepted, end(0)] },
-    {
-        name: "sends only frames of another request",
-        status: 200,
-        frames: [{ ...accepted, requestId: "other" }, { ...end(0), requestId: "other" }],
-    },
+    { name: "sends only frames of another request", status: 200, frames: [{ ...accepted, requestId: "other" }, { ...end(0), requestId: "other" }] },
 ])("tells unknown at once when a slot $name", async ({ status, frames }) => {
     fake = await startFakeSlot(fakeCall => {
         fakeCall.response.writeHead(status);
@@ -181,6 +130,7 @@
                 clearTimeout(timer);
             }
         }
+        blocked();
         fakeCall.send({ sequence: 2 + total, ...end(total * frameBytes) });
         fakeCall.response.end();
     });
--- a/tests/integration/bad-input.test.ts
+++ b/tests/integration/bad-input.test.ts
@@ -34,70 +34,35 @@
     status: number;
 }
 
+// dprint-ignore
 const cases: Case[] = [
     { name: "bytes that are no HTTP", text: "\x16\x03\x01 garbage\r\n\r\n", status: 400 },
     { name: "malformed JSON", text: formatRequest(chat, [key], "{\"model\":"), status: 400 },
     { name: "JSON that is no object", text: formatRequest(chat, [key], "7"), status: 404 },
     { name: "unknown model", text: formatRequest(chat, [key], "{\"model\":\"none\"}"), status: 404 },
     { name: "unknown route", text: formatRequest("POST /other HTTP/1.1", [key], "x"), status: 404 },
-    {
-        name: "route of another workspace",
-        text: formatRequest(claim, [`authorization: Bearer ${demoKeys.reception}`], "x"),
-        status: 403,
-    },
+    { name: "route of another workspace", text: formatRequest(claim, [`authorization: Bearer ${demoKeys.reception}`], "x"), status: 403 },
     { name: "wrong key", text: formatRequest(claim, ["authorization: Bearer wrong"], "x"), status: 401 },
     { name: "no key", text: formatRequest(claim, [], "x"), status: 401 },
     { name: "wrong method", text: formatRequest("GET /v1/chat/completions HTTP/1.1", [key]), status: 405 },
     { name: "TRACE", text: formatRequest("TRACE /claims HTTP/1.1", [key]), status: 405 },
-    {
-        name: "path that leaves its route",
-        text: formatRequest("POST /lookups/../claims HTTP/1.1", [key], "x"),
-        status: 400,
-    },
-    {
-        name: "path that leaves its route, encoded",
-        text: formatRequest("POST /lookups/%2e%2E%2fclaims HTTP/1.1", [key], "x"),
-        status: 400,
-    },
+    { name: "path that leaves its route", text: formatRequest("POST /lookups/../claims HTTP/1.1", [key], "x"), status: 400 },
+    { name: "path that leaves its route, encoded", text: formatRequest("POST /lookups/%2e%2E%2fclaims HTTP/1.1", [key], "x"), status: 400 },
     { name: "absolute URL", text: formatRequest("POST http://entry/claims HTTP/1.1", [key], "x"), status: 400 },
     { name: "no host", text: `${claim}\r\n${key}\r\ncontent-length: 1\r\n\r\nx`, status: 400 },
     { name: "repeated host", text: formatRequest(claim, [key, "host: other"], "x"), status: 400 },
     { name: "repeated authorization", text: formatRequest(claim, [key, key], "x"), status: 400 },
-    {
-        name: "repeated Idempotency-Key",
-        text: formatRequest(claim, [key, "idempotency-key: a", "idempotency-key: b"], "x"),
-        status: 400,
-    },
-    {
-        name: "overlong Idempotency-Key",
-        text: formatRequest(claim, [key, `idempotency-key: ${"k".repeat(201)}`], "x"),
-        status: 400,
-    },
+    { name: "repeated Idempotency-Key", text: formatRequest(claim, [key, "idempotency-key: a", "idempotency-key: b"], "x"), status: 400 },
+    { name: "overlong Idempotency-Key", text: formatRequest(claim, [key, `idempotency-key: ${"k".repeat(201)}`], "x"), status: 400 },
     { name: "oversize headers", text: formatRequest(claim, [key, `x-big: ${"h".repeat(20_000)}`], "x"), status: 431 },
     { name: "oversize body", text: formatRequest(claim, [key], "x".repeat(4 * 1024 * 1024 + 1)), status: 413 },
-    {
-        name: "body that grows beyond a message when encoded",
-        text: formatRequest(claim, [key], "\x01".repeat(2 * 1024 * 1024)),
-        status: 413,
-    },
-    {
-        name: "Content-Length with Transfer-Encoding",
-        text: `${start}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`,
-        status: 400,
-    },
+    { name: "body that grows beyond a message when encoded", text: formatRequest(claim, [key], "\x01".repeat(2 * 1024 * 1024)), status: 413 },
+    { name: "Content-Length with Transfer-Encoding", text: `${start}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`, status: 400 },
     { name: "two Content-Lengths", text: `${start}content-length: 1\r\ncontent-length: 2\r\n\r\nxy`, status: 400 },
     { name: "negative Content-Length", text: `${start}content-length: -1\r\n\r\nx`, status: 400 },
-    {
-        name: "Transfer-Encoding that is not chunked",
-        text: `${start}transfer-encoding: xchunked\r\n\r\n0\r\n\r\n`,
-        status: 400,
-    },
+    { name: "Transfer-Encoding that is not chunked", text: `${start}transfer-encoding: xchunked\r\n\r\n0\r\n\r\n`, status: 400 },
     { name: "bad chunk size", text: `${start}transfer-encoding: chunked\r\n\r\nzz\r\nx\r\n0\r\n\r\n`, status: 400 },
-    {
-        name: "chunk longer than its size",
-        text: `${start}transfer-encoding: chunked\r\n\r\n1\r\nxyz\r\n0\r\n\r\n`,
-        status: 400,
-    },
+    { name: "chunk longer than its size", text: `${start}transfer-encoding: chunked\r\n\r\n1\r\nxyz\r\n0\r\n\r\n`, status: 400 },
     { name: "folded header", text: `${start}x-folded: a\r\n b\r\ncontent-length: 1\r\n\r\nx`, status: 400 },
     { name: "space before a colon", text: `${start}content-length : 1\r\n\r\nx`, status: 400 },
     { name: "bare line feeds", text: `${claim}\nhost: entry\n${key}\ncontent-length: 1\n\nx`, status: 400 },
@@ -162,41 +127,20 @@
         },
     });
 
+// dprint-ignore
 it.each([
-    {
-        name: "an unsigned call",
-        make: () => formatRequest("POST /run HTTP/1.1", ["connection: close"], createRun({})),
-        status: 401,
-    },
+    { name: "an unsigned call", make: () => formatRequest("POST /run HTTP/1.1", ["connection: close"], createRun({})), status: 401 },
     { name: "a call signed for another body", make: () => formatSigned("/run", createRun({}), "other"), status: 401 },
     { name: "an unknown path", make: () => formatSigned("/constructor", "{}"), status: 404 },
     { name: "a wrong method", make: () => formatRequest("GET /run HTTP/1.1", ["connection: close"]), status: 404 },
     { name: "malformed JSON", make: () => formatSigned("/run", "{"), status: 400 },
-    {
-        name: "a run without an attempt",
-        make: () => formatSigned("/run", createRun({ attempt: undefined })),
-        status: 400,
-    },
+    { name: "a run without an attempt", make: () => formatSigned("/run", createRun({ attempt: undefined })), status: 400 },
     { name: "a run of attempt 0", make: () => formatSigned("/run", createRun({ attempt: 0 })), status: 400 },
-    {
-        name: "a resume with a negative sequence",
-        make: () => formatSigned("/resume", createRun({ nextSequence: -1 })),
-        status: 400,
-    },
+    { name: "a resume with a negative sequence", make: () => formatSigned("/resume", createRun({ nextSequence: -1 })), status: 400 },
     { name: "an oversize call", make: () => formatSigned("/run", "x".repeat(8 * 1024 * 1024 + 1)), status: 413 },
     { name: "JSON-RPC that is no JSON", make: () => formatSigned("/rpc", "{"), status: 200, error: -32700 },
-    {
-        name: "JSON-RPC of an unknown method",
-        make: () => formatSigned("/rpc", "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"none\"}"),
-        status: 200,
-        error: -32601,
-    },
-    {
-        name: "JSON-RPC with wrong parameters",
-        make: () => formatSigned("/rpc", "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"revoke\",\"params\":{}}"),
-        status: 200,
-        error: 0,
-    },
+    { name: "JSON-RPC of an unknown method", make: () => formatSigned("/rpc", "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"none\"}"), status: 200, error: -32601 },
+    { name: "JSON-RPC with wrong parameters", make: () => formatSigned("/rpc", "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"revoke\",\"params\":{}}"), status: 200, error: 0 },
 ])("a slot refuses $name and runs nothing", async ({ make, status, error }) => {
     const runs = plain.upstream.runs.size;
     const answer = await openRaw(`http://127.0.0.1:${plain.port}`, make()).closed;
