Share a slot between workspaces, and refuse the right request at once

Cause: a full queue refused whoever came next, so a flooding workspace shut out a small one; a request behind its deadline waited until something else ended before its caller heard; a steady stream of urgent requests starved the others; each pick looked at every waiting request.

Change: start-time fair queueing on tokens (fairQueue.ts), urgency as a head start of 1 s a level, eviction of the latest request of the workspace with most waiting tokens for its weight, refusal at once when the estimated wait exceeds the time left, an eighth of the concurrency kept free of workspaces above their share, Retry-After from the estimated wait with jitter, a timer for each waiting request. A pick costs a look at each waiting workspace.

--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -1,7 +1,20 @@
 /**
- * Admission of a slot: how many requests and tokens run at once, and which waiting request comes next.
- * Workspaces share by weight; within a workspace the more urgent request goes first.
+ * Admission of a slot: how many requests and tokens run at once, which waiting request comes next and which one
+ * is refused when too many wait. Workspaces share by weight (start-time fair queueing on tokens); within a workspace
+ * the more urgent request goes first, unless the other has waited longer by a bounded time.
  */
+import {
+    addWaiting,
+    createFairQueue,
+    type FairQueue,
+    findWorst,
+    noteStarted,
+    pickNext,
+    pickOverloaded,
+    removeWaiting,
+    sumWeights,
+    type Waiting,
+} from "./fairQueue.js";
 
 export interface AdmissionLimits {
     concurrency: number;
@@ -9,106 +22,206 @@
     queue: number;
 }
 
-export interface Waiting {
-    id: string;
+interface Running {
     workspace: string;
-    weight: number;
-    urgency: number;
     tokens: number;
-    /** Time after which the request is refused, in milliseconds. */
-    expiresAt: number;
 }
 
 export interface AdmissionState {
     limits: AdmissionLimits;
-    running: Map<string, number>;
+    running: Map<string, Running>;
+    /** Running requests by workspace. */
+    runningOf: Map<string, number>;
+    /** Last time that each workspace had a request, in milliseconds. */
+    activeAt: Map<string, { at: number; weight: number; }>;
     tokensInFlight: number;
-    waiting: Waiting[];
-    /** Virtual finish time of each workspace's last admitted request. */
-    served: Map<string, number>;
-    virtualTime: number;
+    queue: FairQueue;
+    throughput: Throughput;
 }
 
-export type AdmitDecision = "run" | "wait" | "refuse";
+/** Work finished while requests were waiting, that is, at full load. */
+interface Throughput {
+    at: number;
+    busyMs: number;
+    tokens: number;
+}
+
+/** `evicted` had waited and gets its final answer now, to make place for the new request. */
+export interface AdmitResult {
+    decision: "run" | "wait" | "refuse";
+    evicted?: Waiting;
+}
+
+/** Share of the concurrency that workspaces above their fair share leave free for others. */
+const reservedShare = 1 / 8;
+/** Time after its last request for which a workspace counts when shares are computed, in milliseconds. */
+const activeMs = 30_000;
+const throughputWindowMs = 20_000;
+/** Least time at full load from which the wait is predicted, in milliseconds. */
+const throughputMinMs = 2000;
+const maxRetryAfterSeconds = 30;
 
 /** Creates the state of an idle slot. */
 export function createAdmission(limits: AdmissionLimits): AdmissionState {
-    return { limits, running: new Map(), tokensInFlight: 0, waiting: [], served: new Map(), virtualTime: 0 };
+    return {
+        limits,
+        running: new Map(),
+        runningOf: new Map(),
+        activeAt: new Map(),
+        tokensInFlight: 0,
+        queue: createFairQueue(),
+        throughput: { at: 0, busyMs: 0, tokens: 0 },
+    };
+}
+
+/** Counts the requests that wait. */
+export function countWaiting(state: AdmissionState): number {
+    return state.queue.byId.size;
 }
 
 /** Decides about a new request. */
-export function admitRequest(state: AdmissionState, item: Waiting): AdmitDecision {
-    if (state.waiting.length === 0 && hasRoom(state, item)) {
+export function admitRequest(state: AdmissionState, item: Waiting, now: number): AdmitResult {
+    advanceThroughput(state, now);
+    noteActive(state, item, now);
+    const waitMs = estimateWait(state, item.workspace, item.weight);
+    addWaiting(state.queue, item);
+    if (pickEligible(state, now) === item && hasRoom(state, item)) {
+        removeWaiting(state.queue, item.id);
         startRunning(state, item);
-        return "run";
+        return { decision: "run" };
+    }
+    if (now + waitMs > item.expiresAt) {
+        removeWaiting(state.queue, item.id);
+        return { decision: "refuse" };
     }
-    if (state.waiting.length >= state.limits.queue) {
-        return "refuse";
+    if (countWaiting(state) <= state.limits.queue) {
+        return { decision: "wait" };
     }
-    state.waiting.push(item);
-    return "wait";
+    const victim = findWorst(state.queue, pickOverloaded(state.queue));
+    removeWaiting(state.queue, victim.id);
+    return victim === item ? { decision: "refuse" } : { decision: "wait", evicted: victim };
 }
 
-/** Frees the room of a finished request and returns those that start now. */
+/** Frees the room of a finished request and returns those that start now and those whose time is over. */
 export function releaseRequest(
     state: AdmissionState,
     id: string,
     now: number,
 ): { started: Waiting[]; expired: Waiting[]; } {
-    state.tokensInFlight -= state.running.get(id) ?? 0;
-    state.running.delete(id);
-    const expired = state.waiting.filter(item => item.expiresAt <= now);
-    state.waiting = state.waiting.filter(item => item.expiresAt > now);
+    advanceThroughput(state, now);
+    const ended = state.running.get(id);
+    if (ended !== undefined) {
+        state.running.delete(id);
+        state.tokensInFlight -= ended.tokens;
+        state.throughput.tokens += countWaiting(state) > 0 ? Math.max(1, ended.tokens) : 0;
+        countRunning(state, ended.workspace, -1);
+    }
+    return startWaiting(state, now);
+}
+
+/** Removes a request that no longer wants to run, or whose time is over; tells whether it was waiting. */
+export function cancelWaiting(state: AdmissionState, id: string): boolean {
+    return removeWaiting(state.queue, id) !== undefined;
+}
+
+/** Computes when a refused request should come back, in whole seconds; `random` is in [0, 1). */
+export function computeRetryAfter(state: AdmissionState, workspace: string, weight: number, random: number): number {
+    const waitSeconds = estimateWait(state, workspace, weight) / 1000;
+    return Math.min(maxRetryAfterSeconds, 1 + Math.floor((1 + waitSeconds) * (0.5 + random)));
+}
+
+/** Estimates how long a new request of a workspace would wait, in milliseconds; 0 before anything is known. */
+export function estimateWait(state: AdmissionState, workspace: string, weight: number): number {
+    const { busyMs, tokens } = state.throughput;
+    const own = state.queue.workspaces.get(workspace);
+    if (busyMs < throughputMinMs || tokens === 0 || own === undefined) {
+        return 0;
+    }
+    const share = weight / sumWeights(state.queue);
+    return own.tokens / (share * tokens / busyMs);
+}
+
+function startWaiting(state: AdmissionState, now: number): { started: Waiting[]; expired: Waiting[]; } {
     const started: Waiting[] = [];
-    for (let next = pickNext(state); next !== undefined && hasRoom(state, next); next = pickNext(state)) {
-        state.waiting.splice(state.waiting.indexOf(next), 1);
+    const expired: Waiting[] = [];
+    for (let next = pickEligible(state, now); next !== undefined; next = pickEligible(state, now)) {
+        if (next.expiresAt <= now) {
+            removeWaiting(state.queue, next.id);
+            expired.push(next);
+            continue;
+        }
+        if (!hasRoom(state, next)) {
+            break;
+        }
+        removeWaiting(state.queue, next.id);
         startRunning(state, next);
         started.push(next);
     }
     return { started, expired };
 }
 
-/** Removes a request that no longer wants to run. */
-export function cancelWaiting(state: AdmissionState, id: string): boolean {
-    const index = state.waiting.findIndex(item => item.id === id);
-    if (index >= 0) {
-        state.waiting.splice(index, 1);
-    }
-    return index >= 0;
+function hasRoom(state: AdmissionState, item: Waiting): boolean {
+    const { concurrency, tokens } = state.limits;
+    return state.running.size === 0 ||
+        (state.running.size < concurrency && state.tokensInFlight + item.tokens <= tokens);
 }
 
-function hasRoom(state: AdmissionState, item: Waiting): boolean {
-    if (state.running.size === 0) {
-        return true;
+/** Picks the next request, passing over workspaces that would use up what is reserved for others. */
+function pickEligible(state: AdmissionState, now: number): Waiting | undefined {
+    const { concurrency } = state.limits;
+    const isReserved = state.running.size > 0 &&
+        state.running.size >= concurrency - Math.floor(concurrency * reservedShare);
+    return pickNext(
+        state.queue,
+        (workspace, weight) => !isReserved || !isAboveShare(state, workspace, weight, now),
+    );
+}
+
+/** Whether a workspace runs at least its fair share of the concurrency, counting those active of late. */
+function isAboveShare(state: AdmissionState, workspace: string, weight: number, now: number): boolean {
+    let total = 0;
+    for (const active of state.activeAt.values()) {
+        total += active.at > now - activeMs ? active.weight : 0;
     }
-    return state.running.size < state.limits.concurrency && state.tokensInFlight + item.tokens <= state.limits.tokens;
+    return total > weight && (state.runningOf.get(workspace) ?? 0) >= state.limits.concurrency * weight / total;
 }
 
 function startRunning(state: AdmissionState, item: Waiting): void {
-    state.running.set(item.id, item.tokens);
+    state.running.set(item.id, { workspace: item.workspace, tokens: item.tokens });
     state.tokensInFlight += item.tokens;
-    const start = computeStart(state, item);
-    state.virtualTime = Math.max(state.virtualTime, start);
-    state.served.set(item.workspace, start + Math.max(1, item.tokens) / item.weight);
+    countRunning(state, item.workspace, 1);
+    noteStarted(state.queue, item);
 }
 
-function computeStart(state: AdmissionState, item: Waiting): number {
-    return Math.max(state.virtualTime, state.served.get(item.workspace) ?? 0);
+function countRunning(state: AdmissionState, workspace: string, change: number): void {
+    const count = (state.runningOf.get(workspace) ?? 0) + change;
+    if (count > 0) {
+        state.runningOf.set(workspace, count);
+    }
+    else {
+        state.runningOf.delete(workspace);
+    }
 }
 
-function pickNext(state: AdmissionState): Waiting | undefined {
-    let best: Waiting | undefined;
-    for (const item of state.waiting) {
-        if (best === undefined || compareWaiting(state, item, best) < 0) {
-            best = item;
+function noteActive(state: AdmissionState, { workspace, weight }: Waiting, now: number): void {
+    state.activeAt.delete(workspace);
+    state.activeAt.set(workspace, { at: now, weight });
+    for (const [name, active] of state.activeAt) {
+        if (active.at > now - activeMs) {
+            break;
         }
+        state.activeAt.delete(name);
     }
-    return best;
 }
 
-function compareWaiting(state: AdmissionState, a: Waiting, b: Waiting): number {
-    if (a.workspace === b.workspace) {
-        return a.urgency - b.urgency;
+function advanceThroughput(state: AdmissionState, now: number): void {
+    const { throughput } = state;
+    if (countWaiting(state) > 0) {
+        throughput.busyMs += Math.max(0, now - throughput.at);
+    }
+    throughput.at = now;
+    if (throughput.busyMs > throughputWindowMs) {
+        throughput.busyMs /= 2;
+        throughput.tokens /= 2;
     }
-    return computeStart(state, a) - computeStart(state, b);
 }
--- a/src/slot/runner.ts
+++ b/src/slot/runner.ts
@@ -5,9 +5,11 @@
     type AdmissionState,
     admitRequest,
     cancelWaiting,
+    computeRetryAfter,
+    countWaiting,
     releaseRequest,
-    type Waiting,
 } from "../routing/admission.js";
+import type { Waiting } from "../routing/fairQueue.js";
 import type { FrameBody, RunParams } from "../wire/messages.js";
 import type { ClaimsDriver } from "./driverClaims.js";
 import { executeRun, type Pending, type RunContext } from "./execute.js";
@@ -56,10 +58,24 @@
     const finish = (id: string) => {
         pending.delete(id);
         const { started, expired } = releaseRequest(admission, id, Date.now());
-        expired.forEach(item => refuseRun(pending, item, emit, "The request waited too long"));
+        expired.forEach(item => refuse(item, "The request waited too long"));
         started.forEach(item => void execute(item.id));
         settleIdle();
     };
+    const refuse = (item: Waiting, title: string) => {
+        const retryAfter = computeRetryAfter(admission, item.workspace, item.weight, Math.random());
+        refuseRun(pending, item, emit, title, retryAfter);
+        settleIdle();
+    };
+    const expireLater = (item: Waiting) => {
+        const expire = () => {
+            if (cancelWaiting(admission, item.id)) {
+                refuse(item, "The request waited too long");
+                finish(item.id);
+            }
+        };
+        setTimeout(expire, item.expiresAt - item.arrivedAt).unref();
+    };
     const execute = async (id: string) => {
         const item = pending.get(id);
         if (item === undefined) {
@@ -74,7 +90,7 @@
         incarnation: ledger.incarnation,
         tokensInFlight: admission.tokensInFlight,
         requestsInFlight: admission.running.size,
-        queued: admission.waiting.length,
+        queued: countWaiting(admission),
         state: ledger.leaving ? "leaving" : "live",
         serviceMs,
     });
@@ -99,20 +115,26 @@
             pending.set(id, item);
             emit(item, { kind: "accepted", incarnation: ledger.incarnation });
             const waiting = createWaiting(id, params, weight);
-            const decision = admitRequest(admission, waiting);
+            const { decision, evicted } = admitRequest(admission, waiting, Date.now());
             if (decision === "run") {
                 void execute(id);
             }
             else if (decision === "refuse") {
-                refuseRun(pending, waiting, emit, "The upstream is at its limit");
+                refuse(waiting, "The upstream is at its limit");
+            }
+            else {
+                expireLater(waiting);
+            }
+            if (evicted !== undefined) {
+                refuse(evicted, "The upstream is at its limit");
             }
         },
         cancel: record => {
             const id = formatId(record);
             const item = pending.get(id);
             if (item !== undefined && cancelWaiting(admission, id)) {
-                refuseRun(pending, { id }, emit, "The caller has gone");
-                settleIdle();
+                refuseRun(pending, { id }, emit, "The caller has gone", 1);
+                finish(id);
             }
             if (item !== undefined && !isKeyed(item.params)) {
                 item.abort.abort();
@@ -134,6 +156,7 @@
     { id }: { id: string; },
     emit: RunContext["emit"],
     title: string,
+    retryAfterSeconds: number,
 ): void {
     const item = pending.get(id);
     pending.delete(id);
@@ -143,14 +166,15 @@
             outcome: RunOutcome.notRun,
             status: 503,
             title,
-            retryAfterSeconds: 1 + Math.floor(Math.random() * 4),
+            retryAfterSeconds,
         });
     }
 }
 
 function createWaiting(id: string, params: RunParams, weight: number): Waiting {
     const { workspace, urgency, tokens } = params;
-    return { id, workspace, weight, urgency, tokens, expiresAt: Date.now() + params.deadlineMs / 2 };
+    const arrivedAt = Date.now();
+    return { id, workspace, weight, urgency, tokens, arrivedAt, expiresAt: arrivedAt + params.deadlineMs / 2 };
 }
 
 function formatId(record: RunRecord): string {
