Eject upstreams judged by their peers' figures, and wait for a report of lost ones

Cause: any upstream that refused a connection came back after 2 s whether it lived or not, so each entry sent it a real request again; an upstream that answered 5xx at once looked idle and drew ever more requests; a slow one was never noticed.

An upstream that can't be reached is left out until it reports. Spill `when-full` now spills once all near upstreams report waiting requests.

--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -2,10 +2,11 @@
 import type { Metrics } from "../observe/metrics.js";
 import { chooseUpstream, estimateCost } from "../routing/choose.js";
 import {
-    ejectUpstream,
     noteDone,
     noteReport,
+    noteResult,
     noteSent,
+    noteUnreachable,
     type UpstreamEntry,
     type UpstreamTable,
 } from "../routing/table.js";
@@ -20,7 +21,6 @@
 import type { SlotClient, SlotStream } from "./slotClient.js";
 import type { Exchange } from "./types.js";
 
-const ejectMs = 2000;
 const resumeDelayMs = 50;
 /** Longest time that a caller is told to wait when retries are spent, in seconds. */
 const maxRetryAfterSeconds = 8;
@@ -53,6 +53,7 @@
     private stream: SlotStream | undefined;
     private deadline: NodeJS.Timeout | undefined;
     private retryReason = "";
+    private sentAt = 0;
     private waitsForCaller = false;
     private ended = false;
 
@@ -124,6 +125,7 @@
 
     private send(): void {
         const params = createRunParams(this.exchange, this.state, this.incarnation);
+        this.sentAt = Date.now();
         this.stream = this.context.slots.run(this.upstream!.url, params, this.createListener());
     }
 
@@ -151,6 +153,9 @@
                 if (own && frame.kind === "accepted") {
                     this.incarnation = frame.incarnation;
                 }
+                if (own && frame.kind === "failed" && frame.status === 502 && this.upstream !== undefined) {
+                    noteResult(this.context.table, this.upstream.instance, { failed: true }, Date.now());
+                }
                 this.apply({ kind: "frame", frame });
             },
             onBroken: (sent: boolean) => {
@@ -164,7 +169,10 @@
     private relay(frame: Frame): void {
         const { response, requestId, receivedAt } = this.exchange;
         if (frame.kind === "head") {
-            this.context.metrics.firstByteSeconds.observe((Date.now() - receivedAt) / 1000);
+            const now = Date.now();
+            this.context.metrics.firstByteSeconds.observe((now - receivedAt) / 1000);
+            const outcome = { failed: frame.status >= 500, latencyMs: now - this.sentAt };
+            noteResult(this.context.table, this.upstream!.instance, outcome, now);
         }
         if (frame.kind === "end") {
             noteReport(this.context.table, this.upstream!.instance, frame.load, Date.now());
@@ -196,19 +204,26 @@
             this.tried.delete(this.upstream!.instance);
         }
         else if (reason !== RetryReason.refused) {
-            ejectUpstream(this.context.table, this.upstream!.instance, Date.now() + ejectMs);
+            this.noteLoss();
         }
         this.release();
     }
 
     private fail(action: Extract<AttemptAction, { kind: "fail"; }>): void {
         if (action.outcome !== "run" && this.upstream !== undefined && action.status === 502) {
-            ejectUpstream(this.context.table, this.upstream.instance, Date.now() + ejectMs);
+            this.noteLoss();
         }
         relayProblem(this.exchange.response, this.exchange.requestId, action);
         this.finish(action.outcome, action.title);
     }
 
+    /** Notes that the connection to the upstream's slot is lost. */
+    private noteLoss(): void {
+        const { instance } = this.upstream!;
+        noteUnreachable(this.context.table, instance, Date.now());
+        noteResult(this.context.table, instance, { failed: true }, Date.now());
+    }
+
     /** Gives back the load that the present attempt holds at its upstream. */
     private release(): void {
         if (this.upstream !== undefined) {
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -1,4 +1,5 @@
 /** Chooses the upstream for a request. */
+import { computeReturnShare, isEjected } from "./ejection.js";
 import type { UpstreamEntry, UpstreamTable } from "./table.js";
 
 export interface Choice {
@@ -40,7 +41,7 @@
     random: () => number,
     policy = defaultPolicy,
 ): UpstreamEntry | undefined {
-    const candidates = listCandidates(table, choice, now);
+    const candidates = listCandidates(table, choice, now, random);
     const baseline = computeBaseline(candidates, policy);
     const count = Math.min(policy.samples, candidates.length);
     let best: UpstreamEntry | undefined;
@@ -98,17 +99,42 @@
     return { tokens: tokens / Math.max(1, reports), echo };
 }
 
-function listCandidates(table: UpstreamTable, choice: Choice, now: number): UpstreamEntry[] {
+/** Lists the candidates: usable ones, near ones first unless all of them have requests waiting. */
+function listCandidates(table: UpstreamTable, choice: Choice, now: number, random: () => number): UpstreamEntry[] {
     const usable: UpstreamEntry[] = [];
     for (const upstream of table.upstreams.values()) {
         if (upstream.pool === choice.pool && !upstream.leaving && !choice.excluded.has(upstream.instance)) {
             usable.push(upstream);
         }
     }
-    const healthy = usable.filter(u => u.ejectedUntil <= now);
-    const candidates = healthy.length > 0 ? healthy : usable;
-    const near = candidates.filter(u => u.dataCentre === choice.dataCentre);
-    return choice.spill === "always" || (near.length === 0 && choice.spill !== "never") ? candidates : near;
+    if (choice.spill === "always") {
+        return filterHealthy(usable, now, random);
+    }
+    const near = usable.filter(u => u.dataCentre === choice.dataCentre);
+    const healthyNear = filterHealthy(near, now, random);
+    const hasHealthyNear = healthyNear.some(u => isHealthy(u, now));
+    if (choice.spill === "never" || (hasHealthyNear && !healthyNear.every(isFull))) {
+        return healthyNear;
+    }
+    return filterHealthy(usable, now, random);
+}
+
+/** Leaves out unreachable and ejected upstreams, and returning ones with some probability; all when none is left. */
+function filterHealthy(upstreams: UpstreamEntry[], now: number, random: () => number): UpstreamEntry[] {
+    const healthy = upstreams.filter(u => isHealthy(u, now));
+    const admitted = healthy.filter(u => {
+        const share = computeReturnShare(u.health, now);
+        return share === 1 || random() < share;
+    });
+    return admitted.length > 0 ? admitted : healthy.length > 0 ? healthy : upstreams;
+}
+
+function isHealthy(upstream: UpstreamEntry, now: number): boolean {
+    return upstream.unreachableUntil <= now && !isEjected(upstream.health, now);
+}
+
+function isFull(upstream: UpstreamEntry): boolean {
+    return (upstream.report?.queued ?? 0) > 0;
 }
 
 /** Moves a random one of the candidates from `index` on to `index` and returns it. */
--- a/src/routing/table.ts
+++ b/src/routing/table.ts
@@ -1,5 +1,6 @@
 /** What an entry knows of the upstreams that it may choose: reports, their age, and its own work since. */
 import type { InstanceRecord, LoadReport } from "../core/types.js";
+import { createHealth, type Health, noteOutcome, type Outcome } from "./ejection.js";
 
 /** Tokens that this entry had in flight at an upstream from a time on. */
 export interface OwnSample {
@@ -23,8 +24,12 @@
     ownAtReport: number;
     /** Changes of `ownTokens` that a coming report may be older than, oldest first. */
     ownHistory: OwnSample[];
-    /** Time until which the upstream is left out after failures, in milliseconds. */
-    ejectedUntil: number;
+    /** Time until which the upstream counts as unreachable, unless it reports before, in milliseconds. */
+    unreachableUntil: number;
+    /** Time of the last failed connection, in milliseconds. */
+    unreachableSince: number;
+    /** Outcomes of this entry's requests. */
+    health: Health;
 }
 
 export interface UpstreamTable {
@@ -35,6 +40,8 @@
 const historyMs = 10_000;
 /** Changes closer together than this share a sample, in milliseconds. */
 const historyResolutionMs = 50;
+/** Time after a failed connection after which a request may try again without a report, in milliseconds. */
+const unreachableMs = 15_000;
 
 /** Creates an empty table. */
 export function createUpstreamTable(): UpstreamTable {
@@ -77,6 +84,9 @@
     upstream.reportedAt = takenAt;
     upstream.ownAtReport = findOwnTokens(upstream, takenAt);
     upstream.leaving = upstream.leaving || report.state === "leaving";
+    if (takenAt > upstream.unreachableSince) {
+        upstream.unreachableUntil = 0;
+    }
 }
 
 /** Notes work that this entry sends. */
@@ -95,12 +105,23 @@
     }
 }
 
-/** Leaves an upstream out for a while after a failure. */
-export function ejectUpstream(table: UpstreamTable, instance: string, until: number): void {
+/** Leaves out an upstream that could not be reached, until it reports or some time has passed. */
+export function noteUnreachable(table: UpstreamTable, instance: string, now: number): void {
     const upstream = table.upstreams.get(instance);
     if (upstream !== undefined) {
-        upstream.ejectedUntil = until;
+        upstream.unreachableSince = now;
+        upstream.unreachableUntil = now + unreachableMs;
+    }
+}
+
+/** Takes in the outcome of a request; returns whether the upstream is ejected for it. */
+export function noteResult(table: UpstreamTable, instance: string, outcome: Outcome, now: number): boolean {
+    const upstream = table.upstreams.get(instance);
+    if (upstream === undefined) {
+        return false;
     }
+    const peers = [...table.upstreams.values()].filter(u => u.pool === upstream.pool && !u.leaving);
+    return noteOutcome(upstream.health, peers.map(peer => peer.health), outcome, now);
 }
 
 function setOwnTokens(upstream: UpstreamEntry, tokens: number, now: number): void {
@@ -133,6 +154,8 @@
         ownTokens: 0,
         ownAtReport: 0,
         ownHistory: [],
-        ejectedUntil: 0,
+        unreachableUntil: 0,
+        unreachableSince: 0,
+        health: createHealth(),
     };
 }
