--- a/src/config/crossCheck.ts
+++ b/src/config/crossCheck.ts
@@ -37,7 +37,7 @@
 }
 
 function listNames(parts: Part[]): string[] {
-    return parts.map(part => part.name).filter(name => typeof name === "string");
+    return [...new Set(parts.map(part => part.name).filter(name => typeof name === "string"))];
 }
 
 function checkNames(parts: Parts): CrossFinding[] {
