--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -33,6 +33,8 @@
     metrics: Metrics;
     retryBudget: RetryBudget;
     journal: Journal;
+    /** Hears of an upstream that is newly left out. */
+    onEjection?: (instance: string, reason: string) => void;
 }
 
 /** Runs a request to its end; resolves when the caller has its answer. */
@@ -129,7 +131,8 @@
 
     private send(): void {
         const params = createRunParams(this.exchange, this.state, this.incarnation);
-        this.stream = this.context.slots.run(this.upstream!.url, params, this.createListener());
+        const { url, instance } = this.upstream!;
+        this.stream = this.context.slots.run(url, params, this.createListener(), instance);
     }
 
     private scheduleResume(nextSequence: number): void {
@@ -145,7 +148,8 @@
         }
         const { attempt } = this.state;
         const params = { requestId: this.exchange.requestId, attempt, incarnation: this.incarnation, nextSequence };
-        this.stream = this.context.slots.resume(this.upstream!.url, params, this.createListener());
+        const { url, instance } = this.upstream!;
+        this.stream = this.context.slots.resume(url, params, this.createListener(), instance);
     }
 
     private createListener() {
@@ -201,14 +205,22 @@
             this.tried.delete(this.upstream!.instance);
         }
         else if (reason !== RetryReason.refused) {
-            ejectUpstream(this.context.table, this.upstream!.instance, Date.now() + ejectMs);
+            this.eject(this.upstream!, reason);
         }
         this.release();
     }
 
+    private eject(upstream: UpstreamEntry, reason: string): void {
+        const now = Date.now();
+        if (upstream.ejectedUntil <= now) {
+            this.context.onEjection?.(upstream.instance, reason);
+        }
+        ejectUpstream(this.context.table, upstream.instance, now + ejectMs);
+    }
+
     private fail(action: Extract<AttemptAction, { kind: "fail"; }>): void {
         if (action.outcome !== "run" && this.upstream !== undefined && action.status === 502) {
-            ejectUpstream(this.context.table, this.upstream.instance, Date.now() + ejectMs);
+            this.eject(this.upstream, action.title);
         }
         relayProblem(this.exchange.response, this.exchange.requestId, action);
         this.finish(action.outcome, action.title);
@@ -239,7 +251,8 @@
     private cancel(): void {
         const { requestId } = this.exchange;
         const params = { requestId, attempt: this.state.attempt };
-        requestRpc(this.context.identity, this.upstream!.url, "cancel", params).catch(() => undefined);
+        const { url, instance: target } = this.upstream!;
+        requestRpc(this.context.identity, url, "cancel", params, { target }).catch(() => undefined);
     }
 
     /** Ends the request; an answer that its caller has not read by now is broken. */
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -24,9 +24,10 @@
 }
 
 export interface SlotClient {
-    run: (url: string, params: RunParams, listener: FrameListener) => SlotStream;
+    /** `target` is the name of the slot that alone may take the call. */
+    run: (url: string, params: RunParams, listener: FrameListener, target?: string) => SlotStream;
     /** Always uses a new connection. */
-    resume: (url: string, params: ResumeParams, listener: FrameListener) => SlotStream;
+    resume: (url: string, params: ResumeParams, listener: FrameListener, target?: string) => SlotStream;
     close: () => Promise<void>;
 }
 
@@ -35,7 +36,7 @@
     const pools = new Map<string, Pool>();
     const getPool = (url: string) => pools.get(url) ?? createPool(pools, url);
     return {
-        run: (url, params, listener) => {
+        run: (url, params, listener, target) => {
             const pool = getPool(url);
             return openStream(pool, identity, InternalPath.run, params, {
                 onFrame: listener.onFrame,
@@ -43,9 +44,9 @@
                     dropPool(pools, url, pool);
                     listener.onBroken(sent);
                 },
-            });
+            }, target);
         },
-        resume: (url, params, listener) => {
+        resume: (url, params, listener, target) => {
             const fresh = new Client(url, clientOptions);
             const stream = openStream(fresh, identity, InternalPath.resume, params, {
                 onFrame: listener.onFrame,
@@ -53,7 +54,7 @@
                     void fresh.destroy();
                     listener.onBroken(sent);
                 },
-            });
+            }, target);
             return {
                 ...stream,
                 abandon: () => {
@@ -220,9 +221,11 @@
     path: string,
     params: RunParams | ResumeParams,
     listener: FrameListener,
+    target: string | undefined,
 ): SlotStream {
     const body = JSON.stringify({ jsonrpc: "2.0", id: params.requestId, method: path.slice(1), params });
     const call = new CallStream(params, listener);
-    dispatcher.dispatch({ path, method: "POST", headers: createSignedHeaders(identity, path, body), body }, call);
+    const headers = createSignedHeaders(identity, path, body, target);
+    dispatcher.dispatch({ path, method: "POST", headers, body }, call);
     return { abandon: () => call.abandon(), pause: () => call.pause(), resume: () => call.resume() };
 }
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -4,6 +4,7 @@
 import type { EntrySettings } from "../config/settings.js";
 import { pollEvery } from "../core/streams.js";
 import type { LoadReport } from "../core/types.js";
+import { AuditKind } from "../observe/audit.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
@@ -65,6 +66,8 @@
         isStopping: () => stopping,
         retryBudget: createRetryBudget(retryRatio, retryFloorPerSecond),
         journal: createJournal(journalCapacity),
+        onEjection: (instance: string, reason: string) =>
+            state.audit.record({ kind: AuditKind.ejection, subject: instance, reason }),
     };
     const { server, drain } = createEntryServer(context);
     const admin = createInternalServer({
@@ -86,9 +89,9 @@
     const probe = async () => {
         await Promise.all(
             chooseProbes(table.upstreams.values(), Date.now()).map(async upstream => {
-                const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() =>
-                    undefined
-                );
+                const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}, {
+                    target: upstream.instance,
+                }).catch(() => undefined);
                 if (report !== undefined) {
                     noteReport(table, upstream.instance, report, Date.now());
                 }
