--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -160,6 +160,9 @@
                 if (own && frame.kind === "accepted") {
                     this.incarnation = frame.incarnation;
                 }
+                if (own && frame.kind === "failed") {
+                    this.noteRestart(frame.incarnation);
+                }
                 this.apply({ kind: "frame", frame });
             },
             onBroken: (sent: boolean) => {
@@ -170,6 +173,18 @@
         };
     }
 
+    /** A slot that refuses as another incarnation has restarted idle since its report; it may be tried again. */
+    private noteRestart(incarnation: string | undefined): void {
+        const known = this.upstream?.report;
+        if (incarnation === undefined || known === undefined || incarnation === known.incarnation) {
+            return;
+        }
+        const { instance } = this.upstream!;
+        const report = { ...known, incarnation, tokensInFlight: 0, requestsInFlight: 0, queued: 0 };
+        noteReport(this.context.table, instance, report, Date.now());
+        this.tried.delete(instance);
+    }
+
     private relay(frame: Frame): void {
         const { response, requestId, receivedAt } = this.exchange;
         if (frame.kind === "head") {
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -11,14 +11,18 @@
 import { createAdmission } from "../routing/admission.js";
 import { listenOn } from "../wire/listen.js";
 import { RevokeParamsSchema } from "../wire/messages.js";
+import { type Appender, createClaimMethods, createClaimRelay } from "./claimRelay.js";
 import { createClaims } from "./claims.js";
 import { createClaimsDriver } from "./driverClaims.js";
 import { createLedger, expireRecords } from "./ledger.js";
+import { createSlotMetrics } from "./metrics.js";
 import { createRunner } from "./runner.js";
 import { createSlotServer } from "./server.js";
+import { computeLinger } from "./shutdown.js";
 import { createUpstreamClient, silenceLimits } from "./upstream.js";
 
 const expiryIntervalMs = 5000;
+const lingerStepMs = 100;
 const defaultLimits = { concurrency: 64, tokens: 200_000, queue: 128 };
 
 /** Starts a slot; resolves once it listens. */
@@ -29,14 +33,26 @@
     const metrics = createMetrics();
     const ledger = createLedger(randomUUID());
     const admission = createAdmission(defaultLimits);
-    const claims = createClaimsDriver(createLogClient(platform.log), createClaims(ledger.incarnation));
-    const client = createUpstreamClient(upstream.url, silenceLimits[upstream.kind]);
-    const runner = createRunner(ledger, admission, client, claims);
+    let neighbours: Appender[] = [];
+    const relay = createClaimRelay(settings, instance, () => neighbours);
+    const log = createLogClient(platform.log);
+    const claims = createClaimsDriver(log, environment, createClaims(ledger.incarnation), relay);
+    const slotMetrics = createSlotMetrics(metrics.registry, ledger);
+    const client = createUpstreamClient(upstream.url, silenceLimits[upstream.kind], () => slotMetrics.silences.inc());
+    const runner = createRunner(ledger, admission, client, {
+        ...claims,
+        claim: async claim => {
+            const verdict = await claims.claim(claim);
+            slotMetrics.claims.inc({ verdict });
+            return verdict;
+        },
+    });
     let config: ConfigState = createConfigState(environment);
 
     const state = createStateKeeper({
         settings,
         role: "slot",
+        pool: settings.pool,
         makeLogger,
         metrics,
         getLoad: () => runner.report().tokensInFlight,
@@ -60,6 +76,7 @@
         getWeight: workspace => config.document?.workspaces.find(w => w.name === workspace)?.weight ?? 1,
         methods: {
             ...state.methods,
+            ...createClaimMethods(claims),
             cancel: (params: unknown) => {
                 const { requestId, attempt } = RevokeParamsSchema.parse(params);
                 const record = ledger.records.get(`${requestId}/${attempt}`);
@@ -76,6 +93,9 @@
     void streamInstances(platform.list, e => logger.warn("Reading the instance list failed.", { error: e.message }))
         .observe(instances => {
             state.updateInstances(instances);
+            neighbours = instances.filter(i =>
+                i.role === "slot" && i.state === "live" && i.dataCentre === settings.dataCentre
+            );
             if (instances.some(i => i.instance === instance && i.state === "leaving")) {
                 markLeaving("the instance list says so");
             }
@@ -91,6 +111,9 @@
         stop: async () => {
             markLeaving("the process was told to stop");
             await runner.drain();
+            for (let ms = computeLinger(ledger, Date.now()); ms > 0; ms = computeLinger(ledger, Date.now())) {
+                await new Promise(resolve => setTimeout(resolve, Math.min(ms, lingerStepMs)));
+            }
             server.close();
             server.closeIdleConnections();
             await state.stop();
