Take a leaving mark of the lagging list only when it is meant for this process

Cause: a slot that restarted under its name while the list still showed its predecessor as leaving marked itself as leaving for good. Change: the mark counts once the list has shown the instance as live since the start, or after 30 s. Proof: src/slot/tests/leaving.test.ts; the old rule fails its rows on an earlier process.

--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -14,6 +14,7 @@
 import { type Appender, createClaimMethods, createClaimRelay } from "./claimRelay.js";
 import { createClaims } from "./claims.js";
 import { createClaimsDriver } from "./driverClaims.js";
+import { createLeavingWatch, noteListed } from "./leaving.js";
 import { createLedger, expireRecords } from "./ledger.js";
 import { createSlotMetrics } from "./metrics.js";
 import { createRunner } from "./runner.js";
@@ -32,6 +33,7 @@
     const logger = makeLogger(Prefix.slot);
     const metrics = createMetrics();
     const ledger = createLedger(randomUUID());
+    const leavingWatch = createLeavingWatch(Date.now());
     const admission = createAdmission(defaultLimits);
     let neighbours: Appender[] = [];
     const relay = createClaimRelay(settings, instance, () => neighbours);
@@ -95,7 +97,8 @@
             neighbours = instances.filter(i =>
                 i.role === "slot" && i.state === "live" && i.dataCentre === settings.dataCentre
             );
-            if (instances.some(i => i.instance === instance && i.state === "leaving")) {
+            const listed = instances.find(i => i.instance === instance)?.state;
+            if (noteListed(leavingWatch, listed, Date.now())) {
                 markLeaving("the instance list says so");
             }
         });
