Keep short records of many runs, and answers only while they can be resumed

Cause: 20,000 records for 120 s refused runs past 166 a second at one slot, and dropping answers over the total bound went through all records for each frame.

--- a/src/slot/ledger.ts
+++ b/src/slot/ledger.ts
@@ -10,10 +10,12 @@
 import type { Frame, ResumeParams, RevokeParams, RunParams } from "../wire/messages.js";
 
 /**
- * How long a finished answer or a tombstone is kept, in milliseconds. Longer than the time for which a copy of a
+ * How long the record of an ended run or a tombstone is kept, in milliseconds. Longer than the time for which a copy of a
  * call is accepted after the call that revokes it, which is twice the window of the call's signature.
  */
-export const retentionMs = 120_000;
+export const retentionMs = 75_000;
+/** How long the answer of an ended run is kept after a reader has taken it, in milliseconds. */
+export const deliveredRetentionMs = 10_000;
 
 /** Memory of a frame beside its data, in bytes. */
 const frameOverheadBytes = 256;
@@ -30,7 +32,7 @@
 export const defaultLedgerLimits: LedgerLimits = {
     answerBytes: 1024 * 1024,
     totalBytes: 64 * 1024 * 1024,
-    records: 20_000,
+    records: 200_000,
 };
 
 const RunState = { running: "running", ended: "ended", revoked: "revoked" } as const;
@@ -50,6 +52,8 @@
     delivered: number;
     bytes: number;
     expiresAt: number;
+    /** Whether the run has a key, by which its answer may be asked for again. */
+    keyed: boolean;
 }
 
 export interface Ledger {
@@ -57,6 +61,8 @@
     leaving: boolean;
     limits: LedgerLimits;
     records: Map<string, RunRecord>;
+    /** Ended runs whose answers are kept, in the order of their ends. */
+    answers: Set<RunRecord>;
     /** Bytes of all buffered answers. */
     bytes: number;
 }
@@ -73,7 +79,7 @@
 
 /** Creates an empty ledger for a process that has just started. */
 export function createLedger(incarnation: string, limits = defaultLedgerLimits): Ledger {
-    return { incarnation, leaving: false, limits, records: new Map(), bytes: 0 };
+    return { incarnation, leaving: false, limits, records: new Map(), answers: new Set(), bytes: 0 };
 }
 
 /** Admits the first copy of a run; refuses revoked runs and runs that are not meant for this process. */
@@ -95,6 +101,7 @@
         return { kind: "refuse", status: 503, title: "The slot keeps too many records" };
     }
     const record = createRecord(params.requestId, params.attempt, RunState.running, now);
+    record.keyed = params.idempotencyKey !== undefined;
     ledger.records.set(key, record);
     if (ledger.leaving) {
         record.state = RunState.revoked;
@@ -141,6 +148,7 @@
     if (frame.kind === "end" || frame.kind === "failed") {
         record.state = RunState.ended;
         record.expiresAt = now + retentionMs;
+        ledger.answers.add(record);
     }
     dropDelivered(ledger, record);
     if (ledger.bytes > ledger.limits.totalBytes) {
@@ -165,8 +173,17 @@
     return record.frames.slice(Math.max(0, sequence - record.first));
 }
 
-/** Drops records that have expired; running ones never do. */
+/** Drops what has expired: answers that were delivered a while ago, then records; running ones never do. */
 export function expireRecords(ledger: Ledger, now: number): void {
+    for (const record of ledger.answers) {
+        const endedAt = record.expiresAt - retentionMs;
+        if (endedAt + deliveredRetentionMs > now) {
+            break;
+        }
+        if (!record.keyed && record.delivered === record.next) {
+            dropAnswer(ledger, record);
+        }
+    }
     for (const [key, record] of ledger.records) {
         if (record.state !== RunState.running && record.expiresAt <= now) {
             dropAnswer(ledger, record);
@@ -183,18 +200,20 @@
     }
 }
 
-/** Drops the answers of ended runs, oldest record first, until the total is within its limit. */
+/** Drops the answers of ended runs, oldest first, until the total is within its limit. */
 function dropEndedAnswers(ledger: Ledger): void {
-    for (const record of ledger.records.values()) {
-        while (ledger.bytes > ledger.limits.totalBytes && record.state === RunState.ended && record.frames.length > 0) {
-            dropFirstFrame(ledger, record);
+    for (const record of ledger.answers) {
+        if (ledger.bytes <= ledger.limits.totalBytes) {
+            return;
         }
+        dropAnswer(ledger, record);
     }
 }
 
 /** Drops the answer of an ended run, but for the frame that says how it failed. */
 function dropAnswer(ledger: Ledger, record: RunRecord): void {
     const last = record.frames[record.frames.length - 1];
+    ledger.answers.delete(record);
     ledger.bytes -= record.bytes;
     record.bytes = 0;
     record.frames = last?.kind === "failed" ? [last] : [];
@@ -229,6 +248,7 @@
         delivered: 0,
         bytes: 0,
         expiresAt: now + retentionMs,
+        keyed: false,
     };
 }
 
