Note the delivery of an answer's end

Cause: with frames of a turn written together, the end of an answer no longer counted as delivered, so that delivered answers were kept and a stopping slot waited 5 s for them. Proof: src/slot/tests/reader.test.ts, which fails on the code before.

--- a/src/slot/reader.ts
+++ b/src/slot/reader.ts
@@ -39,7 +39,7 @@
         response.cork();
         blocked = !response.write(text);
         if (last) {
-            response.end();
+            response.end(() => runner.noteDelivered(record, position));
         }
         response.uncork();
         return last;
