--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -2,11 +2,11 @@
 import type { Metrics } from "../observe/metrics.js";
 import { chooseUpstream, estimateCost } from "../routing/choose.js";
 import {
-    dropReport,
-    ejectUpstream,
     noteDone,
     noteReport,
+    noteResult,
     noteSent,
+    noteUnreachable,
     type UpstreamEntry,
     type UpstreamTable,
 } from "../routing/table.js";
@@ -21,7 +21,6 @@
 import type { SlotClient, SlotStream } from "./slotClient.js";
 import type { Exchange } from "./types.js";
 
-const ejectMs = 2000;
 const resumeDelayMs = 50;
 /** Longest time that a caller is told to wait when retries are spent, in seconds. */
 const maxRetryAfterSeconds = 8;
@@ -54,6 +53,7 @@
     private stream: SlotStream | undefined;
     private deadline: NodeJS.Timeout | undefined;
     private retryReason: RetryReason | undefined;
+    private sentAt = 0;
     private waitsForCaller = false;
     private ended = false;
 
@@ -130,6 +130,7 @@
 
     private send(): void {
         const params = createRunParams(this.exchange, this.state, this.incarnation);
+        this.sentAt = Date.now();
         this.stream = this.context.slots.run(this.upstream!.url, params, this.createListener());
     }
 
@@ -158,7 +159,7 @@
                     this.incarnation = frame.incarnation;
                 }
                 if (own && frame.kind === "failed") {
-                    this.noteRestart(frame.incarnation);
+                    this.noteFailure(frame);
                 }
                 this.apply({ kind: "frame", frame });
             },
@@ -170,17 +171,32 @@
         };
     }
 
-    /** A slot that refuses as another incarnation has restarted since its report. */
+    private noteFailure({ status, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
+        if (status === 502 && this.upstream !== undefined) {
+            noteResult(this.context.table, this.upstream.instance, { failed: true }, Date.now());
+        }
+        this.noteRestart(incarnation);
+    }
+
+    /** A slot that refuses as another incarnation has restarted idle since its report; it may be tried again. */
     private noteRestart(incarnation: string | undefined): void {
-        if (incarnation !== undefined && incarnation !== this.upstream?.report?.incarnation) {
-            dropReport(this.context.table, this.upstream!.instance);
+        const known = this.upstream?.report;
+        if (incarnation === undefined || known === undefined || incarnation === known.incarnation) {
+            return;
         }
+        const { instance } = this.upstream!;
+        const report = { ...known, incarnation, tokensInFlight: 0, requestsInFlight: 0, queued: 0 };
+        noteReport(this.context.table, instance, report, Date.now());
+        this.tried.delete(instance);
     }
 
     private relay(frame: Frame): void {
         const { response, requestId, receivedAt } = this.exchange;
         if (frame.kind === "head") {
-            this.context.metrics.firstByteSeconds.observe((Date.now() - receivedAt) / 1000);
+            const now = Date.now();
+            this.context.metrics.firstByteSeconds.observe((now - receivedAt) / 1000);
+            const outcome = { failed: frame.status >= 500, latencyMs: now - this.sentAt };
+            noteResult(this.context.table, this.upstream!.instance, outcome, now);
         }
         if (frame.kind === "end") {
             noteReport(this.context.table, this.upstream!.instance, frame.load, Date.now());
@@ -212,19 +228,26 @@
             this.tried.delete(this.upstream!.instance);
         }
         else if (reason !== RetryReason.refused) {
-            ejectUpstream(this.context.table, this.upstream!.instance, Date.now() + ejectMs);
+            this.noteLoss();
         }
         this.release();
     }
 
     private fail(action: Extract<AttemptAction, { kind: "fail"; }>): void {
         if (action.outcome !== "run" && this.upstream !== undefined && action.status === 502) {
-            ejectUpstream(this.context.table, this.upstream.instance, Date.now() + ejectMs);
+            this.noteLoss();
         }
         relayProblem(this.exchange.response, this.exchange.requestId, action);
         this.finish(action.outcome, action.title);
     }
 
+    /** Notes that the connection to the upstream's slot is lost. */
+    private noteLoss(): void {
+        const { instance } = this.upstream!;
+        noteUnreachable(this.context.table, instance, Date.now());
+        noteResult(this.context.table, instance, { failed: true }, Date.now());
+    }
+
     /** Gives back the load that the present attempt holds at its upstream. */
     private release(): void {
         if (this.upstream !== undefined) {
