Send keepalive frames only when no frame is waiting

Cause: since frames of one turn are joined, a keepalive could name the sequence of a frame that was recorded and not yet written; the entry took that for a loss and resumed.

--- a/src/slot/reader.ts
+++ b/src/slot/reader.ts
@@ -62,9 +62,9 @@
         }
     };
     const keepalive = setInterval(() => {
-        if (!blocked) {
+        if (!blocked && position === record.next) {
             const { requestId, attempt } = record;
-            response.write(encodeFrame({ requestId, attempt, sequence: record.next, kind: "keepalive" }));
+            response.write(encodeFrame({ requestId, attempt, sequence: position, kind: "keepalive" }));
         }
     }, keepaliveMs);
     const unsubscribe = runner.subscribe(record, schedulePump);
