--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -85,6 +85,10 @@
     }
 
     begin(): void {
+        if (this.exchange.response.destroyed) {
+            this.handleCallerClose();
+            return;
+        }
         noteRequest(this.context.retryBudget, Date.now());
         this.deadline = setTimeout(() => this.handleDeadline(), this.state.deadline - Date.now());
         this.exchange.response.on("close", () => this.handleCallerClose());
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import { STATUS_CODES, validateHeaderName, validateHeaderValue } from "node:http";
 import type { RunOutcome } from "../core/types.js";
+import { filterHeaders } from "../slot/upstream.js";
 import type { Frame } from "../wire/messages.js";
 
 export interface Problem {
@@ -41,7 +42,7 @@
     }
     else if (frame.kind === "head") {
         const added = { [requestIdHeader]: requestId, [outcomeHeader]: "run" };
-        const headers: Record<string, string> = { ...frame.headers, ...added };
+        const headers: Record<string, string> = { ...filterHeaders(frame.headers), ...added };
         checkHeaders(headers);
         held.set(response, { status: frame.status, headers, chunks: [], length: 0 });
         if (response.req.httpVersion !== "1.0" || isEventStream(headers["content-type"])) {
