--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -43,7 +43,7 @@
 
 export type AttemptEvent =
     | { kind: "chosen"; }
-    | { kind: "no-candidate"; }
+    | { kind: "no-candidate"; retryAfterSeconds?: number; }
     | { kind: "frame"; frame: Frame; }
     /** The connection broke, was silent too long or carried something unreadable. */
     | { kind: "broken"; }
@@ -97,7 +97,8 @@
         state.phase = Phase.waiting;
         return [{ kind: "send" }];
     },
-    "no-candidate": state => failRequest(state, RunOutcome.notRun, 503, "No upstream is available", 2),
+    "no-candidate": (state, event) =>
+        failRequest(state, RunOutcome.notRun, 503, "No upstream is available", event.retryAfterSeconds ?? 2),
     frame: (state, event, now) => handleFrame(state, event.frame, now),
     broken: (state, event, now) => handleBroken(state, now),
     unreachable: (state, event, now) =>
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -22,8 +22,8 @@
 import type { Exchange } from "./types.js";
 
 const resumeDelayMs = 50;
-/** Longest time that a caller is told to wait when retries are spent, in seconds. */
-const maxRetryAfterSeconds = 8;
+/** Longest time that a caller is told to wait when retries are spent or no upstream is left, in seconds. */
+const maxRetryAfterSeconds = 4;
 
 export interface DispatchContext {
     identity: RpcIdentity;
@@ -54,6 +54,7 @@
     private deadline: NodeJS.Timeout | undefined;
     private retryReason = "";
     private sentAt = 0;
+    private refused = false;
     private waitsForCaller = false;
     private ended = false;
 
@@ -103,15 +104,22 @@
         const { table, dataCentre, retryBudget } = this.context;
         const { route, tokens } = this.exchange;
         const now = Date.now();
+        const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
         if (this.state.attempt > 1 && !admitRetry(retryBudget, now)) {
-            const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
             this.apply({ kind: "retry-refused", retryAfterSeconds });
             return;
         }
-        const choice = { pool: route!.pool, dataCentre, spill: route!.spill, tokens, excluded: this.tried };
+        const choice = {
+            pool: route!.pool,
+            dataCentre,
+            spill: route!.spill,
+            tokens,
+            excluded: this.tried,
+            avoidsFull: this.refused,
+        };
         this.upstream = chooseUpstream(table, choice, now, Math.random);
         if (this.upstream === undefined) {
-            this.apply({ kind: "no-candidate" });
+            this.apply({ kind: "no-candidate", retryAfterSeconds });
             return;
         }
         const cost = `estimated cost ${estimateCost(this.upstream)} tokens`;
@@ -199,6 +207,7 @@
     private prepareRetry(reason: string): void {
         this.context.metrics.retries.inc({ reason });
         endAttempt(this.record, reason, Date.now());
+        this.refused = reason === RetryReason.refused;
         this.retryReason = `${this.upstream!.instance} ${reason}`;
         if (reason === RetryReason.neverArrived) {
             this.tried.delete(this.upstream!.instance);
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -25,18 +25,24 @@
 interface Running {
     workspace: string;
     tokens: number;
+    /** Time in milliseconds. */
+    startedAt: number;
 }
 
 export interface AdmissionState {
     limits: AdmissionLimits;
     running: Map<string, Running>;
-    /** Running requests by workspace. */
-    runningOf: Map<string, number>;
+    /** What runs by workspace. */
+    runningOf: Map<string, { requests: number; tokens: number; }>;
     /** Last time that each workspace had a request, in milliseconds. */
     activeAt: Map<string, { at: number; weight: number; }>;
     tokensInFlight: number;
     queue: FairQueue;
     throughput: Throughput;
+    /** Recent mean time that a request runs, in milliseconds. */
+    serviceMs: number;
+    /** Time since which requests have been waiting without a break, in milliseconds; undefined when none waits. */
+    waitingSince: number | undefined;
 }
 
 /** Work finished while requests were waiting, that is, at full load. */
@@ -49,7 +55,7 @@
 /** `evicted` had waited and gets its final answer now, to make place for the new request. */
 export interface AdmitResult {
     decision: "run" | "wait" | "refuse";
-    evicted?: Waiting;
+    evicted: Waiting[];
 }
 
 /** Share of the concurrency that workspaces above their fair share leave free for others. */
@@ -60,6 +66,12 @@
 /** Least time at full load from which the wait is predicted, in milliseconds. */
 const throughputMinMs = 2000;
 const maxRetryAfterSeconds = 30;
+/** Time, in mean service times, for which a full queue may last before it is kept short. */
+const standingServices = 2;
+const minStandingMs = 1000;
+/** Length of a queue that is kept short, as a share of the concurrency. */
+const shortQueueShare = 1 / 4;
+const serviceWeight = 0.05;
 
 /** Creates the state of an idle slot. */
 export function createAdmission(limits: AdmissionLimits): AdmissionState {
@@ -71,6 +83,8 @@
         tokensInFlight: 0,
         queue: createFairQueue(),
         throughput: { at: 0, busyMs: 0, tokens: 0 },
+        serviceMs: 0,
+        waitingSince: undefined,
     };
 }
 
@@ -87,19 +101,18 @@
     addWaiting(state.queue, item);
     if (pickEligible(state, now) === item && hasRoom(state, item)) {
         removeWaiting(state.queue, item.id);
-        startRunning(state, item);
-        return { decision: "run" };
+        startRunning(state, item, now);
+        return { decision: "run", evicted: [] };
     }
     if (now + waitMs > item.expiresAt) {
         removeWaiting(state.queue, item.id);
-        return { decision: "refuse" };
+        return { decision: "refuse", evicted: [] };
     }
-    if (countWaiting(state) <= state.limits.queue) {
-        return { decision: "wait" };
-    }
-    const victim = findWorst(state.queue, pickOverloaded(state.queue));
-    removeWaiting(state.queue, victim.id);
-    return victim === item ? { decision: "refuse" } : { decision: "wait", evicted: victim };
+    state.waitingSince ??= now;
+    const evicted = evictWaiting(state, now);
+    return evicted.includes(item) ?
+        { decision: "refuse", evicted: evicted.filter(other => other !== item) } :
+        { decision: "wait", evicted };
 }
 
 /** Frees the room of a finished request and returns those that start now and those whose time is over. */
@@ -114,7 +127,8 @@
         state.running.delete(id);
         state.tokensInFlight -= ended.tokens;
         state.throughput.tokens += countWaiting(state) > 0 ? Math.max(1, ended.tokens) : 0;
-        countRunning(state, ended.workspace, -1);
+        state.serviceMs += (now - ended.startedAt - state.serviceMs) * serviceWeight;
+        countRunning(state, ended.workspace, -1, -ended.tokens);
     }
     return startWaiting(state, now);
 }
@@ -154,12 +168,31 @@
             break;
         }
         removeWaiting(state.queue, next.id);
-        startRunning(state, next);
+        startRunning(state, next, now);
         started.push(next);
     }
     return { started, expired };
 }
 
+/** Removes the requests that are too many, each of the workspace with most waiting for its weight. */
+function evictWaiting(state: AdmissionState, now: number): Waiting[] {
+    const evicted: Waiting[] = [];
+    const getRunningTokens = (workspace: string) => state.runningOf.get(workspace)?.tokens ?? 0;
+    while (countWaiting(state) > computeQueueLimit(state, now)) {
+        const victim = findWorst(state.queue, pickOverloaded(state.queue, getRunningTokens));
+        removeWaiting(state.queue, victim.id);
+        evicted.push(victim);
+    }
+    return evicted;
+}
+
+/** Computes how many may wait: a queue that does not empty only adds delay, so that it is kept short. */
+function computeQueueLimit({ limits, waitingSince, serviceMs }: AdmissionState, now: number): number {
+    const standingMs = Math.max(minStandingMs, standingServices * serviceMs);
+    const isStanding = waitingSince !== undefined && now - waitingSince > standingMs;
+    return isStanding ? Math.min(limits.queue, Math.ceil(limits.concurrency * shortQueueShare)) : limits.queue;
+}
+
 function hasRoom(state: AdmissionState, item: Waiting): boolean {
     const { concurrency, tokens } = state.limits;
     return state.running.size === 0 ||
@@ -183,20 +216,22 @@
     for (const active of state.activeAt.values()) {
         total += active.at > now - activeMs ? active.weight : 0;
     }
-    return total > weight && (state.runningOf.get(workspace) ?? 0) >= state.limits.concurrency * weight / total;
+    return total > weight &&
+        (state.runningOf.get(workspace)?.requests ?? 0) >= state.limits.concurrency * weight / total;
 }
 
-function startRunning(state: AdmissionState, item: Waiting): void {
-    state.running.set(item.id, { workspace: item.workspace, tokens: item.tokens });
+function startRunning(state: AdmissionState, item: Waiting, now: number): void {
+    state.running.set(item.id, { workspace: item.workspace, tokens: item.tokens, startedAt: now });
     state.tokensInFlight += item.tokens;
-    countRunning(state, item.workspace, 1);
+    countRunning(state, item.workspace, 1, item.tokens);
     noteStarted(state.queue, item);
 }
 
-function countRunning(state: AdmissionState, workspace: string, change: number): void {
-    const count = (state.runningOf.get(workspace) ?? 0) + change;
-    if (count > 0) {
-        state.runningOf.set(workspace, count);
+function countRunning(state: AdmissionState, workspace: string, requests: number, tokens: number): void {
+    const before = state.runningOf.get(workspace) ?? { requests: 0, tokens: 0 };
+    const after = { requests: before.requests + requests, tokens: before.tokens + tokens };
+    if (after.requests > 0) {
+        state.runningOf.set(workspace, after);
     }
     else {
         state.runningOf.delete(workspace);
@@ -219,6 +254,9 @@
     if (countWaiting(state) > 0) {
         throughput.busyMs += Math.max(0, now - throughput.at);
     }
+    else {
+        state.waitingSince = undefined;
+    }
     throughput.at = now;
     if (throughput.busyMs > throughputWindowMs) {
         throughput.busyMs /= 2;
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -9,6 +9,8 @@
     tokens: number;
     /** Upstreams that earlier attempts of the request have tried. */
     excluded: ReadonlySet<string>;
+    /** Leaves out upstreams that report waiting requests, for a request that one has refused. */
+    avoidsFull?: boolean;
 }
 
 export interface ChoicePolicy {
@@ -103,7 +105,8 @@
 function listCandidates(table: UpstreamTable, choice: Choice, now: number, random: () => number): UpstreamEntry[] {
     const usable: UpstreamEntry[] = [];
     for (const upstream of table.upstreams.values()) {
-        if (upstream.pool === choice.pool && !upstream.leaving && !choice.excluded.has(upstream.instance)) {
+        const isFit = upstream.pool === choice.pool && !upstream.leaving && !choice.excluded.has(upstream.instance);
+        if (isFit && !(choice.avoidsFull === true && isFull(upstream))) {
             usable.push(upstream);
         }
     }
--- a/src/routing/fairQueue.ts
+++ b/src/routing/fairQueue.ts
@@ -92,14 +92,15 @@
     }
 }
 
-/** Picks the workspace whose waiting tokens are the most for its weight. */
-export function pickOverloaded(queue: FairQueue): string {
+/** Picks the waiting workspace whose waiting and running tokens are the most for its weight. */
+export function pickOverloaded(queue: FairQueue, getRunningTokens: (workspace: string) => number): string {
     let most = "";
     let mostTokens = -1;
     for (const [workspace, own] of queue.workspaces) {
-        if (own.tokens / own.weight > mostTokens) {
+        const tokens = (own.tokens + getRunningTokens(workspace)) / own.weight;
+        if (tokens > mostTokens) {
             most = workspace;
-            mostTokens = own.tokens / own.weight;
+            mostTokens = tokens;
         }
     }
     return most;
--- a/src/routing/tests/admission.test.ts
+++ b/src/routing/tests/admission.test.ts
@@ -53,7 +53,7 @@
                         const id = String(index);
                         const item = createItem(id, { ...rest, arrivedAt: now, expiresAt: now + 1000 });
                         const { decision, evicted } = admitRequest(state, item, now);
-                        expect(evicted === undefined || waiting.delete(evicted.id)).toBe(true);
+                        evicted.forEach(other => expect(waiting.delete(other.id)).toBe(true));
                         running.push(...(decision === "run" ? [id] : []));
                         (decision === "wait" ? [id] : []).forEach(waitingId => waiting.add(waitingId));
                     }
@@ -105,21 +105,31 @@
         expect(admitRequest(state, createItem("small-1", { workspace: "small" }), 100)).toMatchInlineSnapshot(`
           {
             "decision": "wait",
-            "evicted": {
-              "arrivedAt": 17,
-              "expiresAt": 1000000000,
-              "id": "flood-17",
-              "tokens": 10,
-              "urgency": 3,
-              "weight": 1,
-              "workspace": "flood",
-            },
+            "evicted": [
+              {
+                "arrivedAt": 17,
+                "expiresAt": 1000000000,
+                "id": "flood-17",
+                "tokens": 10,
+                "urgency": 3,
+                "weight": 1,
+                "workspace": "flood",
+              },
+            ],
           }
         `);
         expect(admitRequest(state, createItem("flood-x", { workspace: "flood", arrivedAt: 101 }), 101).decision)
             .toBe("refuse");
     });
 
+    it("refuses the workspace that runs most when both have as much waiting", () => {
+        const { state } = createFilled("flood", 9, { queue: 1 });
+        const { evicted } = admitRequest(state, createItem("small-1", { workspace: "small" }), 100);
+        expect(evicted.map(item => item.id)).toEqual(["flood-8"]);
+        expect(admitRequest(state, createItem("flood-9", { workspace: "flood", arrivedAt: 101 }), 101).decision)
+            .toBe("refuse");
+    });
+
     it("keeps room for a small workspace while another floods", () => {
         const { state } = createFilled("flood", 12);
         admitRequest(state, createItem("small-1", { workspace: "small" }), 20);
@@ -145,15 +155,37 @@
         `);
     });
 
+    it("takes a burst into the whole queue, and keeps a queue short that does not empty", () => {
+        const { state } = createFilled("a", limits.concurrency + limits.queue);
+        const burst = countWaiting(state);
+        const { decision, evicted } = admitRequest(state, createItem("late", { arrivedAt: 5000 }), 5000);
+        expect({ burst, decision, evicted: evicted.length, standing: countWaiting(state) }).toMatchInlineSnapshot(`
+          {
+            "burst": 10,
+            "decision": "refuse",
+            "evicted": 8,
+            "standing": 2,
+          }
+        `);
+        for (const id of [...state.running.keys()]) {
+            releaseRequest(state, id, 5001);
+        }
+        const results = Array.from(
+            { length: 12 },
+            (unused, i) => admitRequest(state, createItem(`burst-${i}`, { arrivedAt: 5002 }), 5002).decision,
+        );
+        expect(results.filter(result => result !== "refuse").length).toBe(12);
+    });
+
     it("refuses at once what could not start before its time is over, and says when to come back", () => {
-        const { state } = createFilled("a", limits.concurrency + 4);
+        const { state } = createFilled("a", 44, { concurrency: 40 });
         for (let i = 0; i < 6; i++) {
             const [id] = state.running.keys();
             releaseRequest(state, id, 1000 * (i + 1));
             admitRequest(state, createItem(`next-${i}`, { arrivedAt: 1000 * (i + 1) }), 1000 * (i + 1));
         }
         const late = { arrivedAt: 6000, expiresAt: 6500 };
-        expect(admitRequest(state, createItem("late", late), 6000)).toEqual({ decision: "refuse" });
+        expect(admitRequest(state, createItem("late", late), 6000)).toEqual({ decision: "refuse", evicted: [] });
         const waits = [0, 0.5, 0.999].map(random => computeRetryAfter(state, "a", 1, random));
         expect(waits).toMatchInlineSnapshot(`
           [
--- a/src/slot/runner.ts
+++ b/src/slot/runner.ts
@@ -125,9 +125,7 @@
             else {
                 expireLater(waiting);
             }
-            if (evicted !== undefined) {
-                refuse(evicted, "The upstream is at its limit");
-            }
+            evicted.forEach(other => refuse(other, "The upstream is at its limit"));
         },
         cancel: record => {
             const id = formatId(record);
