--- a/src/bench/overloadDriver.ts
+++ b/src/bench/overloadDriver.ts
@@ -397,6 +397,7 @@
         const table = createUpstreamTable();
         const record = { role: "slot" as const, dataCentre: "a", url: "", state: "live" as const, pool: "p" };
         updateInstances(table, this.slots.map((slot, index) => ({ ...record, instance: String(index) })));
+        this.slots.forEach((slot, index) => noteReport(table, String(index), this.report(slot), 0));
         return { table, budget: createRetryBudget(retryRatio, retryFloorPerSecond) };
     }
 
--- a/src/bench/routingDriver.ts
+++ b/src/bench/routingDriver.ts
@@ -148,7 +148,7 @@
     seed: number,
 ): Chooser {
     const random = createRandom(seed);
-    const tables = subsets.map(createTable);
+    const tables = subsets.map(subset => createTable(subset, serviceMs));
     return {
         choose: (arrival, now) => {
             const table = tables[arrival.entry];
@@ -179,7 +179,7 @@
     return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 }
 
-function createTable(subset: number[]): UpstreamTable {
+function createTable(subset: number[], serviceMs: number): UpstreamTable {
     const table = createUpstreamTable();
     updateInstances(
         table,
@@ -192,6 +192,7 @@
             pool: "engines",
         })),
     );
+    subset.forEach(index => noteReport(table, String(index), createReport(0, serviceMs), 0));
     return table;
 }
 
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -52,9 +52,8 @@
     private incarnation: string | undefined;
     private stream: SlotStream | undefined;
     private deadline: NodeJS.Timeout | undefined;
-    private retryReason = "";
+    private retryReason: RetryReason | undefined;
     private sentAt = 0;
-    private refused = false;
     private waitsForCaller = false;
     private ended = false;
 
@@ -105,7 +104,7 @@
         const { route, tokens } = this.exchange;
         const now = Date.now();
         const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
-        if (this.state.attempt > 1 && !admitRetry(retryBudget, now)) {
+        if (this.needsBudget() && !admitRetry(retryBudget, now)) {
             this.apply({ kind: "retry-refused", retryAfterSeconds });
             return;
         }
@@ -115,7 +114,7 @@
             spill: route!.spill,
             tokens,
             excluded: this.tried,
-            avoidsFull: this.refused,
+            avoidsFull: this.retryReason === RetryReason.refused,
         };
         this.upstream = chooseUpstream(table, choice, now, Math.random);
         if (this.upstream === undefined) {
@@ -123,7 +122,7 @@
             return;
         }
         const cost = `estimated cost ${estimateCost(this.upstream)} tokens`;
-        const reason = this.retryReason === "" ? cost : `retry, ${this.retryReason}; ${cost}`;
+        const reason = this.retryReason === undefined ? cost : `retry (${this.retryReason}), ${cost}`;
         beginAttempt(this.record, this.upstream.instance, reason, now);
         this.tried.add(this.upstream.instance);
         this.incarnation = this.upstream.report?.incarnation;
@@ -131,6 +130,11 @@
         this.apply({ kind: "chosen" });
     }
 
+    /** A retry adds load, unless the slot proved that the attempt before had not reached it. */
+    private needsBudget(): boolean {
+        return this.retryReason !== undefined && this.retryReason !== RetryReason.neverArrived;
+    }
+
     private send(): void {
         const params = createRunParams(this.exchange, this.state, this.incarnation);
         this.sentAt = Date.now();
@@ -161,8 +165,8 @@
                 if (own && frame.kind === "accepted") {
                     this.incarnation = frame.incarnation;
                 }
-                if (own && frame.kind === "failed" && frame.status === 502 && this.upstream !== undefined) {
-                    noteResult(this.context.table, this.upstream.instance, { failed: true }, Date.now());
+                if (own && frame.kind === "failed") {
+                    this.noteFailure(frame);
                 }
                 this.apply({ kind: "frame", frame });
             },
@@ -174,6 +178,25 @@
         };
     }
 
+    private noteFailure({ status, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
+        if (status === 502 && this.upstream !== undefined) {
+            noteResult(this.context.table, this.upstream.instance, { failed: true }, Date.now());
+        }
+        this.noteRestart(incarnation);
+    }
+
+    /** A slot that refuses as another incarnation has restarted idle since its report; it may be tried again. */
+    private noteRestart(incarnation: string | undefined): void {
+        const known = this.upstream?.report;
+        if (incarnation === undefined || known === undefined || incarnation === known.incarnation) {
+            return;
+        }
+        const { instance } = this.upstream!;
+        const report = { ...known, incarnation, tokensInFlight: 0, requestsInFlight: 0, queued: 0 };
+        noteReport(this.context.table, instance, report, Date.now());
+        this.tried.delete(instance);
+    }
+
     private relay(frame: Frame): void {
         const { response, requestId, receivedAt } = this.exchange;
         if (frame.kind === "head") {
@@ -204,11 +227,10 @@
         this.stream?.resume();
     }
 
-    private prepareRetry(reason: string): void {
+    private prepareRetry(reason: RetryReason): void {
         this.context.metrics.retries.inc({ reason });
         endAttempt(this.record, reason, Date.now());
-        this.refused = reason === RetryReason.refused;
-        this.retryReason = `${this.upstream!.instance} ${reason}`;
+        this.retryReason = reason;
         if (reason === RetryReason.neverArrived) {
             this.tried.delete(this.upstream!.instance);
         }
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -105,7 +105,8 @@
 function listCandidates(table: UpstreamTable, choice: Choice, now: number, random: () => number): UpstreamEntry[] {
     const usable: UpstreamEntry[] = [];
     for (const upstream of table.upstreams.values()) {
-        const isFit = upstream.pool === choice.pool && !upstream.leaving && !choice.excluded.has(upstream.instance);
+        const { pool, leaving, report, instance } = upstream;
+        const isFit = pool === choice.pool && !leaving && report !== undefined && !choice.excluded.has(instance);
         if (isFit && !(choice.avoidsFull === true && isFull(upstream))) {
             usable.push(upstream);
         }
--- a/src/slot/runner.ts
+++ b/src/slot/runner.ts
@@ -99,7 +99,7 @@
         item?.listeners.add(listener);
         return () => item?.listeners.delete(listener);
     };
-    const context: RunContext = { ledger, upstream, emit, report };
+    const context: RunContext = { ledger, upstream, emit, report, paused: new Set() };
     const keyed: KeyedContext = { keyed: createKeyedRuns(), claims, subscribe };
 
     return {
@@ -110,7 +110,6 @@
                 params,
                 abort: new AbortController(),
                 listeners: new Set(),
-                wake: undefined,
             };
             pending.set(id, item);
             emit(item, { kind: "accepted", incarnation: ledger.incarnation });
@@ -141,7 +140,7 @@
         subscribe,
         noteDelivered: (record, sequence) => {
             noteDelivered(ledger, record, sequence);
-            pending.forEach(item => item.wake?.());
+            context.paused.forEach(wake => wake());
         },
         report,
         expire: () => expireKeys(keyed.keyed, Date.now()),
--- a/src/wire/rpc.ts
+++ b/src/wire/rpc.ts
@@ -12,11 +12,15 @@
 export interface RpcIdentity {
     environment: string;
     internalKeys: string[];
+    /** Own name; calls signed for another instance are refused. */
+    instance?: string;
 }
 
 export interface RpcCallOptions {
     timeoutMs?: number;
     dispatcher?: Dispatcher;
+    /** Name of the instance that alone may take the call. */
+    target?: string;
 }
 
 export type RpcMethods = Record<string, (params: never) => unknown>;
@@ -45,7 +49,7 @@
 ): Promise<string> {
     const response = await request(`${url}${path}`, {
         method: "POST",
-        headers: createSignedHeaders(identity, path, body),
+        headers: createSignedHeaders(identity, path, body, options.target),
         body,
         dispatcher: options.dispatcher,
         signal: AbortSignal.timeout(options.timeoutMs ?? callTimeoutMs),
@@ -58,8 +62,13 @@
 }
 
 /** Creates the headers of a signed internal call. */
-export function createSignedHeaders(identity: RpcIdentity, path: string, body: string): Record<string, string> {
-    const call = { environment: identity.environment, path, body };
+export function createSignedHeaders(
+    identity: RpcIdentity,
+    path: string,
+    body: string,
+    target?: string,
+): Record<string, string> {
+    const call = { environment: identity.environment, path, body, target };
     return { "content-type": "application/json", [authHeader]: signCall(identity.internalKeys, call, Date.now()) };
 }
 
@@ -72,21 +81,22 @@
     return server;
 }
 
-/** Reads a request body as text; undefined when it is longer than `maxBytes` or cut short. */
-export async function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    try {
-        for await (const chunk of message) {
-            size += (chunk as Buffer).length;
+/** Reads a request body; undefined when it is longer than `maxBytes` or cut short. */
+export function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        let size = 0;
+        message.on("data", (chunk: Buffer) => {
+            size += chunk.length;
             if (size > maxBytes) {
-                return undefined;
+                message.pause();
+                resolve(undefined);
+                return;
             }
-            chunks.push(chunk as Buffer);
-        }
-    }
-    catch {
-        return undefined;
-    }
-    return Buffer.concat(chunks, size);
+            chunks.push(chunk);
+        });
+        message.on("end", () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks, size)));
+        message.on("error", () => resolve(undefined));
+        message.on("close", () => resolve(undefined));
+    });
 }
--- a/src/wire/server.ts
+++ b/src/wire/server.ts
@@ -17,6 +17,7 @@
 /** Creates the server; the caller listens on it. */
 export function createInternalServer(options: InternalServerOptions): Server {
     return createServer((message, response) => {
+        response.sendDate = false;
         handleMessage(options, message, response).catch(() => {
             if (response.headersSent) {
                 response.destroy();
@@ -59,10 +60,10 @@
         response.writeHead(413).end();
         return;
     }
-    const { environment, internalKeys } = options.identity;
+    const { environment, internalKeys, instance: target } = options.identity;
     const text = body.toString();
     const header = message.headers[authHeader] as string | undefined;
-    if (!verifyCall(internalKeys, { environment, path, body: text }, header, Date.now())) {
+    if (!verifyCall(internalKeys, { environment, path, body: text, target }, header, Date.now())) {
         response.writeHead(401).end();
         return;
     }
