Prefer upstreams that have probably cached a prompt's prefix

A hash of the prompt's leading 256 bytes ranks the candidates (rendezvous); the first two are preferred while their estimated load is at most the mean. The bound is 1.

Reports count the tokens of waiting requests too: two slots at their limit looked alike, whatever waited at each.

--- a/src/bench/overloadDriver.ts
+++ b/src/bench/overloadDriver.ts
@@ -22,6 +22,7 @@
     countWaiting,
     createAdmission,
     releaseRequest,
+    sumTokens,
 } from "../routing/admission.js";
 import { chooseUpstream } from "../routing/choose.js";
 import type { Waiting } from "../routing/fairQueue.js";
@@ -371,13 +372,11 @@
     }
 
     private report({ admission, incarnation }: Slot): LoadReport {
-        const { tokensInFlight, running } = admission;
-        const queued = countWaiting(admission);
         return {
             incarnation: String(incarnation),
-            tokensInFlight: tokensInFlight + queued * tokensPerRequest,
-            requestsInFlight: running.size,
-            queued,
+            tokensInFlight: sumTokens(admission),
+            requestsInFlight: admission.running.size,
+            queued: countWaiting(admission),
             state: "live",
             serviceMs: meanServiceMs,
         };
--- a/src/bench/routing.ts
+++ b/src/bench/routing.ts
@@ -36,14 +36,17 @@
     const policy: ChoicePolicy = {
         samples: Number(options.flags.samples ?? defaultPolicy.samples),
         decay: Number(options.flags.decay ?? defaultPolicy.decay),
+        affinityLoad: Number(options.flags.affinity ?? defaultPolicy.affinityLoad),
         maxEcho: Number(options.flags.echo ?? defaultPolicy.maxEcho),
     };
     const rows = sizes
         .filter(size => options.flags.size === undefined || size.entries === Number(options.flags.size))
         .flatMap(size => compareAt(size, subsetSize, policy, options.seed));
     printTable("Choice of upstreams (driver, faked time)", rows.map(formatRow));
+    const affinity = compareAffinity(policy, subsetSize, options.seed);
+    printTable("Prefix affinity, 18x19, lag 1 s (driver, faked time; engines cache prefixes)", affinity);
     const worst = Math.max(...rows.filter(row => row.policy === "beechdock").map(row => row.share));
-    return { rows, worstShare: worst, target: targetShare, met: worst <= targetShare };
+    return { rows, affinity, worstShare: worst, target: targetShare, met: worst <= targetShare };
 }
 
 function compareAt(size: Size, subsetSize: number, policy: ChoicePolicy, seed: number): RoutingRow[] {
@@ -52,8 +55,7 @@
         createRow(size, name, 0, driveRouting(size, arrivals, chooser, 1000, warmupMs))
     );
     const best = Math.min(...baselines.map(row => row.excess));
-    const subsets = assignSubsets(listNames("entry", size.entries), listNames("slot", size.upstreams), subsetSize)
-        .map(subset => subset.map(name => Number(name.split("-")[1])));
+    const subsets = createSubsets(size, subsetSize);
     const own = lagsMs.map(lagMs => {
         const chooser = createTableChooser(subsets, policy, serviceMs, seed);
         return createRow(size, "beechdock", lagMs / 1000, driveRouting(size, arrivals, chooser, lagMs, warmupMs));
@@ -61,6 +63,29 @@
     return [...baselines, ...own].map(row => ({ ...row, share: row.excess / best }));
 }
 
+/** Compares prefix affinity against none, with engines that cache prefixes. */
+function compareAffinity(policy: ChoicePolicy, subsetSize: number, seed: number): Row[] {
+    const [size] = sizes;
+    const arrivals = createArrivals(size, size.seconds * 1000, seed);
+    const subsets = createSubsets(size, subsetSize);
+    return [false, true].map(affinity => {
+        const chooser = createTableChooser(subsets, policy, serviceMs, seed, affinity);
+        const figures = driveRouting(size, arrivals, chooser, 1000, warmupMs, true);
+        return {
+            affinity: affinity ? "bounded" : "none",
+            "hit share": figures.hitShare,
+            excess: figures.p99OverMean - 1,
+            "step skew": figures.stepSkew,
+            "first token p95 ms": figures.firstTokenP95Ms,
+        };
+    });
+}
+
+function createSubsets(size: Size, subsetSize: number): number[][] {
+    return assignSubsets(listNames("entry", size.entries), listNames("slot", size.upstreams), subsetSize)
+        .map(subset => subset.map(name => Number(name.split("-")[1])));
+}
+
 function createRow(size: Size, policy: string, lagSeconds: number, figures: RoutingFigures): RoutingRow {
     const name = `${size.entries}x${size.upstreams}`;
     return { size: name, policy, lagSeconds, ...figures, excess: figures.p99OverMean - 1, share: 1 };
--- a/src/bench/routingDriver.ts
+++ b/src/bench/routingDriver.ts
@@ -19,6 +19,8 @@
     at: number;
     entry: number;
     promptTokens: number;
+    /** Prefix that the prompt begins with. */
+    prefix: number;
     decodeTokens: number;
     /** What entries believe the request costs, in tokens. */
     estimate: number;
@@ -36,6 +38,8 @@
     p99OverMean: number;
     firstTokenP95Ms: number;
     firstTokenP99Ms: number;
+    /** Share of requests whose prefix was cached. */
+    hitShare: number;
     /** Mean over time of the slowest upstream's step time over the mean. */
     stepSkew: number;
 }
@@ -62,6 +66,8 @@
     decoded: number;
     /** Least `endsAt` of the decoding requests. */
     nextEnd: number;
+    /** Cached prefixes, least recently used first. */
+    cache: Set<number>;
     trueTokens: number;
     estimatedTokens: number;
 }
@@ -78,11 +84,15 @@
 const prefillTokensPerMs = 20;
 const maxPrefillShare = 0.6;
 const sampleMs = 250;
+const prefixes = 2000;
+const prefixShare = 0.5;
+const cachedPrefixes = 32;
 const reportIntervalMs = 1000;
 
 /** Creates the arrivals of a run. */
 export function createArrivals(size: Size, durationMs: number, seed: number): Arrival[] {
     const random = createRandom(seed);
+    const prefixRandom = createRandom(seed + 1);
     const meanGapMs = 1000 / (requestsPerUpstream * size.upstreams);
     const arrivals: Arrival[] = [];
     for (let at = random.sampleExponential(meanGapMs); at < durationMs; at += random.sampleExponential(meanGapMs)) {
@@ -90,7 +100,14 @@
         const expectedDecode = sampleSize(random, meanDecode, sizeSigma);
         const decodeTokens = Math.min(maxTokens, Math.max(1, expectedDecode * sampleFactor(random, estimateSigma)));
         const entry = random.pickIndex(size.entries);
-        arrivals.push({ at, entry, promptTokens, decodeTokens, estimate: promptTokens + expectedDecode });
+        arrivals.push({
+            at,
+            entry,
+            promptTokens,
+            prefix: samplePrefix(prefixRandom),
+            decodeTokens,
+            estimate: promptTokens + expectedDecode,
+        });
     }
     return arrivals;
 }
@@ -102,12 +119,14 @@
     chooser: Chooser,
     lagMs: number,
     warmupMs: number,
+    caches = false,
 ): RoutingFigures {
     const engines = Array.from({ length: size.upstreams }, createEngine);
     const reports: { tokens: Float64Array; takenAt: number; }[] = [];
     const ratios: number[] = [];
     const firstTokens: number[] = [];
     const skews: number[] = [];
+    let hits = 0;
     const intervalMs = Math.min(lagMs, reportIntervalMs);
     const endsAt = arrivals.at(-1)!.at;
     let next = 0;
@@ -117,7 +136,7 @@
             chooser.report(report.tokens, report.takenAt);
         }
         for (; next < arrivals.length && arrivals[next].at < now + tickMs; next++) {
-            startRequest(engines[chooser.choose(arrivals[next], now)], arrivals[next]);
+            hits += startRequest(engines[chooser.choose(arrivals[next], now)], arrivals[next], caches) ? 1 : 0;
         }
         engines.forEach((engine, index) =>
             advanceEngine(engine, now + tickMs, {
@@ -136,6 +155,7 @@
         p99OverMean: pickQuantile(ratios, 0.99),
         firstTokenP95Ms: pickQuantile(firstTokens, 0.95),
         firstTokenP99Ms: pickQuantile(firstTokens, 0.99),
+        hitShare: hits / next,
         stepSkew: skews.reduce((a, b) => a + b, 0) / skews.length,
     };
 }
@@ -146,6 +166,7 @@
     policy: ChoicePolicy,
     serviceMs: number,
     seed: number,
+    affinity = false,
 ): Chooser {
     const random = createRandom(seed);
     const tables = subsets.map(subset => createTable(subset, serviceMs));
@@ -158,6 +179,7 @@
                 spill: "never" as const,
                 tokens: arrival.estimate,
                 excluded: new Set<string>(),
+                prefix: affinity ? arrival.prefix : undefined,
             };
             const { instance } = chooseUpstream(table, choice, now, random.next, policy)!;
             noteSent(table, instance, arrival.estimate, now);
@@ -201,13 +223,34 @@
 }
 
 function createEngine(): Engine {
-    return { prefilling: [], decoding: [], decoded: 0, nextEnd: Infinity, trueTokens: 0, estimatedTokens: 0 };
+    return {
+        prefilling: [],
+        decoding: [],
+        decoded: 0,
+        nextEnd: Infinity,
+        cache: new Set(),
+        trueTokens: 0,
+        estimatedTokens: 0,
+    };
 }
 
-function startRequest(engine: Engine, arrival: Arrival): void {
-    engine.prefilling.push({ arrival, prefillLeft: arrival.promptTokens, endsAt: 0 });
+/** Starts a request and tells whether its prefix was cached. */
+function startRequest(engine: Engine, arrival: Arrival, caches: boolean): boolean {
+    const hit = caches && engine.cache.delete(arrival.prefix);
+    engine.cache.add(arrival.prefix);
+    if (engine.cache.size > cachedPrefixes) {
+        engine.cache.delete(engine.cache.values().next().value!);
+    }
+    const prefillLeft = arrival.promptTokens * (hit ? 1 - prefixShare : 1);
+    engine.prefilling.push({ arrival, prefillLeft, endsAt: 0 });
     engine.trueTokens += arrival.promptTokens + arrival.decodeTokens;
     engine.estimatedTokens += arrival.estimate;
+    return hit;
+}
+
+/** Samples a prefix; the n-th is used 1/n times as often as the first. */
+function samplePrefix(random: Random): number {
+    return Math.floor(prefixes ** random.next());
 }
 
 function computeStepMs(engine: Engine): number {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -36,7 +36,7 @@
 export interface LoadReport {
     /** Changes whenever the slot's process restarts. */
     incarnation: string;
-    /** Tokens of work admitted and not yet finished. */
+    /** Tokens of work that waits or runs. */
     tokensInFlight: number;
     requestsInFlight: number;
     queued: number;
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -1,5 +1,6 @@
 /** Fourth filter: carries a request to slots and their answer back, as the attempt machine decides. */
 import type { Metrics } from "../observe/metrics.js";
+import { hashPrompt } from "../routing/affinity.js";
 import { chooseUpstream, estimateCost } from "../routing/choose.js";
 import {
     noteDone,
@@ -114,6 +115,7 @@
             spill: route!.spill,
             tokens,
             excluded: this.tried,
+            prefix: hashPrompt(this.exchange.body),
             avoidsFull: this.retryReason === RetryReason.refused,
         };
         this.upstream = chooseUpstream(table, choice, now, Math.random);
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -93,6 +93,15 @@
     return state.queue.byId.size;
 }
 
+/** Sums the tokens of the requests that run or wait. */
+export function sumTokens(state: AdmissionState): number {
+    let tokens = state.tokensInFlight;
+    for (const own of state.queue.workspaces.values()) {
+        tokens += own.tokens;
+    }
+    return tokens;
+}
+
 /** Decides about a new request. */
 export function admitRequest(state: AdmissionState, item: Waiting, now: number): AdmitResult {
     advanceThroughput(state, now);
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -1,4 +1,5 @@
 /** Chooses the upstream for a request. */
+import { maxAffinityLoad, rankPreferred } from "./affinity.js";
 import { computeReturnShare, isEjected } from "./ejection.js";
 import type { UpstreamEntry, UpstreamTable } from "./table.js";
 
@@ -11,6 +12,8 @@
     excluded: ReadonlySet<string>;
     /** Leaves out upstreams that report waiting requests, for a request that one has refused. */
     avoidsFull?: boolean;
+    /** Hash of the prompt's leading block. */
+    prefix?: number;
 }
 
 export interface ChoicePolicy {
@@ -20,6 +23,8 @@
     decay: number;
     /** Bound of the multiple by which this entry's work since a report stands for all entries' work since. */
     maxEcho: number;
+    /** Load, as a multiple of the mean, up to which an upstream is taken for its cache. */
+    affinityLoad: number;
 }
 
 /** What the candidates have in common. */
@@ -30,7 +35,7 @@
     echo: number;
 }
 
-export const defaultPolicy: ChoicePolicy = { samples: 16, decay: 4, maxEcho: 32 };
+export const defaultPolicy: ChoicePolicy = { samples: 16, decay: 4, maxEcho: 32, affinityLoad: maxAffinityLoad };
 
 /** Service time assumed of upstreams that have not reported one, in milliseconds. */
 const defaultServiceMs = 1000;
@@ -45,6 +50,10 @@
 ): UpstreamEntry | undefined {
     const candidates = listCandidates(table, choice, now, random);
     const baseline = computeBaseline(candidates, policy);
+    const preferred = choosePreferred(candidates, choice, baseline, now, policy);
+    if (preferred !== undefined) {
+        return preferred;
+    }
     const count = Math.min(policy.samples, candidates.length);
     let best: UpstreamEntry | undefined;
     let bestLoad = Infinity;
@@ -141,6 +150,23 @@
     return (upstream.report?.queued ?? 0) > 0;
 }
 
+/** Chooses an upstream that has probably cached the prompt's prefix and is not loaded beyond the bound. */
+function choosePreferred(
+    candidates: UpstreamEntry[],
+    { prefix, tokens }: Choice,
+    baseline: Baseline,
+    now: number,
+    policy: ChoicePolicy,
+): UpstreamEntry | undefined {
+    if (prefix === undefined) {
+        return undefined;
+    }
+    const loads = candidates.map(candidate => estimateLoad(candidate, baseline, now, policy));
+    const mean = loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length);
+    const bound = policy.affinityLoad * mean + tokens;
+    return rankPreferred(candidates, prefix).find(u => estimateLoad(u, baseline, now, policy) <= bound);
+}
+
 /** Moves a random one of the candidates from `index` on to `index` and returns it. */
 function takeSample(candidates: UpstreamEntry[], index: number, random: () => number): UpstreamEntry {
     const at = index + Math.floor(random() * (candidates.length - index));
--- a/src/routing/tests/admission.test.ts
+++ b/src/routing/tests/admission.test.ts
@@ -7,6 +7,7 @@
     countWaiting,
     createAdmission,
     releaseRequest,
+    sumTokens,
 } from "../admission.js";
 import type { Waiting } from "../fairQueue.js";
 
@@ -74,7 +75,7 @@
                 while (running.length > 0) {
                     release(running.pop()!);
                 }
-                expect([waiting.size, state.tokensInFlight]).toEqual([0, 0]);
+                expect([waiting.size, state.tokensInFlight, sumTokens(state)]).toEqual([0, 0, 0]);
             }),
             { seed: 4, numRuns: 400 },
         );
@@ -158,6 +159,7 @@
     it("takes a burst into the whole queue, and keeps a queue short that does not empty", () => {
         const { state } = createFilled("a", limits.concurrency + limits.queue);
         const burst = countWaiting(state);
+        expect(sumTokens(state)).toBe(180);
         const { decision, evicted } = admitRequest(state, createItem("late", { arrivedAt: 5000 }), 5000);
         expect({ burst, decision, evicted: evicted.length, standing: countWaiting(state) }).toMatchInlineSnapshot(`
           {
--- a/src/slot/runner.ts
+++ b/src/slot/runner.ts
@@ -8,6 +8,7 @@
     computeRetryAfter,
     countWaiting,
     releaseRequest,
+    sumTokens,
 } from "../routing/admission.js";
 import type { Waiting } from "../routing/fairQueue.js";
 import type { FrameBody, RunParams } from "../wire/messages.js";
@@ -88,7 +89,7 @@
     };
     const report = (): LoadReport => ({
         incarnation: ledger.incarnation,
-        tokensInFlight: admission.tokensInFlight,
+        tokensInFlight: sumTokens(admission),
         requestsInFlight: admission.running.size,
         queued: countWaiting(admission),
         state: ledger.leaving ? "leaving" : "live",
