--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -1,5 +1,6 @@
 /** Fourth filter: carries a request to slots and their answer back, as the attempt machine decides. */
 import type { Metrics } from "../observe/metrics.js";
+import { hashPrompt } from "../routing/affinity.js";
 import { chooseUpstream, estimateCost } from "../routing/choose.js";
 import type { Outcome } from "../routing/ejection.js";
 import {
@@ -23,8 +24,8 @@
 import type { Exchange } from "./types.js";
 
 const resumeDelayMs = 50;
-/** Longest time that a caller is told to wait when retries are spent, in seconds. */
-const maxRetryAfterSeconds = 8;
+/** Longest time that a caller is told to wait when retries are spent or no upstream is left, in seconds. */
+const maxRetryAfterSeconds = 4;
 
 export interface DispatchContext {
     identity: RpcIdentity;
@@ -110,15 +111,23 @@
         const { table, dataCentre, retryBudget } = this.context;
         const { route, tokens } = this.exchange;
         const now = Date.now();
+        const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
         if (this.needsBudget() && !admitRetry(retryBudget, now)) {
-            const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
             this.apply({ kind: "retry-refused", retryAfterSeconds });
             return;
         }
-        const choice = { pool: route!.pool, dataCentre, spill: route!.spill, tokens, excluded: this.tried };
+        const choice = {
+            pool: route!.pool,
+            dataCentre,
+            spill: route!.spill,
+            tokens,
+            excluded: this.tried,
+            prefix: hashPrompt(this.exchange.body),
+            avoidsFull: this.retryReason === RetryReason.refused,
+        };
         this.upstream = chooseUpstream(table, choice, now, Math.random);
         if (this.upstream === undefined) {
-            this.apply({ kind: "no-candidate" });
+            this.apply({ kind: "no-candidate", retryAfterSeconds });
             return;
         }
         const cost = `estimated cost ${estimateCost(this.upstream)} tokens`;
