Switch expert maps by acknowledgement of every rank

Cause: ranks of a group need one map per step whatever processes, messages and coordinators do. Change: a pure member and coordinator in src/group; each ballot settles one thing (finish, release or propose). Wrong variants caught: commit without all acknowledgements, takeover without reading, takeover that releases a seen commit, no ballot check, hold behind the step, old weights dropped early.

--- /dev/null
+++ b/src/group/coordinator.ts
@@ -0,0 +1,351 @@
+/**
+ * The coordinating side of a map switch. Any slot may coordinate at any time: clocks and heartbeats only decide
+ * who tries, never what is safe. Each ballot settles at most one thing: finish the switch that it finds, release
+ * the holds that it finds, or propose one map of its own.
+ */
+import { decideAfterTake, hasAllAcknowledgements, isPastStep, type Reading, type TakeDecision } from "./takeover.js";
+import type { RefusalReason } from "./types.js";
+import {
+    type Ballot,
+    compareBallots,
+    type ExpertMap,
+    formatBallot,
+    type GroupReply,
+    type GroupRequest,
+    type RequestBody,
+} from "./types.js";
+
+export const Phase = {
+    follow: "follow",
+    take: "take",
+    prepare: "prepare",
+    hold: "hold",
+    commit: "commit",
+    release: "release",
+    settle: "settle",
+    drop: "drop",
+    steady: "steady",
+} as const;
+export type Phase = (typeof Phase)[keyof typeof Phase];
+
+export interface CoordinatorTimes {
+    /** Interval of repeated requests and heartbeats, in milliseconds. */
+    resendMs: number;
+    /** Silence after which the lowest rank takes over, in milliseconds; each further rank waits a tenth longer. */
+    electionMs: number;
+    /** Time for all ranks to acknowledge a hold before it is released, in milliseconds. */
+    holdMs: number;
+    /** Time between the choice of a step and that step, in milliseconds. */
+    leadMs: number;
+}
+
+export interface CoordinatorRules {
+    /** Whether a hold has the acknowledgements that a commit needs. */
+    mayCommit: (replies: ReadonlyMap<number, GroupReply>, ranks: number) => boolean;
+    decideAfterTake: (readings: Reading[]) => TakeDecision;
+    isPastStep: (readings: Reading[], version: string) => boolean;
+}
+
+export const coordinatorRules: CoordinatorRules = { mayCommit: hasAllAcknowledgements, decideAfterTake, isPastStep };
+
+export interface CoordinatorState {
+    rank: number;
+    ranks: number;
+    nonce: string;
+    generation: number;
+    phase: Phase;
+    ballot: Ballot;
+    /** Highest round seen in any ballot. */
+    maxRound: number;
+    /** Acknowledgements of the present phase by rank. */
+    replies: Map<number, GroupReply>;
+    readings: Map<number, Reading>;
+    /** Version that the present ballot commits, and its step. */
+    target: { version: string; step: number; } | undefined;
+    proposal: ExpertMap | undefined;
+    drops: string[];
+    /** Multiple of the lead; doubled after a hold came too late. */
+    leadFactor: number;
+    resendAt: number;
+    phaseEndsAt: number;
+    electionAt: number;
+    startedAt: number;
+    times: CoordinatorTimes;
+    rules: CoordinatorRules;
+}
+
+export type CoordinatorAction =
+    | { kind: "send"; request: GroupRequest; }
+    | { kind: "taken"; finished: boolean; }
+    /** The map of `version` is in force at every rank from `step` on. */
+    | { kind: "switched"; version: string; step: number; map: ExpertMap | undefined; durationMs: number; }
+    | { kind: "released"; version: string | undefined; }
+    /** The generation has no map and nobody has proposed one. */
+    | { kind: "needMap"; };
+
+export interface CoordinatorOptions {
+    rank: number;
+    ranks: number;
+    nonce: string;
+    times: CoordinatorTimes;
+    rules?: CoordinatorRules;
+}
+
+const maxLeadFactor = 64;
+
+/** Creates a slot's coordinator, which follows at first. */
+export function createCoordinator(options: CoordinatorOptions, now: number, random: number): CoordinatorState {
+    const { rank, ranks, nonce, times, rules } = options;
+    const state: CoordinatorState = {
+        rank,
+        ranks,
+        nonce,
+        generation: 0,
+        phase: Phase.follow,
+        ballot: { round: 0, rank, nonce },
+        maxRound: 0,
+        replies: new Map(),
+        readings: new Map(),
+        target: undefined,
+        proposal: undefined,
+        drops: [],
+        leadFactor: 1,
+        resendAt: 0,
+        phaseEndsAt: 0,
+        electionAt: 0,
+        startedAt: now,
+        times,
+        rules: rules ?? coordinatorRules,
+    };
+    scheduleElection(state, now, random);
+    return state;
+}
+
+/** Begins to coordinate a generation; earlier ballots are void in it. */
+export function enterGeneration(state: CoordinatorState, generation: number, now: number, random: number): void {
+    state.generation = generation;
+    state.phase = Phase.follow;
+    state.readings = new Map();
+    scheduleElection(state, now, random);
+}
+
+/** Takes in that this slot's member has promised or heard from `ballot`. */
+export function noteBallot(state: CoordinatorState, ballot: Ballot, now: number, random: number): void {
+    state.maxRound = Math.max(state.maxRound, ballot.round);
+    if (compareBallots(ballot, state.ballot) > 0 && state.phase !== Phase.follow) {
+        state.phase = Phase.follow;
+        state.proposal = undefined;
+    }
+    scheduleElection(state, now, random);
+}
+
+/** Asks for a switch to `map`; returns whether this slot coordinates and will try it. */
+export function proposeMap(state: CoordinatorState, map: ExpertMap, now: number): CoordinatorAction[] {
+    state.proposal = map;
+    return state.phase === Phase.steady ? startBallot(state, now) : [];
+}
+
+/** Advances time. */
+export function advanceCoordinator(state: CoordinatorState, now: number, random: number): CoordinatorAction[] {
+    if (state.generation === 0) {
+        return [];
+    }
+    if (state.phase === Phase.follow) {
+        if (now < state.electionAt) {
+            return [];
+        }
+        scheduleElection(state, now, random);
+        return startBallot(state, now);
+    }
+    if (state.phase === Phase.hold && now >= state.phaseEndsAt) {
+        return enterPhase(state, Phase.release, now);
+    }
+    return now >= state.resendAt ? sendPhase(state, now) : [];
+}
+
+/** Takes in an answer. */
+export function receiveReply(
+    state: CoordinatorState,
+    reply: GroupReply,
+    now: number,
+    random: number,
+): CoordinatorAction[] {
+    if (reply.generation !== state.generation || compareBallots(reply.ballot, state.ballot) !== 0) {
+        return [];
+    }
+    if (state.phase === Phase.follow || reply.kind !== getRequestKind(state.phase)) {
+        return [];
+    }
+    if (reply.refusal !== undefined) {
+        return handleRefusal[reply.refusal](state, reply, now, random);
+    }
+    state.replies.set(reply.rank, reply);
+    state.readings.set(reply.rank, { state: reply.state, incarnation: reply.incarnation, at: now });
+    const isComplete = state.phase === Phase.hold ? state.rules.mayCommit : hasAllAcknowledgements;
+    return isComplete(state.replies, state.ranks) ? finishPhase[state.phase](state, now) : [];
+}
+
+const handleRefusal: Record<
+    RefusalReason,
+    (state: CoordinatorState, reply: GroupReply, now: number, random: number) => CoordinatorAction[]
+> = {
+    ballot: (state, reply, now, random) => {
+        state.maxRound = Math.max(state.maxRound, reply.promised?.round ?? 0);
+        state.phase = Phase.follow;
+        state.proposal = undefined;
+        scheduleElection(state, now, random);
+        return [];
+    },
+    incarnation: (state, reply, now) => startBallot(state, now),
+    generation: () => [],
+    behind: (state, reply, now) => {
+        state.leadFactor = Math.min(maxLeadFactor, state.leadFactor * 2);
+        return enterPhase(state, Phase.release, now);
+    },
+    // A hold that the engine has refused is of another ballot; only a later ballot may settle it.
+    engine: (state, reply, now) => state.phase === Phase.hold ? startBallot(state, now) : [],
+};
+
+const finishPhase: Record<Phase, (state: CoordinatorState, now: number) => CoordinatorAction[]> = {
+    follow: () => [],
+    take: finishTake,
+    prepare: (state, now) => {
+        state.target = { version: formatBallot(state.ballot), step: chooseStep(state, now) };
+        return enterPhase(state, Phase.hold, now);
+    },
+    hold: (state, now) => enterPhase(state, Phase.commit, now),
+    commit: (state, now) => enterPhase(state, Phase.settle, now),
+    release: (state, now) => {
+        const released: CoordinatorAction = { kind: "released", version: state.target?.version };
+        return [released, ...startBallot(state, now)];
+    },
+    settle: (state, now) => {
+        const { target } = state;
+        const readings = [...state.readings.values()];
+        state.replies.clear();
+        if (target === undefined || !state.rules.isPastStep(readings, target.version)) {
+            return [];
+        }
+        state.leadFactor = 1;
+        const durationMs = now - state.startedAt;
+        const map = target.version === formatBallot(state.ballot) ? state.proposal : undefined;
+        state.proposal = map === undefined ? state.proposal : undefined;
+        return [{ kind: "switched", ...target, map, durationMs }, ...enterDrop(state, now)];
+    },
+    drop: (state, now) => enterPhase(state, Phase.steady, now),
+    steady: (state, now) => {
+        state.replies.clear();
+        const readings = [...state.readings.values()];
+        const version = readings[0].state.version;
+        if (readings.some(reading => reading.state.hold !== undefined || reading.state.version !== version)) {
+            return startBallot(state, now);
+        }
+        return state.proposal === undefined ? [] : startBallot(state, now);
+    },
+};
+
+function finishTake(state: CoordinatorState, now: number): CoordinatorAction[] {
+    const decision = state.rules.decideAfterTake([...state.readings.values()]);
+    const taken: CoordinatorAction = { kind: "taken", finished: decision.kind === "finish" };
+    if (decision.kind === "finish") {
+        state.target = { version: decision.version, step: decision.step };
+        return [taken, ...enterPhase(state, Phase.commit, now)];
+    }
+    if (decision.kind === "release") {
+        return [taken, ...enterPhase(state, Phase.release, now)];
+    }
+    if (state.proposal !== undefined) {
+        return enterPhase(state, Phase.prepare, now);
+    }
+    if (decision.version === undefined) {
+        return [{ kind: "needMap" }, ...enterPhase(state, Phase.steady, now)];
+    }
+    return enterDrop(state, now);
+}
+
+/** Drops whatever no rank uses; every rank has the same version in force and holds nothing. */
+function enterDrop(state: CoordinatorState, now: number): CoordinatorAction[] {
+    const readings = [...state.readings.values()];
+    const loaded = new Set(readings.flatMap(reading => reading.state.loaded));
+    loaded.delete(state.target?.version ?? readings[0].state.version ?? "");
+    state.drops = [...loaded];
+    return enterPhase(state, state.drops.length === 0 ? Phase.steady : Phase.drop, now);
+}
+
+/** Starts the next attempt by asking every slot for its promise and its engine's state. */
+export function startBallot(state: CoordinatorState, now: number): CoordinatorAction[] {
+    state.maxRound += 1;
+    state.ballot = { round: state.maxRound, rank: state.rank, nonce: state.nonce };
+    state.target = undefined;
+    state.startedAt = now;
+    state.readings = new Map();
+    return enterPhase(state, Phase.take, now);
+}
+
+function enterPhase(state: CoordinatorState, phase: Phase, now: number): CoordinatorAction[] {
+    state.phase = phase;
+    state.replies = new Map();
+    state.phaseEndsAt = now + state.times.holdMs;
+    return sendPhase(state, now);
+}
+
+/** Sends the phase's request to every rank that has not acknowledged it. */
+function sendPhase(state: CoordinatorState, now: number): CoordinatorAction[] {
+    state.resendAt = now + state.times.resendMs;
+    const body = createBody(state);
+    const actions: CoordinatorAction[] = [];
+    for (let to = 0; to < state.ranks; to++) {
+        if (!state.replies.has(to)) {
+            const { generation, ballot } = state;
+            const incarnation = state.readings.get(to)?.incarnation;
+            actions.push({ kind: "send", request: { ...body, generation, ballot, to, incarnation } });
+        }
+    }
+    return actions;
+}
+
+const requestKinds: Record<Phase, RequestBody["kind"]> = {
+    follow: "read",
+    take: "take",
+    prepare: "prepare",
+    hold: "hold",
+    commit: "commit",
+    release: "release",
+    settle: "read",
+    drop: "drop",
+    steady: "read",
+};
+
+function getRequestKind(phase: Phase): RequestBody["kind"] {
+    return requestKinds[phase];
+}
+
+function createBody(state: CoordinatorState): RequestBody {
+    const version = state.target?.version ?? formatBallot(state.ballot);
+    const bodies: Record<RequestBody["kind"], () => RequestBody> = {
+        take: () => ({ kind: "take" }),
+        read: () => ({ kind: "read" }),
+        prepare: () => ({ kind: "prepare", version, map: state.proposal! }),
+        hold: () => ({ kind: "hold", version, step: state.target!.step }),
+        commit: () => ({ kind: "commit", version }),
+        release: () => ({ kind: "release" }),
+        drop: () => ({ kind: "drop", versions: state.drops }),
+    };
+    return bodies[getRequestKind(state.phase)]();
+}
+
+/** Chooses a step that no engine is likely to reach before its hold; the first step when there is no map yet. */
+function chooseStep(state: CoordinatorState, now: number): number {
+    const readings = [...state.readings.values()];
+    if (readings[0].state.version === undefined) {
+        return 0;
+    }
+    const steps = readings.map(({ state: engine, at }) => engine.step + (now - at) / Math.max(engine.stepMs, 0.1));
+    const stepMs = Math.max(0.1, ...readings.map(reading => reading.state.stepMs));
+    return Math.ceil(Math.max(...steps) + 1 + state.leadFactor * state.times.leadMs / stepMs);
+}
+
+function scheduleElection(state: CoordinatorState, now: number, random: number): void {
+    const { electionMs } = state.times;
+    state.electionAt = now + electionMs * (1 + state.rank / 10 + random / 2);
+}
--- /dev/null
+++ b/src/group/member.ts
@@ -0,0 +1,243 @@
+/**
+ * A slot's part in a map switch: promises ballots, orders its engine, and answers from what it reads back.
+ * Requests are worked off one at a time, so that every check sees the engine as the previous order left it.
+ * All functions change the given state and return what the caller has to do.
+ */
+import {
+    type Ballot,
+    compareBallots,
+    type EngineOrder,
+    type EngineState,
+    type GroupReply,
+    type GroupRequest,
+    parseBallot,
+    RefusalReason,
+    type RequestKind,
+} from "./types.js";
+
+type Job = { kind: "request"; request: GroupRequest; } | { kind: "join"; generation: number; } | { kind: "read"; };
+
+export interface MemberState {
+    rank: number;
+    incarnation: string;
+    /** The engine as last read; undefined until the first reading. */
+    engine: EngineState | undefined;
+    promised: Ballot | undefined;
+    /** Ballot whose hold was released; a late copy of that hold is refused. */
+    released: Ballot | undefined;
+    /** Jobs in order of arrival; the engine works on the first one. */
+    jobs: Job[];
+    /** Whether an order is with the engine. */
+    waiting: boolean;
+    rules: MemberRules;
+}
+
+export type MemberAction =
+    | { kind: "order"; order: EngineOrder; }
+    | { kind: "reply"; request: GroupRequest; reply: GroupReply; };
+
+/** Checks that a member makes before it obeys. */
+export interface MemberRules {
+    checkBallot: (state: MemberState, request: GroupRequest) => RefusalReason | undefined;
+    checkHold: (engine: EngineState, step: number) => RefusalReason | undefined;
+}
+
+export const memberRules: MemberRules = {
+    checkBallot: (state, request) => {
+        const order = compareBallots(request.ballot, state.promised);
+        if (request.kind === "take") {
+            return order < 0 ? RefusalReason.ballot : undefined;
+        }
+        if (order !== 0) {
+            return RefusalReason.ballot;
+        }
+        return request.incarnation === state.incarnation ? undefined : RefusalReason.incarnation;
+    },
+    checkHold: (engine, step) => step < engine.step ? RefusalReason.behind : undefined,
+};
+
+/** Creates the state of a slot that has just started and knows nothing. */
+export function createMember(rank: number, incarnation: string, rules: MemberRules = memberRules): MemberState {
+    return {
+        rank,
+        incarnation,
+        engine: undefined,
+        promised: undefined,
+        released: undefined,
+        jobs: [{ kind: "read" }],
+        waiting: false,
+        rules,
+    };
+}
+
+/** Starts with a reading of the engine, before any order. */
+export function startMember(state: MemberState): MemberAction[] {
+    return runJobs(state);
+}
+
+/** Takes in a coordinator's request. */
+export function receiveRequest(state: MemberState, request: GroupRequest): MemberAction[] {
+    state.jobs.push({ kind: "request", request });
+    return runJobs(state);
+}
+
+/** Takes in that the log has settled on a later generation. */
+export function joinGeneration(state: MemberState, generation: number): MemberAction[] {
+    state.jobs.push({ kind: "join", generation });
+    return runJobs(state);
+}
+
+/** Takes in the engine's answer to the order that is with it. */
+export function receiveEngine(state: MemberState, engine: EngineState): MemberAction[] {
+    noteEngine(state, engine);
+    state.waiting = false;
+    const job = state.jobs[0];
+    if (job?.kind !== "request") {
+        state.jobs.shift();
+        return runJobs(state);
+    }
+    const { request } = job;
+    if (hasOldHold(request, engine)) {
+        state.waiting = true;
+        return [{ kind: "order", order: { kind: "claim", ballot: request.ballot } }];
+    }
+    state.jobs.shift();
+    const refusal = verifyOutcome[request.kind](request as never, engine) ?? checkStep(state, engine, request);
+    return [createReply(state, request, refusal), ...runJobs(state)];
+}
+
+/** Takes in that the engine did not answer; the coordinator asks again. */
+export function failEngine(state: MemberState): MemberAction[] {
+    state.waiting = false;
+    const joins = state.jobs.filter(job => job.kind === "join");
+    state.jobs = state.engine === undefined ? [{ kind: "read" }, ...joins] : joins;
+    return [];
+}
+
+/** Orders the engine again after a failure, or reads it; call at intervals. */
+export function resumeMember(state: MemberState): MemberAction[] {
+    if (state.jobs.length === 0) {
+        state.jobs.push({ kind: "read" });
+    }
+    return runJobs(state);
+}
+
+/** What an engine shows of earlier promises outlives the slot's process. */
+function noteEngine(state: MemberState, engine: EngineState): void {
+    if (state.engine !== undefined && engine.generation > state.engine.generation) {
+        state.released = undefined;
+    }
+    state.engine = engine;
+    const inForce = engine.version === undefined ? undefined : parseBallot(engine.version);
+    for (const ballot of [engine.fence, engine.hold?.ballot, inForce]) {
+        if (compareBallots(ballot, state.promised) > 0) {
+            state.promised = ballot;
+        }
+    }
+}
+
+/** Whether an order of a dead process has passed the hold back to an earlier ballot. */
+function hasOldHold(request: GroupRequest, engine: EngineState): boolean {
+    return (request.kind === "commit" || request.kind === "release") && engine.hold !== undefined &&
+        !engine.hold.committed && compareBallots(engine.hold.ballot, request.ballot) < 0;
+}
+
+function runJobs(state: MemberState): MemberAction[] {
+    const actions: MemberAction[] = [];
+    while (!state.waiting && state.jobs.length > 0) {
+        const job = state.jobs[0];
+        const order = job.kind === "request" ? admitJob(state, job.request, actions) : job;
+        if (order === undefined) {
+            state.jobs.shift();
+            continue;
+        }
+        state.waiting = true;
+        actions.push({ kind: "order", order });
+    }
+    return actions;
+}
+
+/** Checks a request and returns its order; refusals are added to `actions`. */
+function admitJob(state: MemberState, request: GroupRequest, actions: MemberAction[]): EngineOrder | undefined {
+    const engine = state.engine;
+    if (engine === undefined) {
+        return { kind: "read" };
+    }
+    const refusal = checkRequest(state, engine, request);
+    if (refusal !== undefined) {
+        actions.push(createReply(state, request, refusal));
+        return undefined;
+    }
+    if (request.kind === "take") {
+        state.promised = request.ballot;
+    }
+    if (request.kind === "release") {
+        state.released = request.ballot;
+    }
+    return createOrder[request.kind](request as never);
+}
+
+function checkRequest(state: MemberState, engine: EngineState, request: GroupRequest): RefusalReason | undefined {
+    if (request.generation !== engine.generation) {
+        return RefusalReason.generation;
+    }
+    const refusal = state.rules.checkBallot(state, request);
+    if (refusal !== undefined || request.kind !== "hold") {
+        return refusal;
+    }
+    if (compareBallots(request.ballot, state.released) === 0) {
+        return RefusalReason.ballot;
+    }
+    return checkStep(state, engine, request);
+}
+
+/** Checks a hold before the order and again on the engine's state after it. */
+function checkStep(state: MemberState, engine: EngineState, request: GroupRequest): RefusalReason | undefined {
+    return request.kind === "hold" ? state.rules.checkHold(engine, request.step) : undefined;
+}
+
+type RequestOf<K extends RequestKind> = Extract<GroupRequest, { kind: K; }>;
+
+const createOrder: { [K in RequestKind]: (request: RequestOf<K>) => EngineOrder; } = {
+    take: ({ ballot }) => ({ kind: "claim", ballot }),
+    read: () => ({ kind: "read" }),
+    prepare: ({ ballot, version, map }) => ({ kind: "load", ballot, version, map }),
+    hold: ({ ballot, version, step }) => ({ kind: "hold", ballot, version, step }),
+    commit: ({ ballot, version }) => ({ kind: "commit", ballot, version }),
+    release: ({ ballot }) => ({ kind: "release", ballot }),
+    drop: ({ ballot, versions }) => ({ kind: "drop", ballot, versions }),
+};
+
+/** Judges from the engine's state after the order whether it took effect. */
+const verifyOutcome: {
+    [K in RequestKind]: (request: RequestOf<K>, engine: EngineState) => RefusalReason | undefined;
+} = {
+    take: ({ ballot }, engine) => compareBallots(engine.fence, ballot) > 0 ? RefusalReason.ballot : undefined,
+    read: () => undefined,
+    prepare: ({ version }, engine) => engine.loaded.includes(version) ? undefined : RefusalReason.engine,
+    hold: ({ version, step, ballot }, { hold }) => {
+        const isHeld = hold?.version === version && hold.step === step && compareBallots(hold.ballot, ballot) === 0;
+        return isHeld ? undefined : RefusalReason.engine;
+    },
+    commit: ({ version }, engine) => {
+        const committed = engine.hold?.version === version && engine.hold.committed;
+        return committed || engine.version === version ? undefined : RefusalReason.engine;
+    },
+    release: (request, engine) => engine.hold === undefined ? undefined : RefusalReason.engine,
+    drop: ({ versions }, engine) =>
+        versions.some(version => engine.loaded.includes(version)) ? RefusalReason.engine : undefined,
+};
+
+function createReply(state: MemberState, request: GroupRequest, refusal: RefusalReason | undefined): MemberAction {
+    const reply: GroupReply = {
+        kind: request.kind,
+        generation: state.engine?.generation ?? 0,
+        ballot: request.ballot,
+        rank: state.rank,
+        incarnation: state.incarnation,
+        state: state.engine!,
+        refusal,
+        promised: refusal === undefined ? undefined : state.promised,
+    };
+    return { kind: "reply", request, reply };
+}
--- /dev/null
+++ b/src/group/node.ts
@@ -0,0 +1,86 @@
+/** One slot of a group: its member and its coordinator behind one event handler. */
+import {
+    advanceCoordinator,
+    type CoordinatorAction,
+    type CoordinatorOptions,
+    type CoordinatorState,
+    createCoordinator,
+    enterGeneration,
+    noteBallot,
+    proposeMap,
+    receiveReply,
+} from "./coordinator.js";
+import {
+    createMember,
+    failEngine,
+    joinGeneration,
+    type MemberAction,
+    type MemberRules,
+    type MemberState,
+    receiveEngine,
+    receiveRequest,
+    resumeMember,
+} from "./member.js";
+import { compareBallots, type EngineState, type ExpertMap, type GroupReply, type GroupRequest } from "./types.js";
+
+export interface GroupNode {
+    member: MemberState;
+    coordinator: CoordinatorState;
+}
+
+export type GroupEvent =
+    | { kind: "tick"; }
+    | { kind: "request"; request: GroupRequest; }
+    | { kind: "reply"; reply: GroupReply; }
+    | { kind: "engine"; state: EngineState; }
+    | { kind: "engineFailed"; }
+    | { kind: "generation"; generation: number; }
+    | { kind: "propose"; map: ExpertMap; };
+
+export type GroupAction = MemberAction | CoordinatorAction;
+
+/** Creates the state of a slot whose process has just started. */
+export function createGroupNode(
+    options: CoordinatorOptions & { memberRules?: MemberRules; },
+    now: number,
+    random: number,
+): GroupNode {
+    return {
+        member: createMember(options.rank, options.nonce, options.memberRules),
+        coordinator: createCoordinator(options, now, random),
+    };
+}
+
+/** Advances a slot by one event; `random` in [0, 1) spreads elections. */
+export function advanceNode(node: GroupNode, event: GroupEvent, now: number, random: number): GroupAction[] {
+    return handlers[event.kind](node, event as never, now, random);
+}
+
+type EventOf<K extends GroupEvent["kind"]> = Extract<GroupEvent, { kind: K; }>;
+
+const handlers: {
+    [K in GroupEvent["kind"]]: (node: GroupNode, event: EventOf<K>, now: number, random: number) => GroupAction[];
+} = {
+    tick: ({ member, coordinator }, event, now, random) => [
+        ...resumeMember(member),
+        ...advanceCoordinator(coordinator, now, random),
+    ],
+    request: ({ member, coordinator }, { request }, now, random) => {
+        const isOther = request.ballot.rank !== member.rank || request.ballot.nonce !== member.incarnation;
+        if (isOther && compareBallots(request.ballot, member.promised) >= 0) {
+            noteBallot(coordinator, request.ballot, now, random);
+        }
+        return receiveRequest(member, request);
+    },
+    reply: ({ coordinator }, { reply }, now, random) => receiveReply(coordinator, reply, now, random),
+    engine: ({ member, coordinator }, { state }, now, random) => {
+        const actions = receiveEngine(member, state);
+        if (state.generation > coordinator.generation) {
+            enterGeneration(coordinator, state.generation, now, random);
+        }
+        return actions;
+    },
+    engineFailed: ({ member }) => failEngine(member),
+    generation: ({ member }, { generation }) => joinGeneration(member, generation),
+    propose: ({ coordinator }, { map }, now) => proposeMap(coordinator, map, now),
+};
--- /dev/null
+++ b/src/group/tests/schedules.test.ts
@@ -0,0 +1,69 @@
+import { describe, expect, it } from "vitest";
+import { exploreSchedules, runSchedule, type ScheduleOptions } from "../../bench/explore-maps.js";
+import { coordinatorRules } from "../coordinator.js";
+import { memberRules } from "../member.js";
+
+describe("map switch under faults", () => {
+    it.each([1, 100_001, 200_001, 300_001, 400_001])("keeps one map per step in schedules from seed %i", async seed => {
+        const { failures, switches } = await exploreSchedules(1000, seed);
+        expect(failures).toEqual([]);
+        expect(switches).toBeGreaterThan(1000);
+    });
+});
+
+const wrongVariants: Record<string, { rules: ScheduleOptions; broken: RegExp; }> = {
+    "commit without all acknowledgements": {
+        rules: {
+            coordinatorRules: {
+                ...coordinatorRules,
+                mayCommit: (replies, ranks) => replies.size >= ranks - 1,
+            },
+        },
+        broken: /ran on/,
+    },
+    "takeover that does not read the state": {
+        rules: {
+            coordinatorRules: {
+                ...coordinatorRules,
+                decideAfterTake: readings => ({ kind: "clean", version: readings[0].state.version }),
+            },
+        },
+        broken: /ran on|dropped/,
+    },
+    "takeover that releases although a commit was seen": {
+        rules: {
+            coordinatorRules: {
+                ...coordinatorRules,
+                decideAfterTake: readings => {
+                    const decision = coordinatorRules.decideAfterTake(readings);
+                    return decision.kind === "finish" ? { kind: "release" } : decision;
+                },
+            },
+        },
+        broken: /ran on/,
+    },
+    "no ballot check": {
+        rules: { memberRules: { ...memberRules, checkBallot: () => undefined }, matchesHolds: false },
+        broken: /ran on/,
+    },
+    "hold accepted behind the current step": {
+        rules: { memberRules: { ...memberRules, checkHold: () => undefined } },
+        broken: /ran on/,
+    },
+    "old weights dropped after the commit without waiting for its step": {
+        rules: { coordinatorRules: { ...coordinatorRules, isPastStep: () => true } },
+        broken: /dropped/,
+    },
+};
+
+describe("wrong variants", () => {
+    it.each(Object.keys(wrongVariants))("catches: %s", name => {
+        const { rules, broken } = wrongVariants[name];
+        const maxSchedules = 4000;
+        let failure: string | undefined;
+        for (let seed = 1; seed <= maxSchedules && !broken.test(failure ?? ""); seed++) {
+            failure = runSchedule(seed, { ...rules, heals: false }).failure;
+        }
+        expect(failure).toMatch(broken);
+    });
+});
