--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -30,6 +30,9 @@
     state: InstanceState;
     /** Pool of upstreams that a slot belongs to. */
     pool?: string;
+    /** Expert-parallel group and place in it, for slots of groups. */
+    group?: string;
+    rank?: number;
 }
 
 /** Load of one upstream as its slot reports it. */
--- /dev/null
+++ b/src/group/driverPlan.ts
@@ -0,0 +1,110 @@
+/** Plans maps at intervals on the slot that coordinates: collects counts, forecasts, proposes. */
+import { request } from "undici";
+import type { Group } from "../config/schemas.js";
+import { requestRpc, type RpcIdentity, type RpcMethods } from "../wire/rpc.js";
+import type { GroupDriver } from "./driverSwitch.js";
+import { createForecast, forecastShares, type ForecastState, observeCounts } from "./forecast.js";
+import { type LayerPlacement, packLayer } from "./load.js";
+import { planLayer, planPresets } from "./plan.js";
+import type { ExpertMap } from "./types.js";
+
+interface CountsReport {
+    /** Tokens of this rank's experts by layer, then expert. */
+    counts: number[][];
+    map?: ExpertMap;
+}
+
+export interface PlanDriver {
+    methods: RpcMethods;
+    setGroup: (group: Group | undefined) => void;
+    close: () => void;
+}
+
+/** Starts planning; only the coordinating slot proposes. */
+export function startPlanDriver(identity: RpcIdentity, ordersUrl: string, driver: GroupDriver): PlanDriver {
+    let group: Group | undefined;
+    let forecasts: ForecastState[] = [];
+    let budget = 0;
+    let timer: NodeJS.Timeout | undefined;
+
+    const planOnce = async () => {
+        if (group === undefined || !driver.isSteady()) {
+            forecasts = [];
+            return;
+        }
+        const { ranks, layers, experts, slotsPerRank } = group;
+        if (driver.needsMap()) {
+            const even = new Array<number>(experts).fill(1);
+            const layer = Array.from(packLayer(even, ranks, slotsPerRank).experts);
+            driver.propose({ slotsPerRank, layers: Array.from({ length: layers }, () => layer) }, "first map");
+            return;
+        }
+        const reports = await Promise.all(
+            driver.getUrls().map(url => requestRpc<CountsReport>(identity, url, "groupCounts", {})),
+        );
+        const map = reports[0].map;
+        if (map === undefined) {
+            return;
+        }
+        if (forecasts.length === 0) {
+            forecasts = map.layers.map(() => createForecast(experts));
+        }
+        forecasts.forEach((forecast, layer) => observeCounts(forecast, sumReports(reports, layer, experts)));
+        const planned = planMap(map, group);
+        if (planned !== undefined) {
+            driver.propose(planned.map, planned.reason);
+        }
+    };
+    const planMap = (map: ExpertMap, { ranks, preset }: Group) => {
+        const weights = planPresets[preset];
+        const earned = weights.movesPerInterval * ranks * map.slotsPerRank;
+        budget = Math.min(Math.max(1, earned * weights.savedIntervals), budget + earned);
+        let moved = 0;
+        const layers = map.layers.map((layer, index) => {
+            const placement: LayerPlacement = {
+                ranks,
+                slotsPerRank: map.slotsPerRank,
+                experts: Int32Array.from(layer),
+            };
+            const forecast = forecastShares(forecasts[index], weights.caution);
+            const result = planLayer({ placement, forecast, budget }, weights);
+            moved += result.kind === "move" ? result.moves.length : 0;
+            return result.kind === "move" ? Array.from(result.placement.experts) : layer;
+        });
+        budget -= moved / layers.length;
+        return moved === 0 ?
+            undefined :
+            { map: { ...map, layers }, reason: `${moved} experts move (preset ${preset})` };
+    };
+    const schedule = () => {
+        timer = setTimeout(
+            () => void planOnce().catch(() => undefined).finally(schedule),
+            getIntervalMs(group, driver),
+        );
+    };
+    schedule();
+    return {
+        methods: { groupCounts: () => fetchCounts(ordersUrl) },
+        setGroup: value => {
+            group = value;
+        },
+        close: () => clearTimeout(timer),
+    };
+}
+
+const firstMapRetryMs = 200;
+
+function getIntervalMs(group: Group | undefined, driver: GroupDriver): number {
+    return group === undefined || driver.needsMap() ? firstMapRetryMs : group.planIntervalSeconds * 1000;
+}
+
+async function fetchCounts(ordersUrl: string): Promise<CountsReport> {
+    const response = await request(`${ordersUrl}/counts`, { signal: AbortSignal.timeout(1000) });
+    return await response.body.json() as CountsReport;
+}
+
+function sumReports(reports: CountsReport[], layer: number, experts: number): number[] {
+    const total = new Array<number>(experts).fill(0);
+    reports.forEach(report => report.counts[layer].forEach((count, expert) => total[expert] += count));
+    return total;
+}
--- /dev/null
+++ b/src/group/driverSwitch.ts
@@ -0,0 +1,220 @@
+/** Runs a slot's part of its group: requests between slots, orders to the engine, and generations from the log. */
+import { randomUUID } from "node:crypto";
+import { request } from "undici";
+import type { InstanceRecord } from "../core/types.js";
+import { tailStream } from "../log/tail.js";
+import type { LogClient, LogRecord } from "../log/types.js";
+import type { Logger } from "../observe/logger.js";
+import { requestRpc, type RpcIdentity, type RpcMethods } from "../wire/rpc.js";
+import type { CoordinatorTimes } from "./coordinator.js";
+import { advanceNode, createGroupNode, type GroupAction, type GroupEvent } from "./node.js";
+import type { EngineOrder, EngineState, ExpertMap, GroupReply, GroupRequest } from "./types.js";
+
+export interface GroupAuditEvent {
+    kind: "mapSwitched" | "mapReleased" | "takeover" | "generation" | "mapProposed" | "straggler";
+    group: string;
+    rank: number;
+    details: Record<string, unknown>;
+}
+
+export interface GroupDriverOptions {
+    identity: RpcIdentity;
+    instance: string;
+    group: { name: string; rank: number; };
+    ordersUrl: string;
+    log: LogClient;
+    logger: Logger;
+    audit: (event: GroupAuditEvent) => void;
+    times?: CoordinatorTimes;
+}
+
+/** The map in force as far as this slot has seen it. */
+export interface MapAccount {
+    group: string;
+    generation: number;
+    version?: string;
+    step: number;
+    /** Set at the slot that coordinated the last switch. */
+    lastSwitch?: { version: string; sinceStep: number; durationMs: number; reason: string; };
+}
+
+export interface GroupDriver {
+    methods: RpcMethods;
+    setRanks: (ranks: number) => void;
+    setInstances: (instances: InstanceRecord[]) => void;
+    /** Whether this slot coordinates and no switch is under way. */
+    isSteady: () => boolean;
+    needsMap: () => boolean;
+    propose: (map: ExpertMap, reason: string) => void;
+    getUrls: () => string[];
+    close: () => void;
+}
+
+interface GenerationRecord {
+    generation: number;
+    members: { instance: string; url: string; }[];
+}
+
+const defaultTimes: CoordinatorTimes = { resendMs: 200, electionMs: 1500, holdMs: 1000, leadMs: 150 };
+const tickMs = 50;
+const orderTimeoutMs = 5000;
+
+/** Starts the part of a slot in its group. */
+export function startGroupDriver(options: GroupDriverOptions): GroupDriver {
+    const { identity, group, log, logger, audit } = options;
+    const stream = `beechdock-group-${group.name}`;
+    const nonce = randomUUID().slice(0, 8);
+    const waiting = new Map<GroupRequest, (reply: GroupReply) => void>();
+    const account: MapAccount = { group: group.name, generation: 0, step: 0 };
+    let current: GenerationRecord = { generation: 0, members: [] };
+    let listed: InstanceRecord[] = [];
+    let ranks = 0;
+    let node: ReturnType<typeof createGroupNode> | undefined;
+    let proposalReason = "first map of the generation";
+    let isMapless = false;
+
+    const report = (kind: GroupAuditEvent["kind"], details: Record<string, unknown>) => {
+        audit({ kind, group: group.name, rank: group.rank, details });
+    };
+    const dispatch = (event: GroupEvent) => {
+        if (node !== undefined) {
+            advanceNode(node, event, Date.now(), Math.random()).forEach(handleAction);
+        }
+    };
+    const sendOrder = async (order: EngineOrder) => {
+        const state = await orderEngine(options.ordersUrl, order).catch(() => undefined);
+        dispatch(state === undefined ? { kind: "engineFailed" } : { kind: "engine", state });
+    };
+    const sendRequest = async (groupRequest: GroupRequest) => {
+        const url = current.members[groupRequest.to]?.url;
+        if (url === undefined || groupRequest.generation !== current.generation) {
+            return;
+        }
+        const reply = await requestRpc<GroupReply>(identity, url, "group", groupRequest, { timeoutMs: orderTimeoutMs })
+            .catch(() => undefined);
+        if (reply !== undefined) {
+            dispatch({ kind: "reply", reply });
+        }
+    };
+    const handleAction = (action: GroupAction): void => {
+        const handlers: { [K in GroupAction["kind"]]: (a: Extract<GroupAction, { kind: K; }>) => void; } = {
+            order: a => void sendOrder(a.order),
+            send: a => void sendRequest(a.request),
+            reply: a => {
+                waiting.get(a.request)?.(a.reply);
+                waiting.delete(a.request);
+            },
+            taken: a => report("takeover", { finished: a.finished }),
+            switched: a => {
+                isMapless = false;
+                account.lastSwitch = {
+                    version: a.version,
+                    sinceStep: a.step,
+                    durationMs: a.durationMs,
+                    reason: proposalReason,
+                };
+                logger.info("The map has switched.", { ...account.lastSwitch });
+                report("mapSwitched", { ...account.lastSwitch });
+            },
+            released: a => report("mapReleased", { version: a.version }),
+            needMap: () => {
+                isMapless = true;
+            },
+        };
+        handlers[action.kind](action as never);
+    };
+    const noteRecords = (records: LogRecord[]) => {
+        for (const { data } of records) {
+            const record = data as GenerationRecord;
+            if (record.generation === current.generation + 1) {
+                current = record;
+                report("generation", { generation: record.generation });
+            }
+        }
+        if (current.members[group.rank]?.instance === options.instance) {
+            dispatch({ kind: "generation", generation: current.generation });
+        }
+    };
+    const proposeGeneration = () => {
+        const members = listMembers(listed, group.name, ranks);
+        const isSame = members?.every((member, rank) => member.instance === current.members[rank]?.instance) ?? true;
+        if (members !== undefined && ranks > 0 && !isSame) {
+            const record: GenerationRecord = { generation: current.generation + 1, members };
+            void log.append(stream, [{ id: randomUUID(), data: record }]).catch(() => undefined);
+        }
+    };
+    const timer = setInterval(() => dispatch({ kind: "tick" }), tickMs);
+    const subscription = tailStream(log, stream, e => logger.warn("Reading generations failed.", { error: e.message }))
+        .observe(event => {
+            noteRecords(event.records);
+            if (event.atEnd) {
+                proposeGeneration();
+            }
+        });
+    void subscription.catch(() => undefined);
+
+    return {
+        methods: {
+            group: (params: unknown) =>
+                new Promise<GroupReply>(resolve => {
+                    const groupRequest = params as GroupRequest;
+                    waiting.set(groupRequest, resolve);
+                    dispatch({ kind: "request", request: groupRequest });
+                }),
+            explainMap: () => ({ ...account, ...pickInForce(node?.member.engine) }),
+        },
+        setRanks: count => {
+            if (node === undefined && count > 0) {
+                ranks = count;
+                const coordinator = { rank: group.rank, ranks, nonce, times: options.times ?? defaultTimes };
+                node = createGroupNode(coordinator, Date.now(), Math.random());
+                dispatch({ kind: "tick" });
+                noteRecords([]);
+            }
+        },
+        setInstances: instances => {
+            listed = instances;
+            proposeGeneration();
+        },
+        isSteady: () => node?.coordinator.phase === "steady",
+        needsMap: () => isMapless,
+        propose: (map, reason) => {
+            proposalReason = reason;
+            report("mapProposed", { reason });
+            dispatch({ kind: "propose", map });
+        },
+        getUrls: () => current.members.map(member => member.url),
+        close: () => clearInterval(timer),
+    };
+}
+
+async function orderEngine(ordersUrl: string, order: EngineOrder): Promise<EngineState> {
+    const response = await request(`${ordersUrl}/orders`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(order),
+        signal: AbortSignal.timeout(orderTimeoutMs),
+    });
+    return await response.body.json() as EngineState;
+}
+
+/** Lists the members by rank; undefined unless every rank is listed and live. */
+function listMembers(
+    instances: InstanceRecord[],
+    group: string,
+    ranks: number,
+): GenerationRecord["members"] | undefined {
+    const members: GenerationRecord["members"] = [];
+    for (let rank = 0; rank < ranks; rank++) {
+        const found = instances.find(i => i.group === group && i.rank === rank && i.state === "live");
+        if (found === undefined) {
+            return undefined;
+        }
+        members.push({ instance: found.instance, url: found.url });
+    }
+    return members;
+}
+
+function pickInForce(engine: EngineState | undefined): Partial<MapAccount> {
+    return engine === undefined ? {} : { generation: engine.generation, version: engine.version, step: engine.step };
+}
--- a/src/peers/loadList.ts
+++ b/src/peers/loadList.ts
@@ -17,6 +17,8 @@
         url: z.string(),
         state: z.enum(InstanceState),
         pool: z.string().optional(),
+        group: z.string().optional(),
+        rank: z.number().int().nonnegative().optional(),
     })),
 });
 
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -27,7 +27,11 @@
 const defaultTokens = 16;
 
 /** Starts an engine on `port`; 0 picks a free one. */
-export async function startEngineStandin(port: number, options: EngineOptions): Promise<UpstreamStandin> {
+export async function startEngineStandin(
+    port: number,
+    options: EngineOptions,
+    handlers: Record<string, Handler> = {},
+): Promise<UpstreamStandin> {
     const runs = new Map<string, number>();
     const runsByKey = new Map<string, number>();
     const complete: Handler = async (message, body, response) => {
@@ -41,7 +45,7 @@
         }
         await streamWords(response, words, options);
     };
-    const { server, url } = await startServer(port, { "POST /v1": complete });
+    const { server, url } = await startServer(port, { "POST /v1": complete, ...handlers });
     return {
         url,
         runs,
