--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -1,21 +1,29 @@
 /** Wires an entry: configuration, instance list, load probes and the callers' server. */
-import { createServer } from "node:http";
 import { type ConfigState, createConfigState } from "../config/fold.js";
-import { streamConfig } from "../config/loadConfig.js";
+import { createStateKeeper } from "../config/loadState.js";
 import type { EntrySettings } from "../config/settings.js";
 import { pollEvery } from "../core/streams.js";
 import type { LoadReport } from "../core/types.js";
-import { createLogClient } from "../log/client.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
+import { chooseProbes } from "../routing/probes.js";
+import { selectSlots } from "../routing/subset.js";
 import { createUpstreamTable, noteReport, updateInstances } from "../routing/table.js";
 import { listenOn } from "../wire/listen.js";
+import { InternalPath } from "../wire/messages.js";
 import { requestRpc } from "../wire/rpc.js";
+import { createInternalServer, createRpcHandler } from "../wire/server.js";
+import { createExplainMethod } from "./explain.js";
+import { createJournal } from "./journal.js";
+import { createRetryBudget } from "./retryBudget.js";
 import { createEntryServer } from "./server.js";
 import { createSlotClient } from "./slotClient.js";
 
 const probeIntervalMs = 1000;
+const retryRatio = 0.1;
+const retryFloorPerSecond = 1;
+const journalCapacity = 8192;
 
 export interface RunningProcess {
     stop: () => Promise<void>;
@@ -26,16 +34,24 @@
     const { instance, dataCentre, environment, platform, listen, internal } = settings;
     const makeLogger = createLoggers("beechdock-entry", instance, settings.logLevel);
     const logger = makeLogger(Prefix.entry);
-    const configLogger = makeLogger(Prefix.config);
     const peersLogger = makeLogger(Prefix.peers);
     const metrics = createMetrics();
     const table = createUpstreamTable();
     const slots = createSlotClient(settings);
     let config: ConfigState = createConfigState(environment);
-    let configured = false;
     let stopping = false;
     let probed = false;
 
+    const state = createStateKeeper({
+        settings,
+        role: "entry",
+        makeLogger,
+        metrics,
+        getLoad: () => 0,
+        onConfig: next => {
+            config = next;
+        },
+    });
     const context = {
         identity: settings,
         dataCentre,
@@ -45,42 +61,42 @@
         logger,
         maxBodyBytes: settings.maxBodyBytes,
         getConfig: () => config,
-        isReady: () => configured && !stopping,
+        isReady: () => state.isReady() && !stopping,
+        isStopping: () => stopping,
+        retryBudget: createRetryBudget(retryRatio, retryFloorPerSecond),
+        journal: createJournal(journalCapacity),
     };
     const { server, drain } = createEntryServer(context);
-    const admin = createServer((message, response) => {
-        void metrics.registry.metrics().then(text =>
-            response.writeHead(200, { "content-type": "text/plain" }).end(text)
-        );
+    const admin = createInternalServer({
+        identity: settings,
+        registry: metrics.registry,
+        handlers: {
+            [InternalPath.rpc]: createRpcHandler({ ...state.methods, explain: createExplainMethod(context.journal) }),
+        },
     });
     const port = await listenOn(server, listen.host, listen.port);
-    await listenOn(admin, internal.host, internal.port);
+    const internalPort = await listenOn(admin, internal.host, internal.port);
 
-    void streamConfig(
-        createLogClient(platform.log),
-        environment,
-        e => configLogger.warn("Reading the log failed.", { error: e.message }),
-    )
-        .observe(update => {
-            if (update.state.revision !== config.revision) {
-                configLogger.info("A revision is in force.", { revision: update.state.revision });
-                metrics.revision.set(update.state.revision);
-            }
-            config = update.state;
-            configured = update.atEnd;
-        });
+    state.start(internalPort);
     void streamInstances(
         platform.list,
         e => peersLogger.warn("Reading the instance list failed.", { error: e.message }),
     )
-        .observe(instances => updateInstances(table, instances));
+        .observe(instances => updateInstances(table, selectSlots(state.updateInstances(instances), settings)));
     const probe = async () => {
-        await Promise.all([...table.upstreams.values()].map(async upstream => {
-            const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() => undefined);
-            if (report !== undefined) {
-                noteReport(table, upstream.instance, report, Date.now());
-            }
-        }));
+        await Promise.all(
+            chooseProbes(table.upstreams.values(), Date.now()).map(async upstream => {
+                const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() =>
+                    undefined
+                );
+                if (report !== undefined) {
+                    if (upstream.report === undefined) {
+                        logger.info("An upstream is known.", { upstream: upstream.instance });
+                    }
+                    noteReport(table, upstream.instance, report, Date.now());
+                }
+            }),
+        );
         const known = [...table.upstreams.values()].filter(upstream => upstream.report !== undefined).length;
         if (known > 0 && known === table.upstreams.size && !probed) {
             probed = true;
@@ -88,16 +104,18 @@
         }
     };
     void pollEvery(probeIntervalMs, probe, () => undefined).drain();
-    logger.info("The entry listens.", { port });
+    logger.info("The entry listens.", { port, internalPort });
 
     return {
         stop: async () => {
             stopping = true;
             logger.info("The entry is leaving.");
+            void state.announceLeaving("the process was told to stop");
             await new Promise(resolve => setTimeout(resolve, settings.balancerLagMs));
             server.close();
             await drain();
             server.closeIdleConnections();
+            await state.stop();
             logger.info("The entry has stopped.");
         },
     };
--- a/src/group/driverSwitch.ts
+++ b/src/group/driverSwitch.ts
@@ -4,19 +4,13 @@
 import type { InstanceRecord } from "../core/types.js";
 import { tailStream } from "../log/tail.js";
 import type { LogClient, LogRecord } from "../log/types.js";
+import { type AuditEvent, AuditKind } from "../observe/audit.js";
 import type { Logger } from "../observe/logger.js";
 import { requestRpc, type RpcIdentity, type RpcMethods } from "../wire/rpc.js";
 import type { CoordinatorTimes } from "./coordinator.js";
 import { advanceNode, createGroupNode, type GroupAction, type GroupEvent } from "./node.js";
 import type { EngineOrder, EngineState, ExpertMap, GroupReply, GroupRequest } from "./types.js";
 
-export interface GroupAuditEvent {
-    kind: "mapSwitched" | "mapReleased" | "takeover" | "generation" | "mapProposed" | "straggler";
-    group: string;
-    rank: number;
-    details: Record<string, unknown>;
-}
-
 export interface GroupDriverOptions {
     identity: RpcIdentity;
     instance: string;
@@ -24,7 +18,7 @@
     ordersUrl: string;
     log: LogClient;
     logger: Logger;
-    audit: (event: GroupAuditEvent) => void;
+    audit: (event: AuditEvent) => void;
     times?: CoordinatorTimes;
 }
 
@@ -73,9 +67,7 @@
     let proposalReason = "first map of the generation";
     let isMapless = false;
 
-    const report = (kind: GroupAuditEvent["kind"], details: Record<string, unknown>) => {
-        audit({ kind, group: group.name, rank: group.rank, details });
-    };
+    const report = (kind: AuditKind, reason: string) => audit({ kind, subject: group.name, reason });
     const dispatch = (event: GroupEvent) => {
         if (node !== undefined) {
             advanceNode(node, event, Date.now(), Math.random()).forEach(handleAction);
@@ -104,7 +96,7 @@
                 waiting.get(a.request)?.(a.reply);
                 waiting.delete(a.request);
             },
-            taken: a => report("takeover", { finished: a.finished }),
+            taken: a => report(AuditKind.takeover, a.finished ? "finishes a committed switch" : "releases holds"),
             switched: a => {
                 isMapless = false;
                 account.lastSwitch = {
@@ -114,9 +106,10 @@
                     reason: proposalReason,
                 };
                 logger.info("The map has switched.", { ...account.lastSwitch });
-                report("mapSwitched", { ...account.lastSwitch });
+                const took = `from step ${a.step}, after ${Math.round(a.durationMs)} ms`;
+                report(AuditKind.mapSwitch, `${proposalReason}: map ${a.version} ${took}`);
             },
-            released: a => report("mapReleased", { version: a.version }),
+            released: a => report(AuditKind.mapSwitch, `gave up map ${a.version ?? "of an earlier coordinator"}`),
             needMap: () => {
                 isMapless = true;
             },
@@ -128,7 +121,7 @@
             const record = data as GenerationRecord;
             if (record.generation === current.generation + 1) {
                 current = record;
-                report("generation", { generation: record.generation });
+                report(AuditKind.generation, `generation ${record.generation} is in force`);
             }
         }
         if (current.members[group.rank]?.instance === options.instance) {
@@ -180,7 +173,7 @@
         needsMap: () => isMapless,
         propose: (map, reason) => {
             proposalReason = reason;
-            report("mapProposed", { reason });
+            logger.info("A map is proposed.", { reason });
             dispatch({ kind: "propose", map });
         },
         getUrls: () => current.members.map(member => member.url),
--- a/src/standin/cluster.ts
+++ b/src/standin/cluster.ts
@@ -14,23 +14,30 @@
 export interface EntryPlan {
     instance: string;
     dataCentre: string;
+    /** Address of the log in place of the proxy before it. */
+    logUrl?: string;
     balancerLagMs?: number;
 }
 
 export interface SlotPlan {
     instance: string;
     dataCentre: string;
+    /** Address of the log in place of the proxy before it. */
+    logUrl?: string;
     pool: string;
     kind: "engine" | "plain";
     engine?: EngineOptions;
     serviceMs?: number;
     group?: { name: string; rank: number; };
+    /** Upstream that is already running; one is started when absent. */
+    upstream?: UpstreamStandin;
 }
 
 export interface ClusterEntry {
     plan: EntryPlan;
     process: StandinProcess;
     url: string;
+    internalUrl: string;
 }
 
 export interface ClusterSlot {
@@ -63,7 +70,7 @@
 }
 
 export const environment = "production";
-const internalKeys = ["standin-internal-key-1", "standin-internal-key-2"];
+export const internalKeys = ["standin-internal-key-1", "standin-internal-key-2"];
 const defaultEngine: EngineOptions = { firstTokenMs: 20, tokenMs: 10 };
 
 /** Starts the platform's stand-ins, then all slots and entries; resolves once they listen. */
@@ -103,7 +110,7 @@
         instance: plan.instance,
         dataCentre: plan.dataCentre,
         environment,
-        platform: { log: cluster.logProxy.url, list: cluster.list.url },
+        platform: { log: plan.logUrl ?? cluster.logProxy.url, list: cluster.list.url },
         internalKeys,
     };
 }
@@ -117,15 +124,18 @@
     });
     const process = startProcess("entry", ["--settings", settings]);
     const line = await process.waitForLine(l => l.msg.endsWith("The entry listens."));
-    const entry: ClusterEntry = { plan, process, url: `http://127.0.0.1:${line.port}` };
+    const entry: ClusterEntry = {
+        plan,
+        process,
+        url: `http://127.0.0.1:${line.port}`,
+        internalUrl: `http://127.0.0.1:${line.internalPort}`,
+    };
     cluster.entries.push(entry);
     return entry;
 }
 
 async function startSlot(cluster: Cluster, plan: SlotPlan): Promise<ClusterSlot> {
-    const upstream = plan.kind === "engine" ?
-        await startEngineStandin(0, plan.engine ?? defaultEngine) :
-        await startPlainStandin(0, plan.serviceMs ?? 0);
+    const upstream = plan.upstream ?? await startUpstream(plan);
     const upstreamProxy = await startFaultProxy(0, Number(new URL(upstream.url).port));
     const { process, port } = await startSlotProcess(cluster, plan, upstreamProxy, 0);
     const proxy = await startFaultProxy(0, port);
@@ -134,12 +144,22 @@
     return slot;
 }
 
+function startUpstream(plan: SlotPlan): Promise<UpstreamStandin> {
+    return plan.kind === "engine" ?
+        startEngineStandin(0, plan.engine ?? defaultEngine) :
+        startPlainStandin(0, plan.serviceMs ?? 0);
+}
+
 async function startSlotProcess(cluster: Cluster, plan: SlotPlan, upstreamProxy: FaultProxy, port: number) {
     const settings = cluster.writeFile(`${plan.instance}.yaml`, {
         ...createCommonSettings(cluster, plan),
         internal: { host: "127.0.0.1", port },
         pool: plan.pool,
-        upstream: { url: upstreamProxy.url, kind: plan.kind },
+        upstream: {
+            url: upstreamProxy.url,
+            kind: plan.kind,
+            ...(plan.group === undefined ? {} : { ordersUrl: upstreamProxy.url }),
+        },
         ...(plan.group === undefined ? {} : { group: plan.group }),
     });
     const process = startProcess("slot", ["--settings", settings]);
@@ -153,14 +173,24 @@
 }
 
 function createInstances(cluster: Cluster, leaving: string[]): InstanceRecord[] {
-    return cluster.slots.map(slot => ({
+    const entries = cluster.entries.map((entry): InstanceRecord => ({
+        instance: entry.plan.instance,
+        role: "entry",
+        dataCentre: entry.plan.dataCentre,
+        url: entry.internalUrl,
+        state: leaving.includes(entry.plan.instance) ? "leaving" : "live",
+    }));
+    const slots = cluster.slots.map((slot): InstanceRecord => ({
         instance: slot.plan.instance,
         role: "slot",
         dataCentre: slot.plan.dataCentre,
         url: slot.proxy.url,
         pool: slot.plan.pool,
+        group: slot.plan.group?.name,
+        rank: slot.plan.group?.rank,
         state: leaving.includes(slot.plan.instance) ? "leaving" : "live",
     }));
+    return [...entries, ...slots];
 }
 
 async function stopCluster(cluster: Cluster): Promise<void> {
--- a/src/standin/process.ts
+++ b/src/standin/process.ts
@@ -9,6 +9,9 @@
     level: number;
     msg: string;
     port?: number;
+    upstream?: string;
+    internalPort?: number;
+    revision?: number;
 }
 
 export interface StandinProcess {
