--- a/src/group/coordinator.ts
+++ b/src/group/coordinator.ts
@@ -76,6 +76,8 @@
 
 export type CoordinatorAction =
     | { kind: "send"; request: GroupRequest; }
+    /** This slot starts to coordinate after the silence of another one. */
+    | { kind: "elected"; round: number; }
     | { kind: "taken"; finished: boolean; }
     /** The map of `version` is in force at every rank from `step` on. */
     | { kind: "switched"; version: string; step: number; map: ExpertMap | undefined; durationMs: number; }
@@ -155,7 +157,8 @@
             return [];
         }
         scheduleElection(state, now, random);
-        return startBallot(state, now);
+        const actions = startBallot(state, now);
+        return [{ kind: "elected", round: state.ballot.round }, ...actions];
     }
     if (state.phase === Phase.hold && now >= state.phaseEndsAt) {
         return enterPhase(state, Phase.release, now);
--- a/src/group/driverGroup.ts
+++ b/src/group/driverGroup.ts
@@ -28,7 +28,7 @@
         return undefined;
     }
     const driver = startGroupDriver({ identity: settings, instance, group, ordersUrl, log, logger, audit });
-    const plan = startPlanDriver(settings, ordersUrl, driver);
+    const plan = startPlanDriver(settings, ordersUrl, driver, audit);
     return {
         methods: { ...driver.methods, ...plan.methods },
         setDocument: document => {
--- a/src/group/driverPlan.ts
+++ b/src/group/driverPlan.ts
@@ -1,17 +1,22 @@
 /** Plans maps at intervals on the slot that coordinates: collects counts, forecasts, proposes. */
 import { request } from "undici";
 import type { Group } from "../config/schemas.js";
+import { type AuditEvent, AuditKind } from "../observe/audit.js";
 import { requestRpc, type RpcIdentity, type RpcMethods } from "../wire/rpc.js";
 import type { GroupDriver } from "./driverSwitch.js";
 import { createForecast, forecastShares, type ForecastState, observeCounts } from "./forecast.js";
 import { type LayerPlacement, packLayer } from "./load.js";
 import { planLayer, planPresets } from "./plan.js";
+import { createStragglerState, getPlanSpeeds, observeRanks, type StragglerState } from "./stragglers.js";
 import type { ExpertMap } from "./types.js";
 
 interface CountsReport {
     /** Tokens of this rank's experts by layer, then expert. */
     counts: number[][];
     map?: ExpertMap;
+    /** Mean time that the rank computed in one step, in milliseconds. */
+    busyMs: number;
+    step: number;
 }
 
 export interface PlanDriver {
@@ -21,9 +26,15 @@
 }
 
 /** Starts planning; only the coordinating slot proposes. */
-export function startPlanDriver(identity: RpcIdentity, ordersUrl: string, driver: GroupDriver): PlanDriver {
+export function startPlanDriver(
+    identity: RpcIdentity,
+    ordersUrl: string,
+    driver: GroupDriver,
+    audit: (event: AuditEvent) => void,
+): PlanDriver {
     let group: Group | undefined;
     let forecasts: ForecastState[] = [];
+    let stragglers: StragglerState = createStragglerState(0);
     let budget = 0;
     let timer: NodeJS.Timeout | undefined;
 
@@ -48,17 +59,33 @@
         }
         if (forecasts.length === 0) {
             forecasts = map.layers.map(() => createForecast(experts));
+            stragglers = createStragglerState(ranks);
         }
+        judgeRanks(reports, group.name);
         forecasts.forEach((forecast, layer) => observeCounts(forecast, sumReports(reports, layer, experts)));
         const planned = planMap(map, group);
         if (planned !== undefined) {
             driver.propose(planned.map, planned.reason);
         }
     };
+    const judgeRanks = (reports: CountsReport[], subject: string) => {
+        const observations = reports.map(({ counts, busyMs, step }) => ({
+            tokens: counts.flat().reduce((sum, count) => sum + count, 0),
+            busyMs,
+            step,
+        }));
+        for (const { rank, verdict, speed, load, step } of observeRanks(stragglers, observations)) {
+            const figures = `speed ${speed.toFixed(2)} of the median, load ${
+                load.toFixed(2)
+            } of the mean, step ${step}`;
+            audit({ kind: AuditKind.straggler, subject, reason: `rank ${rank} is ${verdict}: ${figures}` });
+        }
+    };
     const planMap = (map: ExpertMap, { ranks, preset }: Group) => {
         const weights = planPresets[preset];
         const earned = weights.movesPerInterval * ranks * map.slotsPerRank;
         budget = Math.min(Math.max(1, earned * weights.savedIntervals), budget + earned);
+        const speeds = getPlanSpeeds(stragglers);
         let moved = 0;
         const layers = map.layers.map((layer, index) => {
             const placement: LayerPlacement = {
@@ -67,7 +94,7 @@
                 experts: Int32Array.from(layer),
             };
             const forecast = forecastShares(forecasts[index], weights.caution);
-            const result = planLayer({ placement, forecast, budget }, weights);
+            const result = planLayer({ placement, forecast, budget, speeds }, weights);
             moved += result.kind === "move" ? result.moves.length : 0;
             return result.kind === "move" ? Array.from(result.placement.experts) : layer;
         });
--- a/src/group/driverSwitch.ts
+++ b/src/group/driverSwitch.ts
@@ -96,6 +96,10 @@
                 waiting.get(a.request)?.(a.reply);
                 waiting.delete(a.request);
             },
+            elected: a => {
+                logger.info("This slot takes over.", { round: a.round });
+                report(AuditKind.takeover, `takes over after silence, round ${a.round}`);
+            },
             taken: a => report(AuditKind.takeover, a.finished ? "finishes a committed switch" : "releases holds"),
             switched: a => {
                 isMapless = false;
--- a/src/observe/audit.ts
+++ b/src/observe/audit.ts
@@ -21,6 +21,7 @@
     mapSwitch: "map-switch",
     takeover: "takeover",
     generation: "generation",
+    straggler: "straggler",
     dropped: "dropped",
 } as const;
 export type AuditKind = (typeof AuditKind)[keyof typeof AuditKind];
--- a/src/standin/groupEngine.ts
+++ b/src/standin/groupEngine.ts
@@ -5,6 +5,8 @@
 import { type EngineOptions, startEngineStandin, type UpstreamStandin } from "./engine.js";
 import { type Handler, sendJson } from "./http.js";
 
+const msPerToken = 0.01;
+
 export interface GroupEngineOptions {
     ranks: number;
     layers: number;
@@ -21,6 +23,7 @@
     maps: Map<string, ExpertMap>;
     /** Tokens of the rank's experts since the last report: by layer, then expert. */
     counts: number[][];
+    reportedStep: number;
 }
 
 export interface GroupEngines {
@@ -63,6 +66,7 @@
             state: { ...createEngineState(), stepMs: options.stepMs },
             maps: new Map(),
             counts: createTable(() => 0),
+            reportedStep: 0,
         })),
         random,
         popularity: createTable(() => Math.exp(random.next() * 3)),
@@ -113,7 +117,11 @@
             const { version } = rank.state;
             const counts = rank.counts.map(layer => layer.map(Math.round));
             rank.counts.forEach(layer => layer.fill(0));
-            sendJson(response, 200, { counts, map: version === undefined ? undefined : rank.maps.get(version) });
+            const map = version === undefined ? undefined : rank.maps.get(version);
+            const tokens = counts.flat().reduce((sum, count) => sum + count, 0);
+            const steps = Math.max(1, rank.state.step - rank.reportedStep);
+            rank.reportedStep = rank.state.step;
+            sendJson(response, 200, { counts, map, busyMs: tokens / steps * msPerToken, step: rank.state.step });
         },
     };
 }
--- a/tests/integration/maps.test.ts
+++ b/tests/integration/maps.test.ts
@@ -28,6 +28,15 @@
     await waitUntil(() => engines.countSteps() >= before + count);
 }
 
+/** Resolves once some slot has taken over since the call. */
+async function waitForTakeover(): Promise<void> {
+    const count = () =>
+        cluster.slots.flatMap(slot => slot.process.lines).filter(line => line.msg.endsWith("This slot takes over."))
+            .length;
+    const before = count();
+    await waitUntil(() => count() > before);
+}
+
 function findCoordinator() {
     const isSwitch = (line: { msg: string; }) => line.msg.endsWith("The map has switched.");
     return cluster.slots.find(slot => slot.process.lines.some(isSwitch))!;
@@ -72,7 +81,7 @@
     const coordinator = findCoordinator();
     await waitUntil(() => engines.states().some(state => state.hold !== undefined));
     coordinator.process.kill("SIGSTOP");
-    await sleep(3000);
+    await waitForTakeover();
     coordinator.process.kill("SIGCONT");
     await waitForSteps(50);
     await waitForSwitches(1);
@@ -94,7 +103,7 @@
     const slot = cluster.slots[1];
     await waitUntil(() => engines.states().some(state => state.hold !== undefined));
     slot.proxy.cut();
-    await sleep(1500);
+    await waitForTakeover();
     slot.proxy.heal();
     await waitForSteps(50);
     await waitForSwitches(1);
