--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -23,7 +23,7 @@
 const probeIntervalMs = 1000;
 const retryRatio = 0.1;
 const retryFloorPerSecond = 1;
-const journalCapacity = 8192;
+const journalCapacity = 4096;
 
 export interface RunningProcess {
     stop: () => Promise<void>;
@@ -82,8 +82,9 @@
         platform.list,
         e => peersLogger.warn("Reading the instance list failed.", { error: e.message }),
     )
-        .observe(instances => updateInstances(table, selectSlots(state.updateInstances(instances), settings)));
+        .observe(instances => state.updateInstances(instances));
     const probe = async () => {
+        updateInstances(table, selectSlots(state.listInstances(), settings));
         await Promise.all(
             chooseProbes(table.upstreams.values(), Date.now()).map(async upstream => {
                 const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() =>
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -12,14 +12,18 @@
 import { createAdmission } from "../routing/admission.js";
 import { listenOn } from "../wire/listen.js";
 import { RevokeParamsSchema } from "../wire/messages.js";
+import { type Appender, createClaimMethods, createClaimRelay } from "./claimRelay.js";
 import { createClaims } from "./claims.js";
 import { createClaimsDriver } from "./driverClaims.js";
 import { createLedger, expireRecords } from "./ledger.js";
+import { createSlotMetrics } from "./metrics.js";
 import { createRunner } from "./runner.js";
 import { createSlotServer } from "./server.js";
+import { computeLinger } from "./shutdown.js";
 import { createUpstreamClient, silenceLimits } from "./upstream.js";
 
 const expiryIntervalMs = 5000;
+const lingerStepMs = 100;
 const defaultLimits = { concurrency: 64, tokens: 200_000, queue: 128 };
 
 /** Starts a slot; resolves once it listens. */
@@ -30,14 +34,26 @@
     const metrics = createMetrics();
     const ledger = createLedger(randomUUID());
     const admission = createAdmission(defaultLimits);
-    const claims = createClaimsDriver(createLogClient(platform.log), createClaims(ledger.incarnation));
-    const client = createUpstreamClient(upstream.url, silenceLimits[upstream.kind]);
-    const runner = createRunner(ledger, admission, client, claims);
+    let neighbours: Appender[] = [];
+    const relay = createClaimRelay(settings, instance, () => neighbours);
+    const log = createLogClient(platform.log);
+    const claims = createClaimsDriver(log, environment, createClaims(ledger.incarnation), relay);
+    const slotMetrics = createSlotMetrics(metrics.registry, ledger);
+    const client = createUpstreamClient(upstream.url, silenceLimits[upstream.kind], () => slotMetrics.silences.inc());
+    const runner = createRunner(ledger, admission, client, {
+        ...claims,
+        claim: async claim => {
+            const verdict = await claims.claim(claim);
+            slotMetrics.claims.inc({ verdict });
+            return verdict;
+        },
+    });
     let config: ConfigState = createConfigState(environment);
 
     const state = createStateKeeper({
         settings,
         role: "slot",
+        pool: settings.pool,
         makeLogger,
         metrics,
         getLoad: () => runner.report().tokensInFlight,
@@ -69,6 +85,7 @@
         methods: {
             ...state.methods,
             ...group?.methods,
+            ...createClaimMethods(claims),
             cancel: (params: unknown) => {
                 const { requestId, attempt } = RevokeParamsSchema.parse(params);
                 const record = ledger.records.get(`${requestId}/${attempt}`);
@@ -86,6 +103,9 @@
         .observe(instances => {
             state.updateInstances(instances);
             group?.setInstances(instances);
+            neighbours = instances.filter(i =>
+                i.role === "slot" && i.state === "live" && i.dataCentre === settings.dataCentre
+            );
             if (instances.some(i => i.instance === instance && i.state === "leaving")) {
                 markLeaving("the instance list says so");
             }
@@ -102,6 +122,9 @@
             markLeaving("the process was told to stop");
             await runner.drain();
             group?.close();
+            for (let ms = computeLinger(ledger, Date.now()); ms > 0; ms = computeLinger(ledger, Date.now())) {
+                await new Promise(resolve => setTimeout(resolve, Math.min(ms, lingerStepMs)));
+            }
             server.close();
             server.closeIdleConnections();
             await state.stop();
