--- a/src/demo/document.ts
+++ b/src/demo/document.ts
@@ -4,7 +4,7 @@
 export const demoKeys = { reception: "reception-key", caseworkers: "caseworkers-key", batch: "batch-key" };
 
 /** Creates the document; keys of workspaces are stored hashed. */
-export function createDemoDocument(): { pools: object[]; } {
+export function createDemoDocument(): object {
     return {
         workspaces: Object.entries(demoKeys).map(([name, key]) => ({
             name,
--- a/src/demo/group.ts
+++ b/src/demo/group.ts
@@ -7,10 +7,11 @@
 const name = "experts";
 
 /** Adds the group and its pool to a document. */
-export function addGroup(document: { pools: object[]; }): object {
+export function addGroup(document: object): object {
+    const { pools } = document as { pools: object[]; };
     return {
         ...document,
-        pools: [...document.pools, { name: pool, kind: "engine" }],
+        pools: [...pools, { name: pool, kind: "engine" }],
         groups: [{ name, pool, ...shape, slotsPerRank: 6, preset: "skew", planIntervalSeconds: 1 }],
     };
 }
