--- a/src/group/driverPlan.ts
+++ b/src/group/driverPlan.ts
@@ -3,6 +3,7 @@
 import type { Group } from "../config/schemas.js";
 import { type AuditEvent, AuditKind } from "../observe/audit.js";
 import { requestRpc, type RpcIdentity, type RpcMethods } from "../wire/rpc.js";
+import { encodeCounts, type EncodedCounts, sumCounts, sumTokens } from "./counts.js";
 import type { GroupDriver } from "./driverSwitch.js";
 import { createForecast, forecastShares, type ForecastState, observeCounts } from "./forecast.js";
 import { type LayerPlacement, packLayer } from "./load.js";
@@ -10,10 +11,15 @@
 import { createStragglerState, getPlanSpeeds, observeRanks, type StragglerState } from "./stragglers.js";
 import type { ExpertMap } from "./types.js";
 
-interface CountsReport {
-    /** Tokens of this rank's experts by layer, then expert. */
+/** What an engine answers. */
+interface EngineCounts extends Omit<CountsReport, "counts"> {
+    /** Tokens of the rank's experts by layer, then expert. */
     counts: number[][];
-    map?: ExpertMap;
+}
+
+/** What a slot passes on to the coordinating one. */
+interface CountsReport {
+    counts: EncodedCounts;
     /** Mean time that the rank computed in one step, in milliseconds. */
     busyMs: number;
     step: number;
@@ -53,7 +59,7 @@
         const reports = await Promise.all(
             driver.getUrls().map(url => requestRpc<CountsReport>(identity, url, "groupCounts", {})),
         );
-        const map = reports[0].map;
+        const { map } = await fetchMap(ordersUrl);
         if (map === undefined) {
             return;
         }
@@ -62,7 +68,9 @@
             stragglers = createStragglerState(ranks);
         }
         judgeRanks(reports, group.name);
-        forecasts.forEach((forecast, layer) => observeCounts(forecast, sumReports(reports, layer, experts)));
+        forecasts.forEach((forecast, layer) =>
+            observeCounts(forecast, sumCounts(reports.map(report => report.counts), layer, experts))
+        );
         const planned = planMap(map, group);
         if (planned !== undefined) {
             driver.propose(planned.map, planned.reason);
@@ -70,7 +78,7 @@
     };
     const judgeRanks = (reports: CountsReport[], subject: string) => {
         const observations = reports.map(({ counts, busyMs, step }) => ({
-            tokens: counts.flat().reduce((sum, count) => sum + count, 0),
+            tokens: sumTokens(counts),
             busyMs,
             step,
         }));
@@ -127,11 +135,12 @@
 
 async function fetchCounts(ordersUrl: string): Promise<CountsReport> {
     const response = await request(`${ordersUrl}/counts`, { signal: AbortSignal.timeout(1000) });
-    return await response.body.json() as CountsReport;
+    const { counts, busyMs, step } = await response.body.json() as EngineCounts;
+    return { counts: encodeCounts(counts), busyMs, step };
 }
 
-function sumReports(reports: CountsReport[], layer: number, experts: number): number[] {
-    const total = new Array<number>(experts).fill(0);
-    reports.forEach(report => report.counts[layer].forEach((count, expert) => total[expert] += count));
-    return total;
+/** Reads the map in force from the slot's own engine. */
+async function fetchMap(ordersUrl: string): Promise<{ map?: ExpertMap; }> {
+    const response = await request(`${ordersUrl}/map`, { signal: AbortSignal.timeout(1000) });
+    return await response.body.json() as { map?: ExpertMap; };
 }
--- a/src/standin/groupEngine.ts
+++ b/src/standin/groupEngine.ts
@@ -113,15 +113,16 @@
             }
             sendJson(response, 200, rank.state);
         },
+        "GET /map": (message, body, response) => {
+            sendJson(response, 200, { map: rank.maps.get(rank.state.version ?? "") });
+        },
         "GET /counts": (message, body, response) => {
-            const { version } = rank.state;
             const counts = rank.counts.map(layer => layer.map(Math.round));
             rank.counts.forEach(layer => layer.fill(0));
-            const map = version === undefined ? undefined : rank.maps.get(version);
             const tokens = counts.flat().reduce((sum, count) => sum + count, 0);
             const steps = Math.max(1, rank.state.step - rank.reportedStep);
             rank.reportedStep = rank.state.step;
-            sendJson(response, 200, { counts, map, busyMs: tokens / steps * msPerToken, step: rank.state.step });
+            sendJson(response, 200, { counts, busyMs: tokens / steps * msPerToken, step: rank.state.step });
         },
     };
 }
