Space heartbeats out while no switch is under way; keep them up while ranks load

Cause: a coordinator asked every rank five times a second; and a rank that had loaded heard nothing while others still loaded, so that a slow load would have been preempted. Computed: 128 ranks x some 900 bytes each 5 s are 23 KB/s at the coordinating slot (before: 576 KB/s).

--- a/src/bench/mapsWorld.ts
+++ b/src/bench/mapsWorld.ts
@@ -65,7 +65,14 @@
     processes: number;
 }
 
-export const worldTimes: CoordinatorTimes = { resendMs: 20, electionMs: 100, holdMs: 100, leadMs: 20 };
+export const worldTimes: CoordinatorTimes = {
+    resendMs: 20,
+    heartbeatMs: 40,
+    electionMs: 100,
+    idleElectionMs: 200,
+    holdMs: 100,
+    leadMs: 20,
+};
 const stepMs = 10;
 /** Messages that the network holds; it loses the oldest ones of a flood. */
 const maxMessages = 400;
--- a/src/group/coordinator.ts
+++ b/src/group/coordinator.ts
@@ -29,10 +29,14 @@
 export type Phase = (typeof Phase)[keyof typeof Phase];
 
 export interface CoordinatorTimes {
-    /** Interval of repeated requests and heartbeats, in milliseconds. */
+    /** Interval of repeated requests while something is under way, in milliseconds. */
     resendMs: number;
-    /** Silence after which the lowest rank takes over, in milliseconds; each further rank waits a tenth longer. */
+    /** Interval of heartbeats while nothing is, in milliseconds. */
+    heartbeatMs: number;
+    /** Silence during a switch after which the lowest rank takes over, in milliseconds; others wait a tenth longer. */
     electionMs: number;
+    /** The same while nothing is under way. */
+    idleElectionMs: number;
     /** Time for all ranks to acknowledge a hold before it is released, in milliseconds. */
     holdMs: number;
     /** Time between the choice of a step and that step, in milliseconds. */
@@ -132,13 +136,20 @@
 }
 
 /** Takes in that this slot's member has promised or heard from `ballot`. */
-export function noteBallot(state: CoordinatorState, ballot: Ballot, now: number, random: number): void {
+export function noteBallot(
+    state: CoordinatorState,
+    ballot: Ballot,
+    isIdle: boolean,
+    now: number,
+    random: number,
+): void {
     state.maxRound = Math.max(state.maxRound, ballot.round);
     if (compareBallots(ballot, state.ballot) > 0 && state.phase !== Phase.follow) {
         state.phase = Phase.follow;
         state.proposal = undefined;
     }
-    scheduleElection(state, now, random);
+    const { electionMs, idleElectionMs } = state.times;
+    scheduleElection(state, now, random, isIdle ? idleElectionMs : electionMs);
 }
 
 /** Asks for a switch to `map`; returns whether this slot coordinates and will try it. */
@@ -292,16 +303,21 @@
     return sendPhase(state, now);
 }
 
-/** Sends the phase's request to every rank that has not acknowledged it. */
+/** Sends the phase's request to every rank that has not acknowledged it, and heartbeats to those waiting for loads. */
 function sendPhase(state: CoordinatorState, now: number): CoordinatorAction[] {
-    state.resendAt = now + state.times.resendMs;
+    const { resendMs, heartbeatMs } = state.times;
+    state.resendAt = now + (state.phase === Phase.steady ? heartbeatMs : resendMs);
     const body = createBody(state);
     const actions: CoordinatorAction[] = [];
     for (let to = 0; to < state.ranks; to++) {
+        const { generation, ballot } = state;
+        const incarnation = state.readings.get(to)?.incarnation;
+        const request = { generation, ballot, to, incarnation };
         if (!state.replies.has(to)) {
-            const { generation, ballot } = state;
-            const incarnation = state.readings.get(to)?.incarnation;
-            actions.push({ kind: "send", request: { ...body, generation, ballot, to, incarnation } });
+            actions.push({ kind: "send", request: { ...body, ...request } });
+        }
+        else if (state.phase === Phase.prepare) {
+            actions.push({ kind: "send", request: { kind: "read", ...request } });
         }
     }
     return actions;
@@ -348,7 +364,11 @@
     return Math.ceil(Math.max(...steps) + 1 + state.leadFactor * state.times.leadMs / stepMs);
 }
 
-function scheduleElection(state: CoordinatorState, now: number, random: number): void {
-    const { electionMs } = state.times;
-    state.electionAt = now + electionMs * (1 + state.rank / 10 + random / 2);
+function scheduleElection(
+    state: CoordinatorState,
+    now: number,
+    random: number,
+    silenceMs: number = state.times.electionMs,
+): void {
+    state.electionAt = now + silenceMs * (1 + state.rank / 10 + random / 2);
 }
--- a/src/group/driverSwitch.ts
+++ b/src/group/driverSwitch.ts
@@ -9,7 +9,14 @@
 import { requestRpc, type RpcIdentity, type RpcMethods } from "../wire/rpc.js";
 import type { CoordinatorTimes } from "./coordinator.js";
 import { advanceNode, createGroupNode, type GroupAction, type GroupEvent } from "./node.js";
-import type { EngineOrder, EngineState, ExpertMap, GroupReply, GroupRequest } from "./types.js";
+import {
+    type EngineOrder,
+    type EngineState,
+    type ExpertMap,
+    formatBallot,
+    type GroupReply,
+    type GroupRequest,
+} from "./types.js";
 
 export interface GroupDriverOptions {
     identity: RpcIdentity;
@@ -49,9 +56,17 @@
     members: { instance: string; url: string; }[];
 }
 
-const defaultTimes: CoordinatorTimes = { resendMs: 200, electionMs: 1500, holdMs: 1000, leadMs: 150 };
+const defaultTimes: CoordinatorTimes = {
+    resendMs: 200,
+    heartbeatMs: 5000,
+    electionMs: 1500,
+    idleElectionMs: 12_000,
+    holdMs: 1000,
+    leadMs: 150,
+};
 const tickMs = 50;
 const orderTimeoutMs = 5000;
+const callTimeoutMs = 1000;
 
 /** Starts the part of a slot in its group. */
 export function startGroupDriver(options: GroupDriverOptions): GroupDriver {
@@ -59,6 +74,7 @@
     const stream = `beechdock-group-${group.name}`;
     const nonce = randomUUID().slice(0, 8);
     const waiting = new Map<GroupRequest, (reply: GroupReply) => void>();
+    const calls = new Set<string>();
     const account: MapAccount = { group: group.name, generation: 0, step: 0 };
     let current: GenerationRecord = { generation: 0, members: [] };
     let listed: InstanceRecord[] = [];
@@ -82,8 +98,14 @@
         if (url === undefined || groupRequest.generation !== current.generation) {
             return;
         }
-        const reply = await requestRpc<GroupReply>(identity, url, "group", groupRequest, { timeoutMs: orderTimeoutMs })
+        const key = `${groupRequest.to}/${groupRequest.kind}/${formatBallot(groupRequest.ballot)}`;
+        if (calls.has(key)) {
+            return;
+        }
+        calls.add(key);
+        const reply = await requestRpc<GroupReply>(identity, url, "group", groupRequest, { timeoutMs: callTimeoutMs })
             .catch(() => undefined);
+        calls.delete(key);
         if (reply !== undefined) {
             dispatch({ kind: "reply", reply });
         }
--- a/src/group/node.ts
+++ b/src/group/node.ts
@@ -68,7 +68,8 @@
     request: ({ member, coordinator }, { request }, now, random) => {
         const isOther = request.ballot.rank !== member.rank || request.ballot.nonce !== member.incarnation;
         if (isOther && compareBallots(request.ballot, member.promised) >= 0) {
-            noteBallot(coordinator, request.ballot, now, random);
+            const isIdle = request.kind === "read" && member.engine?.hold === undefined;
+            noteBallot(coordinator, request.ballot, isIdle, now, random);
         }
         return receiveRequest(member, request);
     },
