--- a/src/group/plan.ts
+++ b/src/group/plan.ts
@@ -16,7 +16,7 @@
 
 /** What operators choose between in the document: level ranks, or few moves. */
 export const planPresets = {
-    skew: { targetSkew: 1.005, minGain: 0.00005, movesPerInterval: 0.0405, savedIntervals: 3, caution: 0 },
+    skew: { targetSkew: 1.005, minGain: 0.00005, movesPerInterval: 0.04, savedIntervals: 3, caution: 0 },
     cost: { targetSkew: 1.01, minGain: 0.0005, movesPerInterval: 0.008, savedIntervals: 30, caution: 0 },
 } as const satisfies Record<string, PlanWeights>;
 export type PlanPreset = keyof typeof planPresets;
@@ -159,7 +159,6 @@
 
 /** Finds the change that relieves `heaviest` with the largest drop of the soft maximum per moved expert. */
 function findRankCandidate(search: Search, heaviest: number, left: number): Candidate | undefined {
-    const limit = Math.max(...search.loads);
     const total = search.powers.reduce((sum, power) => sum + power, 0);
     let gainPerMove = 0;
     let changes: Candidate["changes"] = [];
@@ -174,10 +173,10 @@
         }
     };
     if (left >= 2) {
-        visitExchanges(search, heaviest, limit, offer);
+        visitExchanges(search, heaviest, offer);
     }
-    visitCopies(search, heaviest, limit, offer);
-    visitReplacements(search, heaviest, limit, offer);
+    visitCopies(search, heaviest, offer);
+    visitReplacements(search, heaviest, offer);
     return changes.length === 0 ? undefined : { changes, gainPerMove };
 }
 
@@ -185,7 +184,7 @@
 type Offer = (drop: number, slot: number, expert: number, other?: number) => void;
 
 /** Exchanges an expert of the heaviest rank for a lighter one of another rank. */
-function visitExchanges(search: Search, heaviest: number, limit: number, offer: Offer): void {
+function visitExchanges(search: Search, heaviest: number, offer: Offer): void {
     const { placement: { experts, slotsPerRank, ranks }, forecast, copies, loads, powers, mean } = search;
     const start = heaviest * slotsPerRank;
     for (let slot = start; slot < start + slotsPerRank; slot++) {
@@ -200,9 +199,6 @@
                     continue;
                 }
                 const delta = given - taken;
-                if (loads[rank] + delta >= limit) {
-                    continue;
-                }
                 const after = computePower((loads[heaviest] - delta / getSpeed(search, heaviest)) / mean) +
                     computePower((loads[rank] + delta / getSpeed(search, rank)) / mean);
                 const drop = powers[heaviest] + powers[rank] - after;
@@ -213,38 +209,33 @@
 }
 
 /** Puts a further copy of an expert of the heaviest rank in place of a spare copy elsewhere. */
-function visitCopies(search: Search, heaviest: number, limit: number, offer: Offer): void {
+function visitCopies(search: Search, heaviest: number, offer: Offer): void {
     const { experts, slotsPerRank } = search.placement;
     for (let slot = heaviest * slotsPerRank; slot < (heaviest + 1) * slotsPerRank; slot++) {
         for (let other = 0; other < experts.length; other++) {
-            visitReplacement(search, other, experts[slot], limit, offer);
+            visitReplacement(search, other, experts[slot], offer);
         }
     }
 }
 
 /** Replaces a copy on the heaviest rank, where another copy exists, by any other expert. */
-function visitReplacements(search: Search, heaviest: number, limit: number, offer: Offer): void {
+function visitReplacements(search: Search, heaviest: number, offer: Offer): void {
     const { slotsPerRank } = search.placement;
     for (let slot = heaviest * slotsPerRank; slot < (heaviest + 1) * slotsPerRank; slot++) {
         for (let expert = 0; expert < search.copies.length; expert++) {
-            visitReplacement(search, slot, expert, limit, offer);
+            visitReplacement(search, slot, expert, offer);
         }
     }
 }
 
-/** Offers a replacement unless it loads its rank to `limit` or more. */
-function visitReplacement(search: Search, slot: number, expert: number, limit: number, offer: Offer): void {
+function visitReplacement(search: Search, slot: number, expert: number, offer: Offer): void {
     const { experts, slotsPerRank } = search.placement;
     const dropped = experts[slot];
     const rank = Math.floor(slot / slotsPerRank);
     if (dropped === expert || search.copies[dropped] < 2 || hasExpert(search, rank, expert)) {
         return;
     }
-    const gained = search.forecast[expert] / (search.copies[expert] + 1);
-    const lost = search.forecast[dropped] / search.copies[dropped];
-    if (search.loads[rank] + gained - lost < limit) {
-        offer(computeReplacementDrop(search, slot, expert), slot, expert);
-    }
+    offer(computeReplacementDrop(search, slot, expert), slot, expert);
 }
 
 function computeReplacementDrop(search: Search, slot: number, expert: number): number {
