--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -1,6 +1,8 @@
 /** Fourth filter: carries a request to slots and their answer back, as the attempt machine decides. */
 import type { Metrics } from "../observe/metrics.js";
+import { hashPrompt } from "../routing/affinity.js";
 import { chooseUpstream, estimateCost } from "../routing/choose.js";
+import type { Outcome } from "../routing/ejection.js";
 import {
     noteDone,
     noteReport,
@@ -22,8 +24,8 @@
 import type { Exchange } from "./types.js";
 
 const resumeDelayMs = 50;
-/** Longest time that a caller is told to wait when retries are spent, in seconds. */
-const maxRetryAfterSeconds = 8;
+/** Longest time that a caller is told to wait when retries are spent or no upstream is left, in seconds. */
+const maxRetryAfterSeconds = 4;
 
 export interface DispatchContext {
     identity: RpcIdentity;
@@ -33,6 +35,8 @@
     metrics: Metrics;
     retryBudget: RetryBudget;
     journal: Journal;
+    /** Hears of an upstream that is newly left out. */
+    onEjection?: (instance: string, reason: string) => void;
 }
 
 /** Runs a request to its end; resolves when the caller has its answer. */
@@ -86,6 +90,10 @@
     }
 
     begin(): void {
+        if (this.exchange.response.destroyed) {
+            this.handleCallerClose();
+            return;
+        }
         noteRequest(this.context.retryBudget, Date.now());
         this.deadline = setTimeout(() => this.handleDeadline(), this.state.deadline - Date.now());
         this.exchange.response.on("close", () => this.handleCallerClose());
@@ -103,15 +111,23 @@
         const { table, dataCentre, retryBudget } = this.context;
         const { route, tokens } = this.exchange;
         const now = Date.now();
+        const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
         if (this.needsBudget() && !admitRetry(retryBudget, now)) {
-            const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
             this.apply({ kind: "retry-refused", retryAfterSeconds });
             return;
         }
-        const choice = { pool: route!.pool, dataCentre, spill: route!.spill, tokens, excluded: this.tried };
+        const choice = {
+            pool: route!.pool,
+            dataCentre,
+            spill: route!.spill,
+            tokens,
+            excluded: this.tried,
+            prefix: hashPrompt(this.exchange.body),
+            avoidsFull: this.retryReason === RetryReason.refused,
+        };
         this.upstream = chooseUpstream(table, choice, now, Math.random);
         if (this.upstream === undefined) {
-            this.apply({ kind: "no-candidate" });
+            this.apply({ kind: "no-candidate", retryAfterSeconds });
             return;
         }
         const cost = `estimated cost ${estimateCost(this.upstream)} tokens`;
@@ -130,8 +146,9 @@
 
     private send(): void {
         const params = createRunParams(this.exchange, this.state, this.incarnation);
+        const { url, instance } = this.upstream!;
         this.sentAt = Date.now();
-        this.stream = this.context.slots.run(this.upstream!.url, params, this.createListener());
+        this.stream = this.context.slots.run(url, params, this.createListener(), instance);
     }
 
     private scheduleResume(nextSequence: number): void {
@@ -147,7 +164,8 @@
         }
         const { attempt } = this.state;
         const params = { requestId: this.exchange.requestId, attempt, incarnation: this.incarnation, nextSequence };
-        this.stream = this.context.slots.resume(this.upstream!.url, params, this.createListener());
+        const { url, instance } = this.upstream!;
+        this.stream = this.context.slots.resume(url, params, this.createListener(), instance);
     }
 
     private createListener() {
@@ -171,9 +189,9 @@
         };
     }
 
-    private noteFailure({ status, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
+    private noteFailure({ status, title, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
         if (status === 502 && this.upstream !== undefined) {
-            noteResult(this.context.table, this.upstream.instance, { failed: true }, Date.now());
+            this.noteOutcome({ failed: true }, title);
         }
         this.noteRestart(incarnation);
     }
@@ -196,7 +214,7 @@
             const now = Date.now();
             this.context.metrics.firstByteSeconds.observe((now - receivedAt) / 1000);
             const outcome = { failed: frame.status >= 500, latencyMs: now - this.sentAt };
-            noteResult(this.context.table, this.upstream!.instance, outcome, now);
+            this.noteOutcome(outcome, outcome.failed ? `it answers ${frame.status}` : "it is slow beside its peers");
         }
         if (frame.kind === "end") {
             noteReport(this.context.table, this.upstream!.instance, frame.load, Date.now());
@@ -228,24 +246,31 @@
             this.tried.delete(this.upstream!.instance);
         }
         else if (reason !== RetryReason.refused) {
-            this.noteLoss();
+            this.noteLoss(reason);
         }
         this.release();
     }
 
     private fail(action: Extract<AttemptAction, { kind: "fail"; }>): void {
         if (action.outcome !== "run" && this.upstream !== undefined && action.status === 502) {
-            this.noteLoss();
+            this.noteLoss(action.title);
         }
         relayProblem(this.exchange.response, this.exchange.requestId, action);
         this.finish(action.outcome, action.title);
     }
 
     /** Notes that the connection to the upstream's slot is lost. */
-    private noteLoss(): void {
+    private noteLoss(reason: string): void {
+        noteUnreachable(this.context.table, this.upstream!.instance, Date.now());
+        this.noteOutcome({ failed: true }, reason);
+    }
+
+    /** Counts an outcome for or against the upstream, and tells when it is ejected for it. */
+    private noteOutcome(outcome: Outcome, reason: string): void {
         const { instance } = this.upstream!;
-        noteUnreachable(this.context.table, instance, Date.now());
-        noteResult(this.context.table, instance, { failed: true }, Date.now());
+        if (noteResult(this.context.table, instance, outcome, Date.now())) {
+            this.context.onEjection?.(instance, reason);
+        }
     }
 
     /** Gives back the load that the present attempt holds at its upstream. */
@@ -273,7 +298,8 @@
     private cancel(): void {
         const { requestId } = this.exchange;
         const params = { requestId, attempt: this.state.attempt };
-        requestRpc(this.context.identity, this.upstream!.url, "cancel", params).catch(() => undefined);
+        const { url, instance: target } = this.upstream!;
+        requestRpc(this.context.identity, url, "cancel", params, { target }).catch(() => undefined);
     }
 
     /** Ends the request; an answer that its caller has not read by now is broken. */
--- a/src/slot/reader.ts
+++ b/src/slot/reader.ts
@@ -39,7 +39,7 @@
         response.cork();
         blocked = !response.write(text);
         if (last) {
-            response.end();
+            response.end(() => runner.noteDelivered(record, position));
         }
         response.uncork();
         return last;
@@ -62,9 +62,9 @@
         }
     };
     const keepalive = setInterval(() => {
-        if (!blocked) {
+        if (!blocked && position === record.next) {
             const { requestId, attempt } = record;
-            response.write(encodeFrame({ requestId, attempt, sequence: record.next, kind: "keepalive" }));
+            response.write(encodeFrame({ requestId, attempt, sequence: position, kind: "keepalive" }));
         }
     }, keepaliveMs);
     const unsubscribe = runner.subscribe(record, schedulePump);
