--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -4,6 +4,7 @@
 import { type Cluster, startCluster } from "../standin/cluster.js";
 import { publishDocument } from "../standin/publish.js";
 import { createDemoDocument, demoKeys } from "./document.js";
+import { addGroup, createGroupPlans, describeGroup, startDemoGroup } from "./group.js";
 import { printAccount, summarize, type Summary } from "./report.js";
 
 const loadSeconds = 8;
@@ -23,11 +24,16 @@
 ];
 
 const keep = process.argv.includes("--keep");
-const cluster = await startCluster(entries, slots);
+const group = await startDemoGroup();
+const cluster = await startCluster(entries, [...slots, ...createGroupPlans(group)]);
 let summary: Summary;
 try {
-    await publishDocument(cluster, createDemoDocument());
+    await publishDocument(cluster, addGroup(createDemoDocument()));
+    group.takeSkew();
     summary = summarize(await runLoad(cluster), cluster.slots.map(slot => slot.upstream));
+    const groupSummary = describeGroup(group);
+    summary.ok &&= groupSummary.ok;
+    Object.assign(summary.figures, groupSummary.figures);
     printAccount(summary);
     if (keep) {
         await waitForInterrupt(cluster);
@@ -35,6 +41,7 @@
 }
 finally {
     await cluster.stop();
+    group.close();
 }
 process.stdout.write(`${JSON.stringify({ demo: summary.ok ? "ok" : "failed", ...summary.figures })}\n`);
 process.exit(summary.ok ? 0 : 1);
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -4,6 +4,7 @@
 import { createStateKeeper } from "../config/loadState.js";
 import type { SlotSettings } from "../config/settings.js";
 import { pollEvery } from "../core/streams.js";
+import { startGroupPart } from "../group/driverGroup.js";
 import { createLogClient } from "../log/client.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
@@ -60,9 +61,16 @@
         getLoad: () => runner.report().tokensInFlight,
         onConfig: next => {
             config = next;
+            group?.setDocument(config.document);
             admission.limits = config.document?.pools.find(p => p.name === settings.pool) ?? admission.limits;
         },
     });
+    const group = startGroupPart(
+        settings,
+        createLogClient(platform.log),
+        makeLogger(Prefix.group),
+        event => state.audit.record(event),
+    );
     const markLeaving = (reason: string) => {
         if (!ledger.leaving) {
             ledger.leaving = true;
@@ -78,6 +86,7 @@
         getWeight: workspace => config.document?.workspaces.find(w => w.name === workspace)?.weight ?? 1,
         methods: {
             ...state.methods,
+            ...group?.methods,
             ...createClaimMethods(claims),
             cancel: (params: unknown) => {
                 const { requestId, attempt } = RevokeParamsSchema.parse(params);
@@ -95,6 +104,7 @@
     void streamInstances(platform.list, e => logger.warn("Reading the instance list failed.", { error: e.message }))
         .observe(instances => {
             state.updateInstances(instances);
+            group?.setInstances(instances);
             neighbours = instances.filter(i =>
                 i.role === "slot" && i.state === "live" && i.dataCentre === settings.dataCentre
             );
@@ -114,6 +124,7 @@
         stop: async () => {
             markLeaving("the process was told to stop");
             await runner.drain();
+            group?.close();
             for (let ms = computeLinger(ledger, Date.now()); ms > 0; ms = computeLinger(ledger, Date.now())) {
                 await new Promise(resolve => setTimeout(resolve, Math.min(ms, lingerStepMs)));
             }
