--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -1,6 +1,7 @@
 /** Fourth filter: carries a request to slots and their answer back, as the attempt machine decides. */
 import type { Metrics } from "../observe/metrics.js";
 import { chooseUpstream, estimateCost } from "../routing/choose.js";
+import type { Outcome } from "../routing/ejection.js";
 import {
     noteDone,
     noteReport,
@@ -33,6 +34,8 @@
     metrics: Metrics;
     retryBudget: RetryBudget;
     journal: Journal;
+    /** Hears of an upstream that is newly left out. */
+    onEjection?: (instance: string, reason: string) => void;
 }
 
 /** Runs a request to its end; resolves when the caller has its answer. */
@@ -134,8 +137,9 @@
 
     private send(): void {
         const params = createRunParams(this.exchange, this.state, this.incarnation);
+        const { url, instance } = this.upstream!;
         this.sentAt = Date.now();
-        this.stream = this.context.slots.run(this.upstream!.url, params, this.createListener());
+        this.stream = this.context.slots.run(url, params, this.createListener(), instance);
     }
 
     private scheduleResume(nextSequence: number): void {
@@ -151,7 +155,8 @@
         }
         const { attempt } = this.state;
         const params = { requestId: this.exchange.requestId, attempt, incarnation: this.incarnation, nextSequence };
-        this.stream = this.context.slots.resume(this.upstream!.url, params, this.createListener());
+        const { url, instance } = this.upstream!;
+        this.stream = this.context.slots.resume(url, params, this.createListener(), instance);
     }
 
     private createListener() {
@@ -175,9 +180,9 @@
         };
     }
 
-    private noteFailure({ status, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
+    private noteFailure({ status, title, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
         if (status === 502 && this.upstream !== undefined) {
-            noteResult(this.context.table, this.upstream.instance, { failed: true }, Date.now());
+            this.noteOutcome({ failed: true }, title);
         }
         this.noteRestart(incarnation);
     }
@@ -200,7 +205,7 @@
             const now = Date.now();
             this.context.metrics.firstByteSeconds.observe((now - receivedAt) / 1000);
             const outcome = { failed: frame.status >= 500, latencyMs: now - this.sentAt };
-            noteResult(this.context.table, this.upstream!.instance, outcome, now);
+            this.noteOutcome(outcome, outcome.failed ? `it answers ${frame.status}` : "it is slow beside its peers");
         }
         if (frame.kind === "end") {
             noteReport(this.context.table, this.upstream!.instance, frame.load, Date.now());
@@ -232,24 +237,31 @@
             this.tried.delete(this.upstream!.instance);
         }
         else if (reason !== RetryReason.refused) {
-            this.noteLoss();
+            this.noteLoss(reason);
         }
         this.release();
     }
 
     private fail(action: Extract<AttemptAction, { kind: "fail"; }>): void {
         if (action.outcome !== "run" && this.upstream !== undefined && action.status === 502) {
-            this.noteLoss();
+            this.noteLoss(action.title);
         }
         relayProblem(this.exchange.response, this.exchange.requestId, action);
         this.finish(action.outcome, action.title);
     }
 
     /** Notes that the connection to the upstream's slot is lost. */
-    private noteLoss(): void {
+    private noteLoss(reason: string): void {
+        noteUnreachable(this.context.table, this.upstream!.instance, Date.now());
+        this.noteOutcome({ failed: true }, reason);
+    }
+
+    /** Counts an outcome for or against the upstream, and tells when it is ejected for it. */
+    private noteOutcome(outcome: Outcome, reason: string): void {
         const { instance } = this.upstream!;
-        noteUnreachable(this.context.table, instance, Date.now());
-        noteResult(this.context.table, instance, { failed: true }, Date.now());
+        if (noteResult(this.context.table, instance, outcome, Date.now())) {
+            this.context.onEjection?.(instance, reason);
+        }
     }
 
     /** Gives back the load that the present attempt holds at its upstream. */
@@ -277,7 +289,8 @@
     private cancel(): void {
         const { requestId } = this.exchange;
         const params = { requestId, attempt: this.state.attempt };
-        requestRpc(this.context.identity, this.upstream!.url, "cancel", params).catch(() => undefined);
+        const { url, instance: target } = this.upstream!;
+        requestRpc(this.context.identity, url, "cancel", params, { target }).catch(() => undefined);
     }
 
     /** Ends the request; an answer that its caller has not read by now is broken. */
--- a/src/slot/tests/reader.test.ts
+++ b/src/slot/tests/reader.test.ts
@@ -1,41 +1,95 @@
 import type { ServerResponse } from "node:http";
+import { Writable } from "node:stream";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
 import { createFrameDecoder } from "../../wire/frames.js";
-import type { Frame } from "../../wire/messages.js";
-import type { RunRecord } from "../ledger.js";
+import type { FrameBody } from "../../wire/messages.js";
+import { createLedger, noteDelivered, recordFrame, type RunRecord } from "../ledger.js";
 import { streamFrames } from "../reader.js";
 import type { Runner } from "../runner.js";
 
-beforeEach(() => vi.useFakeTimers({ toFake: ["setInterval", "clearInterval"] }));
-afterEach(() => vi.useRealTimers());
+beforeEach(() => void vi.useFakeTimers());
 
-it("sends no keepalive frame ahead of a frame that waits to be written", async () => {
-    const base = { requestId: "r1", attempt: 1 };
-    const frames: Frame[] = [{ ...base, sequence: 0, kind: "accepted", incarnation: "a" }];
-    const record = { ...base, first: 0, next: 1, frames } as RunRecord;
+afterEach(() => void vi.useRealTimers());
+
+/** A response that takes what is written only when `take` is called. */
+function createResponse() {
     const decoder = createFrameDecoder();
-    const written: Frame[] = [];
-    const response = {
-        writeHead: () => response,
-        on: () => response,
-        cork: () => undefined,
-        uncork: () => undefined,
-        write: (text: string) => written.push(...decoder.push(text)) > 0,
+    const taken: string[] = [];
+    let waiting: (() => void) | undefined;
+    const stream = new Writable({
+        highWaterMark: 1000,
+        decodeStrings: true,
+        write: (chunk: Buffer, encoding, done) => {
+            decoder.push(chunk).forEach(frame => taken.push(`${frame.sequence} ${frame.kind}`));
+            waiting = done;
+        },
+    });
+    const take = async () => {
+        for (let done = waiting; done !== undefined; done = waiting) {
+            waiting = undefined;
+            done();
+            await vi.advanceTimersByTimeAsync(1);
+        }
+    };
+    return {
+        response: Object.assign(stream, { writeHead: () => undefined }) as unknown as ServerResponse,
+        taken,
+        take,
     };
-    let notify = () => {};
+}
+
+it("notes what its reader has taken, the end included, and skips keepalives while the reader lags", async () => {
+    const ledger = createLedger("i1");
+    const record: RunRecord = {
+        requestId: "r",
+        attempt: 1,
+        state: "running",
+        frames: [],
+        first: 0,
+        next: 0,
+        delivered: 0,
+        bytes: 0,
+        expiresAt: 0,
+        keyed: false,
+    };
+    const listeners = new Set<() => void>();
     const runner = {
-        noteDelivered: () => undefined,
-        subscribe: (item: RunRecord, listener: () => void) => {
-            notify = listener;
-            return () => undefined;
+        subscribe: (target: RunRecord, listener: () => void) => {
+            listeners.add(listener);
+            return () => listeners.delete(listener);
         },
+        noteDelivered: (target: RunRecord, sequence: number) => noteDelivered(ledger, target, sequence),
+    } as unknown as Runner;
+    const emit = (body: FrameBody) => {
+        recordFrame(ledger, record, { ...body, requestId: "r", attempt: 1, sequence: record.next }, 0);
+        listeners.forEach(listener => listener());
     };
-    streamFrames(runner as unknown as Runner, record, 0, response as unknown as ServerResponse);
-    frames.push({ ...base, sequence: 1, kind: "data", data: "x" });
-    record.next = 2;
-    notify();
-    vi.advanceTimersByTime(500);
-    await new Promise(resolve => setImmediate(resolve));
-    vi.advanceTimersByTime(500);
-    expect(written.map(frame => `${frame.kind} ${frame.sequence}`)).toEqual(["accepted 0", "data 1", "keepalive 2"]);
+    const { response, taken, take } = createResponse();
+
+    streamFrames(runner, record, 0, response);
+    emit({ kind: "data", data: "x".repeat(2000) });
+    await vi.advanceTimersByTimeAsync(1600);
+    const whileLagging = [record.delivered, [...taken]];
+    await take();
+    const afterTaking = record.delivered;
+    emit({ kind: "failed", outcome: "run", status: 502, title: "lost" });
+    await vi.advanceTimersByTimeAsync(1);
+    await take();
+    expect([whileLagging, afterTaking, record.delivered, taken, listeners.size]).toMatchInlineSnapshot(`
+      [
+        [
+          0,
+          [
+            "0 data",
+          ],
+        ],
+        1,
+        2,
+        [
+          "0 data",
+          "1 failed",
+        ],
+        0,
+      ]
+    `);
 });
