--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -30,13 +30,16 @@
     state: InstanceState;
     /** Pool of upstreams that a slot belongs to. */
     pool?: string;
+    /** Expert-parallel group and place in it, for slots of groups. */
+    group?: string;
+    rank?: number;
 }
 
 /** Load of one upstream as its slot reports it. */
 export interface LoadReport {
     /** Changes whenever the slot's process restarts. */
     incarnation: string;
-    /** Tokens of work admitted and not yet finished. */
+    /** Tokens of work that waits or runs. */
     tokensInFlight: number;
     requestsInFlight: number;
     queued: number;
--- a/src/standin/cluster.ts
+++ b/src/standin/cluster.ts
@@ -29,6 +29,8 @@
     engine?: EngineOptions;
     serviceMs?: number;
     group?: { name: string; rank: number; };
+    /** Upstream that is already running; one is started when absent. */
+    upstream?: UpstreamStandin;
 }
 
 export interface ClusterEntry {
@@ -133,9 +135,7 @@
 }
 
 async function startSlot(cluster: Cluster, plan: SlotPlan): Promise<ClusterSlot> {
-    const upstream = plan.kind === "engine" ?
-        await startEngineStandin(0, plan.engine ?? defaultEngine) :
-        await startPlainStandin(0, plan.serviceMs ?? 0);
+    const upstream = plan.upstream ?? await startUpstream(plan);
     const upstreamProxy = await startFaultProxy(0, Number(new URL(upstream.url).port));
     const { process, port } = await startSlotProcess(cluster, plan, upstreamProxy, 0);
     const proxy = await startFaultProxy(0, port);
@@ -144,12 +144,22 @@
     return slot;
 }
 
+function startUpstream(plan: SlotPlan): Promise<UpstreamStandin> {
+    return plan.kind === "engine" ?
+        startEngineStandin(0, plan.engine ?? defaultEngine) :
+        startPlainStandin(0, plan.serviceMs ?? 0);
+}
+
 async function startSlotProcess(cluster: Cluster, plan: SlotPlan, upstreamProxy: FaultProxy, port: number) {
     const settings = cluster.writeFile(`${plan.instance}.yaml`, {
         ...createCommonSettings(cluster, plan),
         internal: { host: "127.0.0.1", port },
         pool: plan.pool,
-        upstream: { url: upstreamProxy.url, kind: plan.kind },
+        upstream: {
+            url: upstreamProxy.url,
+            kind: plan.kind,
+            ...(plan.group === undefined ? {} : { ordersUrl: upstreamProxy.url }),
+        },
         ...(plan.group === undefined ? {} : { group: plan.group }),
     });
     const process = startProcess("slot", ["--settings", settings]);
@@ -176,6 +186,8 @@
         dataCentre: slot.plan.dataCentre,
         url: slot.proxy.url,
         pool: slot.plan.pool,
+        group: slot.plan.group?.name,
+        rank: slot.plan.group?.rank,
         state: leaving.includes(slot.plan.instance) ? "leaving" : "live",
     }));
     return [...entries, ...slots];
--- a/tests/integration/silence.test.ts
+++ b/tests/integration/silence.test.ts
@@ -23,10 +23,11 @@
 
 afterAll(() => cluster.stop());
 
-const call = (path: string, body: string) =>
-    callPlain(cluster.entries[0].url, path, body, { key: demoKeys.caseworkers });
-const callClaim = (body: string) => call("/claims/submit", body);
-const callLookup = (body: string) => call("/lookups/status", body);
+const callClaim = (body: string) =>
+    callPlain(cluster.entries[0].url, "/claims/submit", body, { key: demoKeys.caseworkers });
+
+const callLookup = (body: string) =>
+    callPlain(cluster.entries[0].url, "/lookups/status", body, { key: demoKeys.caseworkers });
 
 async function explainRequest(requestId: string): Promise<JournalRecord> {
     const { process } = cluster.entries[0];
@@ -69,11 +70,14 @@
     },
 );
 
-it("answers calls whole, non-idempotent ones once, when all idle connections went silent", async () => {
-    const bodies = (name: string) => Array.from({ length: 8 }, (item, index) => `${name} ${index}`);
+it.each([
+    ["non-idempotent", callClaim],
+    ["idempotent", callLookup],
+])("answers %s calls whole, once, when all idle connections went silent", async (name, call) => {
+    const bodies = (text: string) => Array.from({ length: 8 }, (item, index) => `${text} ${index}`);
     await Promise.all(bodies("warm").map(callLookup));
     expect(plain.proxy.freeze()).toBeGreaterThanOrEqual(8);
-    const results = await Promise.all([...bodies("claim").map(callClaim), ...bodies("lookup").map(callLookup)]);
+    const results = await Promise.all(bodies("after").map(call));
     expect(results.map(result => [result.whole, result.status, result.outcome])).toEqual(
         results.map(() => [true, 200, "run"]),
     );
@@ -82,10 +86,10 @@
 
 it("fetches the answer of a non-idempotent call whose connection goes silent while it runs", async () => {
     const before = plain.upstream.runs.size;
-    const claim = callClaim("runs");
+    const call = callClaim("runs");
     await vi.waitFor(() => expect(plain.upstream.runs.size).toBe(before + 1), { interval: 5 });
     plain.proxy.freeze();
-    expect((await claim).whole).toBe(true);
+    expect((await call).whole).toBe(true);
     expectSingleRuns();
 });
 
@@ -94,11 +98,11 @@
     plain.proxy.reset();
     await vi.waitFor(() => expect(plain.proxy.connections()).toBe(1), { interval: 5, timeout: 5000 });
     plain.proxy.setDelay(200);
-    const claim = callClaim("lost");
+    const call = callClaim("lost");
     await vi.waitFor(() => expect(plain.proxy.connections()).toBe(2), { interval: 5 });
     plain.proxy.freeze();
     plain.proxy.setDelay(0);
-    const { whole, requestId } = await claim;
+    const { whole, requestId } = await call;
     expect([whole, plain.upstream.runs.size]).toEqual([true, before + 1]);
     expectSingleRuns();
     const { outcome, route, attempts } = await explainRequest(requestId);
@@ -125,10 +129,10 @@
 
 it("tells a truthful outcome at once when the slot cannot be reached any more", async () => {
     const before = plain.upstream.runs.size;
-    const claim = callClaim("cut");
+    const call = callClaim("cut");
     await vi.waitFor(() => expect(plain.upstream.runs.size).toBe(before + 1), { interval: 5 });
     plain.proxy.cut();
-    const { status, outcome } = await claim;
+    const { status, outcome } = await call;
     plain.proxy.heal();
     expect([status, outcome]).toEqual([502, "unknown"]);
     expectSingleRuns();
