--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -1,11 +1,13 @@
 /** Fourth filter: carries a request to slots and their answer back, as the attempt machine decides. */
 import type { Metrics } from "../observe/metrics.js";
 import { chooseUpstream, estimateCost } from "../routing/choose.js";
+import type { Outcome } from "../routing/ejection.js";
 import {
-    ejectUpstream,
     noteDone,
     noteReport,
+    noteResult,
     noteSent,
+    noteUnreachable,
     type UpstreamEntry,
     type UpstreamTable,
 } from "../routing/table.js";
@@ -20,7 +22,6 @@
 import type { SlotClient, SlotStream } from "./slotClient.js";
 import type { Exchange } from "./types.js";
 
-const ejectMs = 2000;
 const resumeDelayMs = 50;
 /** Longest time that a caller is told to wait when retries are spent, in seconds. */
 const maxRetryAfterSeconds = 8;
@@ -55,6 +56,7 @@
     private stream: SlotStream | undefined;
     private deadline: NodeJS.Timeout | undefined;
     private retryReason: RetryReason | undefined;
+    private sentAt = 0;
     private waitsForCaller = false;
     private ended = false;
 
@@ -131,6 +133,7 @@
 
     private send(): void {
         const params = createRunParams(this.exchange, this.state, this.incarnation);
+        this.sentAt = Date.now();
         const { url, instance } = this.upstream!;
         this.stream = this.context.slots.run(url, params, this.createListener(), instance);
     }
@@ -161,7 +164,7 @@
                     this.incarnation = frame.incarnation;
                 }
                 if (own && frame.kind === "failed") {
-                    this.noteRestart(frame.incarnation);
+                    this.noteFailure(frame);
                 }
                 this.apply({ kind: "frame", frame });
             },
@@ -173,6 +176,13 @@
         };
     }
 
+    private noteFailure({ status, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
+        if (status === 502 && this.upstream !== undefined) {
+            this.noteOutcome({ failed: true }, Date.now());
+        }
+        this.noteRestart(incarnation);
+    }
+
     /** A slot that refuses as another incarnation has restarted idle since its report; it may be tried again. */
     private noteRestart(incarnation: string | undefined): void {
         const known = this.upstream?.report;
@@ -188,7 +198,10 @@
     private relay(frame: Frame): void {
         const { response, requestId, receivedAt } = this.exchange;
         if (frame.kind === "head") {
-            this.context.metrics.firstByteSeconds.observe((Date.now() - receivedAt) / 1000);
+            const now = Date.now();
+            this.context.metrics.firstByteSeconds.observe((now - receivedAt) / 1000);
+            const outcome = { failed: frame.status >= 500, latencyMs: now - this.sentAt };
+            this.noteOutcome(outcome, now);
         }
         if (frame.kind === "end") {
             noteReport(this.context.table, this.upstream!.instance, frame.load, Date.now());
@@ -220,27 +233,34 @@
             this.tried.delete(this.upstream!.instance);
         }
         else if (reason !== RetryReason.refused) {
-            this.eject(this.upstream!, reason);
+            this.noteLoss();
         }
         this.release();
     }
 
-    private eject(upstream: UpstreamEntry, reason: string): void {
-        const now = Date.now();
-        if (upstream.ejectedUntil <= now) {
-            this.context.onEjection?.(upstream.instance, reason);
-        }
-        ejectUpstream(this.context.table, upstream.instance, now + ejectMs);
-    }
-
     private fail(action: Extract<AttemptAction, { kind: "fail"; }>): void {
         if (action.outcome !== "run" && this.upstream !== undefined && action.status === 502) {
-            this.eject(this.upstream, action.title);
+            this.noteLoss();
         }
         relayProblem(this.exchange.response, this.exchange.requestId, action);
         this.finish(action.outcome, action.title);
     }
 
+    /** Notes that the connection to the upstream's slot is lost. */
+    private noteLoss(): void {
+        const { instance } = this.upstream!;
+        noteUnreachable(this.context.table, instance, Date.now());
+        this.noteOutcome({ failed: true }, Date.now());
+    }
+
+    private noteOutcome(outcome: Outcome, now: number): void {
+        const { instance } = this.upstream!;
+        if (noteResult(this.context.table, instance, outcome, now)) {
+            const reason = outcome.failed ? "it fails more often than its peers" : "it is slower than its peers";
+            this.context.onEjection?.(instance, reason);
+        }
+    }
+
     /** Gives back the load that the present attempt holds at its upstream. */
     private release(): void {
         if (this.upstream !== undefined) {
