--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -1,5 +1,6 @@
 /** Fourth filter: carries a request to slots and their answer back, as the attempt machine decides. */
 import type { Metrics } from "../observe/metrics.js";
+import { hashPrompt } from "../routing/affinity.js";
 import { chooseUpstream, estimateCost } from "../routing/choose.js";
 import type { Outcome } from "../routing/ejection.js";
 import {
@@ -23,8 +24,8 @@
 import type { Exchange } from "./types.js";
 
 const resumeDelayMs = 50;
-/** Longest time that a caller is told to wait when retries are spent, in seconds. */
-const maxRetryAfterSeconds = 8;
+/** Longest time that a caller is told to wait when retries are spent or no upstream is left, in seconds. */
+const maxRetryAfterSeconds = 4;
 
 export interface DispatchContext {
     identity: RpcIdentity;
@@ -89,6 +90,10 @@
     }
 
     begin(): void {
+        if (this.exchange.response.destroyed) {
+            this.handleCallerClose();
+            return;
+        }
         noteRequest(this.context.retryBudget, Date.now());
         this.deadline = setTimeout(() => this.handleDeadline(), this.state.deadline - Date.now());
         this.exchange.response.on("close", () => this.handleCallerClose());
@@ -106,15 +111,23 @@
         const { table, dataCentre, retryBudget } = this.context;
         const { route, tokens } = this.exchange;
         const now = Date.now();
+        const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
         if (this.needsBudget() && !admitRetry(retryBudget, now)) {
-            const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
             this.apply({ kind: "retry-refused", retryAfterSeconds });
             return;
         }
-        const choice = { pool: route!.pool, dataCentre, spill: route!.spill, tokens, excluded: this.tried };
+        const choice = {
+            pool: route!.pool,
+            dataCentre,
+            spill: route!.spill,
+            tokens,
+            excluded: this.tried,
+            prefix: hashPrompt(this.exchange.body),
+            avoidsFull: this.retryReason === RetryReason.refused,
+        };
         this.upstream = chooseUpstream(table, choice, now, Math.random);
         if (this.upstream === undefined) {
-            this.apply({ kind: "no-candidate" });
+            this.apply({ kind: "no-candidate", retryAfterSeconds });
             return;
         }
         const cost = `estimated cost ${estimateCost(this.upstream)} tokens`;
@@ -133,8 +146,8 @@
 
     private send(): void {
         const params = createRunParams(this.exchange, this.state, this.incarnation);
-        this.sentAt = Date.now();
         const { url, instance } = this.upstream!;
+        this.sentAt = Date.now();
         this.stream = this.context.slots.run(url, params, this.createListener(), instance);
     }
 
@@ -176,9 +189,9 @@
         };
     }
 
-    private noteFailure({ status, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
+    private noteFailure({ status, title, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
         if (status === 502 && this.upstream !== undefined) {
-            this.noteOutcome({ failed: true }, Date.now());
+            this.noteOutcome({ failed: true }, title);
         }
         this.noteRestart(incarnation);
     }
@@ -201,7 +214,7 @@
             const now = Date.now();
             this.context.metrics.firstByteSeconds.observe((now - receivedAt) / 1000);
             const outcome = { failed: frame.status >= 500, latencyMs: now - this.sentAt };
-            this.noteOutcome(outcome, now);
+            this.noteOutcome(outcome, outcome.failed ? `it answers ${frame.status}` : "it is slow beside its peers");
         }
         if (frame.kind === "end") {
             noteReport(this.context.table, this.upstream!.instance, frame.load, Date.now());
@@ -233,30 +246,29 @@
             this.tried.delete(this.upstream!.instance);
         }
         else if (reason !== RetryReason.refused) {
-            this.noteLoss();
+            this.noteLoss(reason);
         }
         this.release();
     }
 
     private fail(action: Extract<AttemptAction, { kind: "fail"; }>): void {
         if (action.outcome !== "run" && this.upstream !== undefined && action.status === 502) {
-            this.noteLoss();
+            this.noteLoss(action.title);
         }
         relayProblem(this.exchange.response, this.exchange.requestId, action);
         this.finish(action.outcome, action.title);
     }
 
     /** Notes that the connection to the upstream's slot is lost. */
-    private noteLoss(): void {
-        const { instance } = this.upstream!;
-        noteUnreachable(this.context.table, instance, Date.now());
-        this.noteOutcome({ failed: true }, Date.now());
+    private noteLoss(reason: string): void {
+        noteUnreachable(this.context.table, this.upstream!.instance, Date.now());
+        this.noteOutcome({ failed: true }, reason);
     }
 
-    private noteOutcome(outcome: Outcome, now: number): void {
+    /** Counts an outcome for or against the upstream, and tells when it is ejected for it. */
+    private noteOutcome(outcome: Outcome, reason: string): void {
         const { instance } = this.upstream!;
-        if (noteResult(this.context.table, instance, outcome, now)) {
-            const reason = outcome.failed ? "it fails more often than its peers" : "it is slower than its peers";
+        if (noteResult(this.context.table, instance, outcome, Date.now())) {
             this.context.onEjection?.(instance, reason);
         }
     }
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -24,51 +24,68 @@
 }
 
 export interface SlotClient {
-    /** `target` is the name of the slot that alone may take the call. */
+    /** `target` is the name of the slot that alone may take the call. Non-idempotent runs use a new connection. */
     run: (url: string, params: RunParams, listener: FrameListener, target?: string) => SlotStream;
     /** Always uses a new connection. */
     resume: (url: string, params: ResumeParams, listener: FrameListener, target?: string) => SlotStream;
     close: () => Promise<void>;
 }
 
-/** Creates a client; connections idle for over two seconds, or beside one that went silent, are never used again. */
+/**
+ * Creates a client. Non-idempotent runs and resumptions go on new connections, since an idle one may be dead.
+ * Connections idle for over two seconds, or beside one that went silent, are never used again.
+ */
 export function createSlotClient(identity: RpcIdentity): SlotClient {
     const pools = new Map<string, Pool>();
     const getPool = (url: string) => pools.get(url) ?? createPool(pools, url);
+    const openPooled: SlotClient["run"] = (url, params, listener, target) => {
+        const pool = getPool(url);
+        return openStream(pool, identity, InternalPath.run, params, {
+            onFrame: listener.onFrame,
+            onBroken: sent => {
+                dropPool(pools, url, pool);
+                listener.onBroken(sent);
+            },
+        }, target);
+    };
     return {
-        run: (url, params, listener, target) => {
-            const pool = getPool(url);
-            return openStream(pool, identity, InternalPath.run, params, {
-                onFrame: listener.onFrame,
-                onBroken: sent => {
-                    dropPool(pools, url, pool);
-                    listener.onBroken(sent);
-                },
-            }, target);
-        },
-        resume: (url, params, listener, target) => {
-            const fresh = new Client(url, clientOptions);
-            const stream = openStream(fresh, identity, InternalPath.resume, params, {
-                onFrame: listener.onFrame,
-                onBroken: sent => {
-                    void fresh.destroy();
-                    listener.onBroken(sent);
-                },
-            }, target);
-            return {
-                ...stream,
-                abandon: () => {
-                    stream.abandon();
-                    void fresh.destroy();
-                },
-            };
-        },
+        run: (url, params, listener, target) =>
+            params.idempotent ?
+                openPooled(url, params, listener, target) :
+                openFresh(identity, url, InternalPath.run, params, listener, target),
+        resume: (url, params, listener, target) =>
+            openFresh(identity, url, InternalPath.resume, params, listener, target),
         close: async () => {
             await Promise.all([...pools.values()].map(pool => pool.close()));
         },
     };
 }
 
+function openFresh(
+    identity: RpcIdentity,
+    url: string,
+    path: string,
+    params: RunParams | ResumeParams,
+    listener: FrameListener,
+    target: string | undefined,
+): SlotStream {
+    const fresh = new Client(url, clientOptions);
+    const stream = openStream(fresh, identity, path, params, {
+        onFrame: listener.onFrame,
+        onBroken: sent => {
+            void fresh.destroy();
+            listener.onBroken(sent);
+        },
+    }, target);
+    return {
+        ...stream,
+        abandon: () => {
+            stream.abandon();
+            void fresh.destroy();
+        },
+    };
+}
+
 function createPool(pools: Map<string, Pool>, url: string): Pool {
     const pool = new Pool(url, {
         ...clientOptions,
--- a/src/routing/tests/ejection.test.ts
+++ b/src/routing/tests/ejection.test.ts
@@ -64,9 +64,10 @@
             new Set(
                 Array.from({ length: 20 }, (unused, i) => chooseUpstream(table, choice, now, () => i / 20)?.instance),
             );
+        const report = { incarnation: "x", tokensInFlight: 0, requestsInFlight: 0, queued: 0, serviceMs: 1 };
+        ["one", "two"].forEach(instance => noteReport(table, instance, { ...report, state: "live" }, 500));
         noteUnreachable(table, "one", 1000);
         expect([...choose(3000)]).toEqual(["two"]);
-        const report = { incarnation: "x", tokensInFlight: 0, requestsInFlight: 0, queued: 0, serviceMs: 1 };
         noteReport(table, "one", { ...report, state: "live" }, 3500);
         expect(choose(4000).has("one")).toBe(true);
         noteUnreachable(table, "one", 5000);
