--- a/src/group/driverSwitch.ts
+++ b/src/group/driverSwitch.ts
@@ -125,15 +125,16 @@
             taken: a => report(AuditKind.takeover, a.finished ? "finishes a committed switch" : "releases holds"),
             switched: a => {
                 isMapless = false;
+                const reason = a.map === undefined ? "finished for an earlier coordinator" : proposalReason;
                 account.lastSwitch = {
                     version: a.version,
                     sinceStep: a.step,
                     durationMs: a.durationMs,
-                    reason: proposalReason,
+                    reason,
                 };
                 logger.info("The map has switched.", { ...account.lastSwitch });
                 const took = `from step ${a.step}, after ${Math.round(a.durationMs)} ms`;
-                report(AuditKind.mapSwitch, `${proposalReason}: map ${a.version} ${took}`);
+                report(AuditKind.mapSwitch, `${reason}: map ${a.version} ${took}`);
             },
             released: a => report(AuditKind.mapSwitch, `gave up map ${a.version ?? "of an earlier coordinator"}`),
             needMap: () => {
