--- a/src/bench/explore-maps.ts
+++ b/src/bench/explore-maps.ts
@@ -1,6 +1,6 @@
 /** Explores schedules of map switches under faults: `npm run explore -- maps --runs N --seed S`. */
 import { createRandom, type Random } from "../core/random.js";
-import { Phase } from "../group/coordinator.js";
+import { Phase } from "../group/coordinatorState.js";
 import {
     advanceEngine,
     answerOrder,
--- a/src/bench/mapsWorld.ts
+++ b/src/bench/mapsWorld.ts
@@ -5,7 +5,7 @@
  * ignores fencing numbers it does so before the next process of that slot dies.
  */
 import type { Random } from "../core/random.js";
-import type { CoordinatorRules, CoordinatorTimes } from "../group/coordinator.js";
+import type { CoordinatorRules, CoordinatorTimes } from "../group/coordinatorState.js";
 import {
     applyOrder,
     copyEngineState,
--- a/src/group/coordinator.ts
+++ b/src/group/coordinator.ts
@@ -3,130 +3,20 @@
  * who tries, never what is safe. Each ballot settles at most one thing: finish the switch that it finds, release
  * the holds that it finds, or propose one map of its own.
  */
-import { decideAfterTake, hasAllAcknowledgements, isPastStep, type Reading, type TakeDecision } from "./takeover.js";
-import type { RefusalReason } from "./types.js";
+import { type CoordinatorAction, type CoordinatorState, Phase, scheduleElection } from "./coordinatorState.js";
+import { hasAllAcknowledgements } from "./takeover.js";
 import {
     type Ballot,
     compareBallots,
     type ExpertMap,
     formatBallot,
     type GroupReply,
-    type GroupRequest,
+    type RefusalReason,
     type RequestBody,
 } from "./types.js";
 
-export const Phase = {
-    follow: "follow",
-    take: "take",
-    prepare: "prepare",
-    hold: "hold",
-    commit: "commit",
-    release: "release",
-    settle: "settle",
-    drop: "drop",
-    steady: "steady",
-} as const;
-export type Phase = (typeof Phase)[keyof typeof Phase];
-
-export interface CoordinatorTimes {
-    /** Interval of repeated requests while something is under way, in milliseconds. */
-    resendMs: number;
-    /** Interval of heartbeats while nothing is, in milliseconds. */
-    heartbeatMs: number;
-    /** Silence during a switch after which the lowest rank takes over, in milliseconds; others wait a tenth longer. */
-    electionMs: number;
-    /** The same while nothing is under way. */
-    idleElectionMs: number;
-    /** Time for all ranks to acknowledge a hold before it is released, in milliseconds. */
-    holdMs: number;
-    /** Time between the choice of a step and that step, in milliseconds. */
-    leadMs: number;
-}
-
-export interface CoordinatorRules {
-    /** Whether a hold has the acknowledgements that a commit needs. */
-    mayCommit: (replies: ReadonlyMap<number, GroupReply>, ranks: number) => boolean;
-    decideAfterTake: (readings: Reading[]) => TakeDecision;
-    isPastStep: (readings: Reading[], version: string) => boolean;
-}
-
-export const coordinatorRules: CoordinatorRules = { mayCommit: hasAllAcknowledgements, decideAfterTake, isPastStep };
-
-export interface CoordinatorState {
-    rank: number;
-    ranks: number;
-    nonce: string;
-    generation: number;
-    phase: Phase;
-    ballot: Ballot;
-    /** Highest round seen in any ballot. */
-    maxRound: number;
-    /** Acknowledgements of the present phase by rank. */
-    replies: Map<number, GroupReply>;
-    readings: Map<number, Reading>;
-    /** Version that the present ballot commits, and its step. */
-    target: { version: string; step: number; } | undefined;
-    proposal: ExpertMap | undefined;
-    drops: string[];
-    /** Multiple of the lead; doubled after a hold came too late. */
-    leadFactor: number;
-    resendAt: number;
-    phaseEndsAt: number;
-    electionAt: number;
-    startedAt: number;
-    times: CoordinatorTimes;
-    rules: CoordinatorRules;
-}
-
-export type CoordinatorAction =
-    | { kind: "send"; request: GroupRequest; }
-    /** This slot starts to coordinate after the silence of another one. */
-    | { kind: "elected"; round: number; }
-    | { kind: "taken"; finished: boolean; }
-    /** The map of `version` is in force at every rank from `step` on. */
-    | { kind: "switched"; version: string; step: number; map: ExpertMap | undefined; durationMs: number; }
-    | { kind: "released"; version: string | undefined; }
-    /** The generation has no map and nobody has proposed one. */
-    | { kind: "needMap"; };
-
-export interface CoordinatorOptions {
-    rank: number;
-    ranks: number;
-    nonce: string;
-    times: CoordinatorTimes;
-    rules?: CoordinatorRules;
-}
-
 const maxLeadFactor = 64;
 
-/** Creates a slot's coordinator, which follows at first. */
-export function createCoordinator(options: CoordinatorOptions, now: number, random: number): CoordinatorState {
-    const { rank, ranks, nonce, times, rules } = options;
-    const state: CoordinatorState = {
-        rank,
-        ranks,
-        nonce,
-        generation: 0,
-        phase: Phase.follow,
-        ballot: { round: 0, rank, nonce },
-        maxRound: 0,
-        replies: new Map(),
-        readings: new Map(),
-        target: undefined,
-        proposal: undefined,
-        drops: [],
-        leadFactor: 1,
-        resendAt: 0,
-        phaseEndsAt: 0,
-        electionAt: 0,
-        startedAt: now,
-        times,
-        rules: rules ?? coordinatorRules,
-    };
-    scheduleElection(state, now, random);
-    return state;
-}
-
 /** Begins to coordinate a generation; earlier ballots are void in it. */
 export function enterGeneration(state: CoordinatorState, generation: number, now: number, random: number): void {
     state.generation = generation;
@@ -287,7 +177,7 @@
 }
 
 /** Starts the next attempt by asking every slot for its promise and its engine's state. */
-export function startBallot(state: CoordinatorState, now: number): CoordinatorAction[] {
+function startBallot(state: CoordinatorState, now: number): CoordinatorAction[] {
     state.maxRound += 1;
     state.ballot = { round: state.maxRound, rank: state.rank, nonce: state.nonce };
     state.target = undefined;
@@ -363,12 +253,3 @@
     const stepMs = Math.max(0.1, ...readings.map(reading => reading.state.stepMs));
     return Math.ceil(Math.max(...steps) + 1 + state.leadFactor * state.times.leadMs / stepMs);
 }
-
-function scheduleElection(
-    state: CoordinatorState,
-    now: number,
-    random: number,
-    silenceMs: number = state.times.electionMs,
-): void {
-    state.electionAt = now + silenceMs * (1 + state.rank / 10 + random / 2);
-}
--- a/src/group/driverSwitch.ts
+++ b/src/group/driverSwitch.ts
@@ -7,7 +7,7 @@
 import { type AuditEvent, AuditKind } from "../observe/audit.js";
 import type { Logger } from "../observe/logger.js";
 import { requestRpc, type RpcIdentity, type RpcMethods } from "../wire/rpc.js";
-import type { CoordinatorTimes } from "./coordinator.js";
+import type { CoordinatorTimes } from "./coordinatorState.js";
 import { advanceNode, createGroupNode, type GroupAction, type GroupEvent } from "./node.js";
 import {
     type EngineOrder,
--- a/src/group/node.ts
+++ b/src/group/node.ts
@@ -1,15 +1,11 @@
 /** One slot of a group: its member and its coordinator behind one event handler. */
+import { advanceCoordinator, enterGeneration, noteBallot, proposeMap, receiveReply } from "./coordinator.js";
 import {
-    advanceCoordinator,
     type CoordinatorAction,
     type CoordinatorOptions,
     type CoordinatorState,
     createCoordinator,
-    enterGeneration,
-    noteBallot,
-    proposeMap,
-    receiveReply,
-} from "./coordinator.js";
+} from "./coordinatorState.js";
 import {
     createMember,
     failEngine,
--- a/src/group/tests/schedules.test.ts
+++ b/src/group/tests/schedules.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "vitest";
 import { exploreSchedules, runSchedule, type ScheduleOptions } from "../../bench/explore-maps.js";
-import { coordinatorRules } from "../coordinator.js";
+import { coordinatorRules } from "../coordinatorState.js";
 import { memberRules } from "../member.js";
 
 describe("map switch under faults", () => {
