--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -8,7 +8,7 @@
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
 import { chooseProbes } from "../routing/probes.js";
-import { selectSlots } from "../routing/subset.js";
+import { createSlotSelector } from "../routing/subset.js";
 import { createUpstreamTable, noteReport, updateInstances } from "../routing/table.js";
 import { listenOn } from "../wire/listen.js";
 import { InternalPath } from "../wire/messages.js";
@@ -37,6 +37,7 @@
     const peersLogger = makeLogger(Prefix.peers);
     const metrics = createMetrics();
     const table = createUpstreamTable();
+    const selectSlots = createSlotSelector(settings);
     const slots = createSlotClient(settings);
     let config: ConfigState = createConfigState(environment);
     let stopping = false;
@@ -84,7 +85,7 @@
     )
         .observe(instances => state.updateInstances(instances));
     const probe = async () => {
-        updateInstances(table, selectSlots(state.listInstances(), settings));
+        updateInstances(table, selectSlots(state.listInstances()));
         await Promise.all(
             chooseProbes(table.upstreams.values(), Date.now()).map(async upstream => {
                 const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}).catch(() =>
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -211,22 +211,27 @@
 /** Picks the next request, passing over workspaces that would use up what is reserved for others. */
 function pickEligible(state: AdmissionState, now: number): Waiting | undefined {
     const { concurrency } = state.limits;
-    const isReserved = state.running.size > 0 &&
-        state.running.size >= concurrency - Math.floor(concurrency * reservedShare);
-    return pickNext(
-        state.queue,
-        (workspace, weight) => !isReserved || !isAboveShare(state, workspace, weight, now),
-    );
+    const { size } = state.running;
+    if (size === 0 || size < concurrency - Math.floor(concurrency * reservedShare)) {
+        return pickNext(state.queue, () => true);
+    }
+    const total = sumActiveWeights(state, now);
+    return pickNext(state.queue, (workspace, weight) => !isAboveShare(state, workspace, weight, total));
+}
+
+/** Whether a workspace runs at least its fair share of the concurrency among those of `total` weight. */
+function isAboveShare(state: AdmissionState, workspace: string, weight: number, total: number): boolean {
+    const requests = state.runningOf.get(workspace)?.requests ?? 0;
+    return total > weight && requests >= state.limits.concurrency * weight / total;
 }
 
-/** Whether a workspace runs at least its fair share of the concurrency, counting those active of late. */
-function isAboveShare(state: AdmissionState, workspace: string, weight: number, now: number): boolean {
+/** Sums the weights of the workspaces that have had a request of late. */
+function sumActiveWeights(state: AdmissionState, now: number): number {
     let total = 0;
     for (const active of state.activeAt.values()) {
         total += active.at > now - activeMs ? active.weight : 0;
     }
-    return total > weight &&
-        (state.runningOf.get(workspace)?.requests ?? 0) >= state.limits.concurrency * weight / total;
+    return total;
 }
 
 function startRunning(state: AdmissionState, item: Waiting, now: number): void {
--- a/src/routing/subset.ts
+++ b/src/routing/subset.ts
@@ -6,12 +6,6 @@
 import murmurhash from "murmurhash";
 import { type InstanceRecord, Role } from "../core/types.js";
 
-interface Pair {
-    entry: number;
-    upstream: number;
-    score: number;
-}
-
 interface Matching {
     subsets: number[][];
     /** Entries that have each upstream in their subset. */
@@ -48,21 +42,32 @@
     return matching.subsets.map(subset => subset.map(index => upstreams[index]));
 }
 
-function listPairs(entries: string[], upstreams: string[]): Pair[] {
-    const pairs: Pair[] = [];
-    entries.forEach((entry, e) =>
-        upstreams.forEach((upstream, u) =>
-            pairs.push({ entry: e, upstream: u, score: murmurhash.v3(`${entry}\n${upstream}`) })
-        )
-    );
-    const compareNames = (a: Pair, b: Pair) =>
-        entries[a.entry] + upstreams[a.upstream] < entries[b.entry] + upstreams[b.upstream] ? -1 : 1;
-    return pairs.sort((a, b) => a.score - b.score || compareNames(a, b));
+/** Lists pairs as `entry * upstreams.length + upstream`, in the order of their hash. */
+function listPairs(entries: string[], upstreams: string[]): Float64Array {
+    const entryHashes = entries.map(name => murmurhash.v3(name));
+    const upstreamHashes = upstreams.map(name => murmurhash.v3(name));
+    const count = entries.length * upstreams.length;
+    const keys = new Float64Array(count);
+    for (let pair = 0; pair < count; pair++) {
+        const upstream = pair % upstreams.length;
+        const score = combineHashes(entryHashes[(pair - upstream) / upstreams.length], upstreamHashes[upstream]);
+        keys[pair] = score * count + pair;
+    }
+    return keys.sort().map(key => key % count);
+}
+
+/** Combines two 32-bit hashes into one. */
+function combineHashes(a: number, b: number): number {
+    let mixed = Math.imul(a ^ (a >>> 16), 0x85ebca6b) ^ b;
+    mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+    mixed = Math.imul(mixed ^ (mixed >>> 16), 0x27d4eb2f);
+    return (mixed ^ (mixed >>> 15)) >>> 0;
 }
 
-function takePairs({ subsets, holders }: Matching, pairs: Pair[], size: number, maxHolders: number): void {
-    for (const { entry, upstream } of pairs) {
-        const subset = subsets[entry];
+function takePairs({ subsets, holders }: Matching, pairs: Float64Array, size: number, maxHolders: number): void {
+    for (const pair of pairs) {
+        const upstream = pair % holders.length;
+        const subset = subsets[(pair - upstream) / holders.length];
         if (subset.length < size && holders[upstream] < maxHolders && !subset.includes(upstream)) {
             subset.push(upstream);
             holders[upstream] += 1;
@@ -76,18 +81,33 @@
 export const farSubsetSize = 4;
 
 /**
- * Selects the slots that an entry knows and probes: of each pool, a subset of its own data centre's
- * and a smaller one of each other data centre's. The entry takes part also where the list lacks it.
+ * Creates the function that selects the slots which an entry knows and probes: of each pool, a subset of its own data
+ * centre's and a smaller one of each other data centre's. The entry takes part also where the list lacks it.
+ * The assignment is computed only when instances come or go.
  */
-export function selectSlots(
+export function createSlotSelector(
+    self: { instance: string; dataCentre: string; },
+): (instances: InstanceRecord[]) => InstanceRecord[] {
+    let members = "";
+    let selected = new Set<string>();
+    return instances => {
+        const listed = instances.map(i => `${i.instance} ${i.role} ${i.dataCentre} ${i.pool}`).sort().join("\n");
+        if (listed !== members) {
+            members = listed;
+            selected = selectInstances(instances, self);
+        }
+        return instances.filter(record => selected.has(record.instance));
+    };
+}
+
+function selectInstances(
     instances: InstanceRecord[],
     self: { instance: string; dataCentre: string; },
-): InstanceRecord[] {
+): Set<string> {
     const entries = listEntries(instances, self);
     const slots = instances.filter(record => record.role === Role.slot && record.pool !== undefined);
-    const parts = splitBy(slots, slot => `${slot.pool}\n${slot.dataCentre}`);
     const selected = new Set<string>();
-    for (const part of parts.values()) {
+    for (const part of splitBy(slots, slot => `${slot.pool}\n${slot.dataCentre}`).values()) {
         const { dataCentre } = part[0];
         const isNear = dataCentre === self.dataCentre;
         const sharing = entries.filter(entry => (entry.dataCentre === dataCentre) === isNear).map(e => e.instance);
@@ -95,7 +115,7 @@
         const subsets = assignSubsets(sharing, part.map(slot => slot.instance).sort(), size);
         subsets[sharing.indexOf(self.instance)].forEach(instance => selected.add(instance));
     }
-    return slots.filter(slot => selected.has(slot.instance));
+    return selected;
 }
 
 function listEntries(instances: InstanceRecord[], self: { instance: string; dataCentre: string; }) {
--- a/src/routing/tests/subset.test.ts
+++ b/src/routing/tests/subset.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { type InstanceRecord, InstanceState, Role } from "../../core/types.js";
-import { assignSubsets, computeMaxHolders, computeSubsetSize, minHolders, selectSlots } from "../subset.js";
+import { assignSubsets, computeMaxHolders, computeSubsetSize, createSlotSelector, minHolders } from "../subset.js";
 
 const size = 8;
 const listNames = (prefix: string, count: number) => Array.from({ length: count }, (unused, i) => `${prefix}-${i}`);
@@ -65,7 +65,7 @@
             pool: undefined,
         }));
         const select = (list: InstanceRecord[]) =>
-            selectSlots(list, { instance: "entry-0", dataCentre: "a" }).map(s => s.instance);
+            createSlotSelector({ instance: "entry-0", dataCentre: "a" })(list).map(s => s.instance);
         const selected = select([...instances, ...entries]);
         expect(new Set(select([...entries, ...instances].reverse()))).toEqual(new Set(selected));
         expect({ near: selected.filter(s => s.includes("-a-")).length, all: selected.length })
