--- a/src/demo/report.ts
+++ b/src/demo/report.ts
@@ -47,6 +47,10 @@
         ["lost", figures.lost],
         ["first token p50, ms", figures.firstTokenP50Ms],
         ["first token p95, ms", figures.firstTokenP95Ms],
+        ["map switches", figures.mapSwitches],
+        ["steps on mixed maps", figures.mixedSteps],
+        ["group steps", figures.groupSteps],
+        ["skew of rank loads", figures.skew],
     ];
     rows.forEach(([name, value]) => process.stdout.write(`  ${name.padEnd(22)}${value}\n`));
 }
