--- a/src/bench/path.ts
+++ b/src/bench/path.ts
@@ -54,18 +54,24 @@
     const path = await startPath();
     try {
         await measureCalls(path.plain, 16, 2);
-        const parts = { latency: runPair, calls: runClaims, lookups: runLookups, streams: runStreams };
+        const parts = {
+            latency: runClaimPair,
+            lookupLatency: runLookupPair,
+            calls: runClaims,
+            lookups: runLookups,
+            streams: runStreams,
+        };
         const figures: Partial<Record<keyof typeof parts, Row>> = {};
         for (const [name, run] of Object.entries(parts)) {
             if (options.flags.only === undefined || options.flags.only === name) {
                 figures[name as keyof typeof parts] = await run(path, seconds);
             }
         }
-        const { latency, calls, lookups, streams } = figures;
+        const { latency, lookupLatency, calls, lookups, streams } = figures;
         const isRow = (row: Row | undefined) => row !== undefined;
         printTable(
             "Plain calls at a moderate rate, direct and through entry and slot, paired (ms)",
-            [latency].filter(isRow),
+            [latency, lookupLatency].filter(isRow),
         );
         printTable("One entry under load", [calls, lookups, streams].filter(isRow));
         return figures;
@@ -75,12 +81,21 @@
     }
 }
 
-async function runPair(path: Path, seconds: number) {
-    const [direct, through] = await measurePair(path.direct, path.plain, pairRate, seconds);
+function runClaimPair(path: Path, seconds: number) {
+    return runPair(path, path.plain, "non-idempotent", seconds);
+}
+
+function runLookupPair(path: Path, seconds: number) {
+    return runPair(path, path.lookup, "idempotent", seconds);
+}
+
+async function runPair(path: Path, target: Target, load: string, seconds: number) {
+    const [direct, through] = await measurePair(path.direct, target, pairRate, seconds);
     const [directP50, directP99, p50, p99] = [direct, through].flatMap(
         h => [getPercentile(h, 50), getPercentile(h, 99)],
     );
     return {
+        load,
         calls: through.totalCount,
         directP50,
         directP99,
--- a/src/config/loadState.ts
+++ b/src/config/loadState.ts
@@ -18,6 +18,7 @@
     advanceSpread,
     createSpreadState,
     planSnapshot,
+    Source,
     type SpreadAction,
     type SpreadEvent,
     type SpreadState,
@@ -178,11 +179,13 @@
             logger.info("A revision is in force.", { revision, source, digest: spread.newest.digest });
             options.metrics.revision.set(revision);
             options.onConfig(config);
-            audit.record({
-                kind: AuditKind.revisionInForce,
-                subject: String(revision),
-                reason: `learned from the ${source}`,
-            });
+            if (source !== Source.log) {
+                audit.record({
+                    kind: AuditKind.revisionInForce,
+                    subject: String(revision),
+                    reason: `learned from the ${source}`,
+                });
+            }
         },
         refused: ({ logger, audit }, { revision, reason }) => {
             logger.error("A revision cannot be used; the previous one stays.", { revision, reason });
