--- a/src/config/schemas.ts
+++ b/src/config/schemas.ts
@@ -24,7 +24,6 @@
     /** Requests that wait at one upstream. */
     queue: z.number().int().nonnegative().default(128),
 });
-export type Pool = z.infer<typeof PoolSchema>;
 
 export const RouteSchema = z.strictObject({
     /** Prefix of the request path. */
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -12,14 +12,14 @@
     type UpstreamEntry,
     type UpstreamTable,
 } from "../routing/table.js";
-import { filterHeaders } from "../slot/upstream.js";
-import type { Frame, RunParams } from "../wire/messages.js";
+import type { Frame } from "../wire/messages.js";
 import { requestRpc, type RpcIdentity } from "../wire/rpc.js";
 import { advanceAttempt, type AttemptAction, type AttemptEvent, createAttemptState, RetryReason } from "./attempt.js";
 import { beginAttempt, beginRecord, endAttempt, endRecord, type Journal, type JournalRecord } from "./journal.js";
 import { cutAnswer, relayFrame, relayProblem } from "./relay.js";
 import { admitRetry, noteRequest, type RetryBudget } from "./retryBudget.js";
 import { isIdempotent } from "./route.js";
+import { createRunParams } from "./runParams.js";
 import type { SlotClient, SlotStream } from "./slotClient.js";
 import type { Exchange } from "./types.js";
 
@@ -317,28 +317,3 @@
         this.finish("caller-gone", "the caller has gone");
     }
 }
-
-function createRunParams(
-    exchange: Exchange,
-    state: { attempt: number; idempotent: boolean; deadline: number; },
-    incarnation: string | undefined,
-): RunParams {
-    const { message, body } = exchange;
-    const headers = filterHeaders(message.headers);
-    delete headers.authorization;
-    return {
-        requestId: exchange.requestId,
-        attempt: state.attempt,
-        incarnation,
-        workspace: exchange.workspace!.name,
-        method: message.method ?? "GET",
-        path: message.url ?? "/",
-        headers,
-        body: body.toString("latin1"),
-        idempotent: state.idempotent,
-        idempotencyKey: exchange.idempotencyKey,
-        urgency: exchange.urgency,
-        tokens: exchange.tokens,
-        deadlineMs: Math.max(1, state.deadline - Date.now()),
-    };
-}
--- /dev/null
+++ b/src/entry/runParams.ts
@@ -0,0 +1,30 @@
+/** Builds the message that asks a slot to run a request. */
+import { filterHeaders } from "../slot/upstream.js";
+import type { RunParams } from "../wire/messages.js";
+import type { Exchange } from "./types.js";
+
+/** Creates the parameters of one attempt; `state.deadline` is in milliseconds. The caller's key is left out. */
+export function createRunParams(
+    exchange: Exchange,
+    state: { attempt: number; idempotent: boolean; deadline: number; },
+    incarnation: string | undefined,
+): RunParams {
+    const { message, body } = exchange;
+    const headers = filterHeaders(message.headers);
+    delete headers.authorization;
+    return {
+        requestId: exchange.requestId,
+        attempt: state.attempt,
+        incarnation,
+        workspace: exchange.workspace!.name,
+        method: message.method ?? "GET",
+        path: message.url ?? "/",
+        headers,
+        body: body.toString("latin1"),
+        idempotent: state.idempotent,
+        idempotencyKey: exchange.idempotencyKey,
+        urgency: exchange.urgency,
+        tokens: exchange.tokens,
+        deadlineMs: Math.max(1, state.deadline - Date.now()),
+    };
+}
--- a/src/group/member.ts
+++ b/src/group/member.ts
@@ -70,11 +70,6 @@
     };
 }
 
-/** Starts with a reading of the engine, before any order. */
-export function startMember(state: MemberState): MemberAction[] {
-    return runJobs(state);
-}
-
 /** Takes in a coordinator's request. */
 export function receiveRequest(state: MemberState, request: GroupRequest): MemberAction[] {
     state.jobs.push({ kind: "request", request });
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -40,10 +40,6 @@
 });
 export type RevokeParams = z.infer<typeof RevokeParamsSchema>;
 
-export interface RevokeResult {
-    outcome: RunOutcome;
-}
-
 interface FrameBase {
     requestId: string;
     attempt: number;
