Pass on several cookies of an answer as they came

Cause: repeated headers of an upstream's answer were joined by commas, which set-cookie does not allow; a caller would have stored one broken cookie. Now set-cookie stays a list in the head frame and towards the caller; other repeated headers are joined as before.

--- a/src/slot/upstream.ts
+++ b/src/slot/upstream.ts
@@ -1,6 +1,6 @@
 /** Calls the upstream beside a slot. */
 import { Agent, type Dispatcher, request } from "undici";
-import type { RunParams } from "../wire/messages.js";
+import type { AnswerHeaders, RunParams } from "../wire/messages.js";
 
 /** Headers that belong to one connection and are not passed on. */
 const hopHeaders = new Set([
@@ -18,7 +18,7 @@
 
 export interface UpstreamAnswer {
     status: number;
-    headers: Record<string, string>;
+    headers: AnswerHeaders;
     body: AsyncIterable<Buffer>;
 }
 
@@ -84,7 +84,14 @@
         dispatcher: agent,
         signal,
     });
-    return { status: response.statusCode, headers: filterHeaders(response.headers), body: response.body };
+    return { status: response.statusCode, headers: filterAnswerHeaders(response.headers), body: response.body };
+}
+
+/** Drops connection headers of an answer and joins repeated ones, but for cookies, which cannot be joined. */
+export function filterAnswerHeaders(headers: Record<string, string | string[] | undefined>): AnswerHeaders {
+    const cookies = headers["set-cookie"];
+    const kept: AnswerHeaders = filterHeaders({ ...headers, "set-cookie": undefined });
+    return cookies === undefined ? kept : { ...kept, "set-cookie": cookies };
 }
 
 /** Drops connection headers and joins repeated ones. */
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -40,6 +40,10 @@
 });
 export type RevokeParams = z.infer<typeof RevokeParamsSchema>;
 
+/** Headers of an answer; only those that must not be joined are lists. */
+const AnswerHeadersSchema = z.record(z.string(), z.union([z.string(), z.array(z.string())]));
+export type AnswerHeaders = z.infer<typeof AnswerHeadersSchema>;
+
 interface FrameBase {
     requestId: string;
     attempt: number;
@@ -51,7 +55,7 @@
     & FrameBase
     & (
         | { kind: "accepted"; incarnation: string; }
-        | { kind: "head"; status: number; headers: Record<string, string>; }
+        | { kind: "head"; status: number; headers: AnswerHeaders; }
         /** `data` holds body bytes as a latin1 string. */
         | { kind: "data"; data: string; }
         /** `length` is the number of body bytes of the whole answer. */
@@ -82,7 +86,7 @@
 });
 export const FrameSchema = z.discriminatedUnion("kind", [
     z.object({ ...base, kind: z.literal("accepted"), incarnation: z.string() }),
-    z.object({ ...base, kind: z.literal("head"), status: z.number().int(), headers: z.record(z.string(), z.string()) }),
+    z.object({ ...base, kind: z.literal("head"), status: z.number().int(), headers: AnswerHeadersSchema }),
     z.object({ ...base, kind: z.literal("data"), data: z.string() }),
     z.object({ ...base, kind: z.literal("end"), length: z.number(), load: LoadReportSchema }),
     z.object({ ...base, kind: z.literal("keepalive") }),
