--- /dev/null
+++ b/src/entry/probing.ts
@@ -0,0 +1,48 @@
+/** Asks the upstreams that an entry watches for their load. */
+import { pollEvery } from "../core/streams.js";
+import type { InstanceRecord, LoadReport } from "../core/types.js";
+import type { Logger } from "../observe/logger.js";
+import { chooseProbes } from "../routing/probes.js";
+import { noteReport, updateInstances, type UpstreamEntry, type UpstreamTable } from "../routing/table.js";
+import { requestRpc, type RpcIdentity } from "../wire/rpc.js";
+
+const probeIntervalMs = 1000;
+
+export interface ProbingOptions {
+    identity: RpcIdentity;
+    table: UpstreamTable;
+    logger: Logger;
+    /** Slots that this entry watches now. */
+    listSlots: () => InstanceRecord[];
+}
+
+/** Keeps the table up to date until the process ends. */
+export function startProbing(options: ProbingOptions): void {
+    const { table, logger, listSlots } = options;
+    let allKnown = false;
+    const probe = async () => {
+        updateInstances(table, listSlots());
+        const due = chooseProbes(table.upstreams.values(), Date.now());
+        await Promise.all(due.map(upstream => probeUpstream(options, upstream)));
+        const known = [...table.upstreams.values()].filter(upstream => upstream.report !== undefined).length;
+        if (known > 0 && known === table.upstreams.size && !allKnown) {
+            allKnown = true;
+            logger.info("The upstreams are known.", { upstreams: known });
+        }
+    };
+    void pollEvery(probeIntervalMs, probe, () => undefined).drain();
+}
+
+async function probeUpstream({ identity, table, logger }: ProbingOptions, upstream: UpstreamEntry): Promise<void> {
+    const { instance, url } = upstream;
+    const report = await requestRpc<LoadReport>(identity, url, "report", {}, { target: instance }).catch(() =>
+        undefined
+    );
+    if (report === undefined) {
+        return;
+    }
+    if (upstream.report === undefined) {
+        logger.info("An upstream is known.", { upstream: instance });
+    }
+    noteReport(table, instance, report, Date.now());
+}
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -2,26 +2,22 @@
 import { type ConfigState, createConfigState } from "../config/fold.js";
 import { createStateKeeper } from "../config/loadState.js";
 import type { EntrySettings } from "../config/settings.js";
-import { pollEvery } from "../core/streams.js";
-import type { LoadReport } from "../core/types.js";
 import { AuditKind } from "../observe/audit.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadList.js";
-import { chooseProbes } from "../routing/probes.js";
 import { createSlotSelector } from "../routing/subset.js";
-import { createUpstreamTable, noteReport, updateInstances } from "../routing/table.js";
+import { createUpstreamTable } from "../routing/table.js";
 import { listenOn } from "../wire/listen.js";
 import { InternalPath } from "../wire/messages.js";
-import { requestRpc } from "../wire/rpc.js";
 import { createInternalServer, createRpcHandler } from "../wire/server.js";
 import { createExplainMethod } from "./explain.js";
 import { createJournal } from "./journal.js";
+import { startProbing } from "./probing.js";
 import { createRetryBudget } from "./retryBudget.js";
 import { createEntryServer } from "./server.js";
 import { createSlotClient } from "./slotClient.js";
 
-const probeIntervalMs = 1000;
 const retryRatio = 0.1;
 const retryFloorPerSecond = 1;
 const journalCapacity = 4096;
@@ -42,7 +38,6 @@
     const slots = createSlotClient(settings);
     let config: ConfigState = createConfigState(environment);
     let stopping = false;
-    let probed = false;
 
     const state = createStateKeeper({
         settings,
@@ -87,28 +82,7 @@
         e => peersLogger.warn("Reading the instance list failed.", { error: e.message }),
     )
         .observe(instances => state.updateInstances(instances));
-    const probe = async () => {
-        updateInstances(table, selectSlots(state.listInstances()));
-        await Promise.all(
-            chooseProbes(table.upstreams.values(), Date.now()).map(async upstream => {
-                const report = await requestRpc<LoadReport>(settings, upstream.url, "report", {}, {
-                    target: upstream.instance,
-                }).catch(() => undefined);
-                if (report !== undefined) {
-                    if (upstream.report === undefined) {
-                        logger.info("An upstream is known.", { upstream: upstream.instance });
-                    }
-                    noteReport(table, upstream.instance, report, Date.now());
-                }
-            }),
-        );
-        const known = [...table.upstreams.values()].filter(upstream => upstream.report !== undefined).length;
-        if (known > 0 && known === table.upstreams.size && !probed) {
-            probed = true;
-            logger.info("The upstreams are known.", { upstreams: known });
-        }
-    };
-    void pollEvery(probeIntervalMs, probe, () => undefined).drain();
+    startProbing({ identity: settings, table, logger, listSlots: () => selectSlots(state.listInstances()) });
     logger.info("The entry listens.", { port, internalPort });
 
     return {
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -11,12 +11,12 @@
 import { streamInstances } from "../peers/loadList.js";
 import { createAdmission } from "../routing/admission.js";
 import { listenOn } from "../wire/listen.js";
-import { RevokeParamsSchema } from "../wire/messages.js";
+import { createCancelMethods } from "./cancel.js";
 import { type Appender, createClaimMethods, createClaimRelay } from "./claimRelay.js";
 import { createClaims } from "./claims.js";
 import { createClaimsDriver } from "./driverClaims.js";
 import { createLeavingWatch, noteListed } from "./leaving.js";
-import { createLedger, expireRecords } from "./ledger.js";
+import { createLedger, expireRecords, type Ledger } from "./ledger.js";
 import { createSlotMetrics } from "./metrics.js";
 import { createRunner } from "./runner.js";
 import { createSlotServer } from "./server.js";
@@ -88,14 +88,7 @@
             ...state.methods,
             ...group?.methods,
             ...createClaimMethods(claims),
-            cancel: (params: unknown) => {
-                const { requestId, attempt } = RevokeParamsSchema.parse(params);
-                const record = ledger.records.get(`${requestId}/${attempt}`);
-                if (record !== undefined) {
-                    runner.cancel(record);
-                }
-                return {};
-            },
+            ...createCancelMethods(ledger, runner),
         },
     });
     const port = await listenOn(server, internal.host, internal.port);
@@ -125,9 +118,7 @@
             markLeaving("the process was told to stop");
             await runner.drain();
             group?.close();
-            for (let ms = computeLinger(ledger, Date.now()); ms > 0; ms = computeLinger(ledger, Date.now())) {
-                await new Promise(resolve => setTimeout(resolve, Math.min(ms, lingerStepMs)));
-            }
+            await waitForReaders(ledger);
             server.close();
             server.closeIdleConnections();
             await state.stop();
@@ -135,3 +126,10 @@
         },
     };
 }
+
+/** Waits until every answer has been delivered and can't be resumed any more. */
+async function waitForReaders(ledger: Ledger): Promise<void> {
+    for (let ms = computeLinger(ledger, Date.now()); ms > 0; ms = computeLinger(ledger, Date.now())) {
+        await new Promise(resolve => setTimeout(resolve, Math.min(ms, lingerStepMs)));
+    }
+}
