--- a/src/group/driverSwitch.ts
+++ b/src/group/driverSwitch.ts
@@ -181,7 +181,8 @@
                     waiting.set(groupRequest, resolve);
                     dispatch({ kind: "request", request: groupRequest });
                 }),
-            explainMap: () => ({ ...account, ...pickInForce(node?.member.engine) }),
+            explainMap: (params: { group?: string; }) =>
+                params.group === group.name ? { ...account, ...pickInForce(node?.member.engine) } : undefined,
         },
         setRanks: count => {
             if (node === undefined && count > 0) {
--- a/tests/integration/maps.test.ts
+++ b/tests/integration/maps.test.ts
@@ -2,9 +2,10 @@
 import { afterAll, beforeAll, expect, it } from "vitest";
 import { createDemoDocument, demoKeys } from "../../src/demo/document.js";
 import { callChat } from "../../src/standin/caller.js";
-import { type Cluster, startCluster } from "../../src/standin/cluster.js";
+import { type Cluster, environment, internalKeys, startCluster } from "../../src/standin/cluster.js";
 import { type GroupEngines, startGroupEngines } from "../../src/standin/groupEngine.js";
 import { publishDocument } from "../../src/standin/publish.js";
+import { requestRpc } from "../../src/wire/rpc.js";
 
 const ranks = 4;
 const pollMs = 20;
@@ -77,6 +78,14 @@
     expect(engines.countMixedSteps()).toBe(0);
 });
 
+it("explains the map in force to those who ask for its group", async () => {
+    const options = { target: "slot-1" };
+    const ask = (group: string) =>
+        requestRpc({ environment, internalKeys }, cluster.slots[0].proxy.url, "explainMap", { group }, options);
+    expect(await ask("experts")).toMatchObject({ group: "experts", generation: 1 });
+    expect(await ask("another")).toBeFalsy();
+});
+
 it("goes on with another coordinator while the first one is paused mid-switch, and after it wakes", async () => {
     const coordinator = findCoordinator();
     await waitUntil(() => engines.states().some(state => state.hold !== undefined));
