--- a/src/group/driverSwitch.ts
+++ b/src/group/driverSwitch.ts
@@ -1,6 +1,7 @@
 /** Runs a slot's part of its group: requests between slots, orders to the engine, and generations from the log. */
 import { randomUUID } from "node:crypto";
 import { request } from "undici";
+import { CallError } from "../core/errors.js";
 import type { InstanceRecord } from "../core/types.js";
 import { tailStream } from "../log/tail.js";
 import type { LogClient, LogRecord } from "../log/types.js";
@@ -67,6 +68,8 @@
 const tickMs = 50;
 const orderTimeoutMs = 5000;
 const callTimeoutMs = 1000;
+/** Time after which nobody waits for the reply to a request any more. */
+const replyRetentionMs = 5000;
 
 /** Starts the part of a slot in its group. */
 export function startGroupDriver(options: GroupDriverOptions): GroupDriver {
@@ -175,12 +178,17 @@
 
     return {
         methods: {
-            group: (params: unknown) =>
-                new Promise<GroupReply>(resolve => {
+            group: (params: unknown) => {
+                if (node === undefined) {
+                    throw new CallError("the slot's group is not in the document in force");
+                }
+                return new Promise<GroupReply>(resolve => {
                     const groupRequest = params as GroupRequest;
                     waiting.set(groupRequest, resolve);
+                    setTimeout(() => waiting.delete(groupRequest), replyRetentionMs).unref();
                     dispatch({ kind: "request", request: groupRequest });
-                }),
+                });
+            },
             explainMap: (params: { group?: string; }) =>
                 params.group === group.name ? { ...account, ...pickInForce(node?.member.engine) } : undefined,
         },
