--- a/src/core/streams.ts
+++ b/src/core/streams.ts
@@ -2,11 +2,11 @@
 import * as most from "most";
 
 /**
- * Runs `task` at once and then every `intervalMs` after the previous run has ended.
- * A failed run is given to `onError` and yields nothing.
+ * Runs `task` at once and then every `intervalMs` after the previous run has ended; a function computes the interval
+ * from the run's value, undefined after a failure. A failed run is given to `onError` and yields nothing.
  */
 export function pollEvery<T>(
-    intervalMs: number,
+    intervalMs: number | ((value: T | undefined) => number),
     task: () => Promise<T>,
     onError: (error: Error) => void,
 ): most.Stream<T> {
@@ -15,8 +15,9 @@
             let disposed = false;
             let timer: NodeJS.Timeout | undefined;
             const runOnce = async () => {
+                let value: T | undefined;
                 try {
-                    const value = await task();
+                    value = await task();
                     if (!disposed) {
                         sink.event(scheduler.now(), value);
                     }
@@ -25,7 +26,7 @@
                     onError(error as Error);
                 }
                 if (!disposed) {
-                    timer = setTimeout(runOnce, intervalMs);
+                    timer = setTimeout(runOnce, typeof intervalMs === "number" ? intervalMs : intervalMs(value));
                 }
             };
             void runOnce();
--- a/src/peers/loadList.ts
+++ b/src/peers/loadList.ts
@@ -1,8 +1,9 @@
 /** Polls the platform's list of instances. */
-import * as most from "most";
+import type { Stream } from "most";
 import { request } from "undici";
 import { z } from "zod";
 import { CallError } from "../core/errors.js";
+import { pollEvery } from "../core/streams.js";
 import { type InstanceRecord, InstanceState, Role } from "../core/types.js";
 
 const minIntervalMs = 2000;
@@ -34,36 +35,9 @@
 }
 
 /** Streams the list; outages are reported to `onError` and leave the last list standing. */
-export function streamInstances(url: string, onError: (error: Error) => void): most.Stream<InstanceRecord[]> {
-    return new most.Stream<InstanceRecord[]>({
-        run(sink, scheduler) {
-            let timer: NodeJS.Timeout | undefined;
-            let disposed = false;
-            const pollOnce = async () => {
-                let intervalMs = minIntervalMs;
-                try {
-                    const { instances, bytes } = await fetchInstances(url);
-                    intervalMs = computePollIntervalMs(bytes);
-                    if (!disposed) {
-                        sink.event(scheduler.now(), instances);
-                    }
-                }
-                catch (error) {
-                    onError(error as Error);
-                }
-                if (!disposed) {
-                    timer = setTimeout(pollOnce, intervalMs);
-                }
-            };
-            void pollOnce();
-            return {
-                dispose() {
-                    disposed = true;
-                    clearTimeout(timer);
-                },
-            };
-        },
-    });
+export function streamInstances(url: string, onError: (error: Error) => void): Stream<InstanceRecord[]> {
+    const computeIntervalMs = (list: FetchedList | undefined) => computePollIntervalMs(list?.bytes ?? 0);
+    return pollEvery(computeIntervalMs, () => fetchInstances(url), onError).map(list => list.instances);
 }
 
 /** Fetches the list once; throws a `CallError` or a network error. */
