--- a/src/bin/program.ts
+++ b/src/bin/program.ts
@@ -52,16 +52,3 @@
     process.stderr.write(`${text}\n`);
     process.exit(code);
 }
-
-/** Calls `stop` on the first SIGTERM or SIGINT and exits when it has finished. */
-export function registerShutdown(stop: () => Promise<void>): void {
-    let stopping = false;
-    const handle = () => {
-        if (!stopping) {
-            stopping = true;
-            void stop().then(() => process.exit(ExitCode.ok), () => process.exit(ExitCode.failed));
-        }
-    };
-    process.on("SIGTERM", handle);
-    process.on("SIGINT", handle);
-}
--- /dev/null
+++ b/src/direct/dispatch.ts
@@ -0,0 +1,368 @@
+/** Carries one request to upstreams and their answer back, as the attempt machine decides. */
+import type { ServerResponse } from "node:http";
+import { isRepeatable, RouteKind } from "../config/serving.js";
+import { noteAnswered, noteFailed, noteOwnSent, type UpstreamView } from "../routing/upstreamBoard.js";
+import type { WaitingRequest } from "../routing/waitingRoom.js";
+import {
+    advanceDirectAttempt,
+    AttemptEnd,
+    createDirectAttempt,
+    type DirectAttemptAction,
+    type DirectAttemptEvent,
+} from "./attempt.js";
+import { createEventSplitter } from "./events.js";
+import type { DirectContext } from "./context.js";
+import type { AnswerHead, DirectRequest } from "./types.js";
+import { callUpstream, type UpstreamCall } from "./upstreamCall.js";
+
+/** Silence after which a stream's connection counts as lost, in milliseconds; half of what callers bear. */
+const streamSilenceMs = 1000;
+/** Longest answer that is held until it is complete, in bytes; longer ones are relayed as they come. */
+const maxHeldBytes = 256 * 1024;
+/** Ids of events are counted up from one by these upstreams; others are relayed unchecked. */
+const countedId = /^\d{1,15}$/;
+
+/** Ends after which the upstream is avoided for a while. */
+const blamedEnds = new Set<AttemptEnd>([AttemptEnd.lost, AttemptEnd.unconnected, AttemptEnd.misdirected]);
+/** Ends after which another attempt is one more arrival at the pool. */
+const repeatedEnds = new Set<AttemptEnd>([
+    AttemptEnd.full,
+    AttemptEnd.misdirected,
+    AttemptEnd.lost,
+    AttemptEnd.failed,
+]);
+
+type ActionHandlers = {
+    [K in DirectAttemptAction["kind"]]: (action: Extract<DirectAttemptAction, { kind: K; }>) => void;
+};
+
+/** What the log line of a request says of one attempt. */
+interface AttemptRecord {
+    upstream: string;
+    /** Requests that were estimated there, and the age of the figures in milliseconds. */
+    estimated: number;
+    figuresAgeMs?: number;
+    end?: string;
+}
+
+export class DirectDispatch implements WaitingRequest {
+    readonly number: number;
+    readonly urgency: number;
+    readonly targetAt: number;
+    latestAt: number;
+    private readonly state;
+    private readonly tried = new Set<string>();
+    private readonly attempts: AttemptRecord[] = [];
+    private call: UpstreamCall | undefined;
+    private endOwn: ((endedAt: number) => void) | undefined;
+    private view: UpstreamView | undefined;
+    private answer: AnswerHead | undefined;
+    private status = 0;
+    private held: Buffer[] = [];
+    private heldBytes = 0;
+    private splitter = createEventSplitter();
+    private lastEvent: string | undefined;
+    private timer: NodeJS.Timeout | undefined;
+    private silence: NodeJS.Timeout | undefined;
+    private outcome = "";
+
+    private readonly handlers: ActionHandlers = {
+        place: () => this.context.scheduler.place(this),
+        "wait-for-group": () => this.context.scheduler.wait(this),
+        "relay-failure": () => this.relayFailure(),
+        refuse: () => this.refuse(),
+        fail: action => this.fail(action.status),
+        cut: () => this.cut(),
+        cancel: () => this.cancel(),
+        finish: () => this.finish(),
+    };
+
+    constructor(
+        private readonly context: DirectContext,
+        readonly request: DirectRequest,
+        private readonly response: ServerResponse,
+        number: number,
+    ) {
+        const { route, workspace, head, receivedAt, deadlineAt } = request;
+        this.number = number;
+        this.urgency = workspace?.urgency ?? route.urgency;
+        this.targetAt = receivedAt + route.targetMs;
+        this.latestAt = deadlineAt - context.estimateServiceMs(request);
+        this.lastEvent = head.lastEvent;
+        this.state = createDirectAttempt({
+            isRepeatable: isRepeatable(route),
+            isResumable: route.isResumable,
+            maxRuns: route.maxAttempts,
+        });
+    }
+
+    begin(): void {
+        this.timer = setTimeout(() => this.apply({ kind: "timeout" }), this.request.deadlineAt - this.context.now());
+        this.response.on("close", () => this.apply({ kind: "caller-gone" }));
+        this.response.on("drain", () => this.call?.resume());
+        this.context.noteFirstSend(this.request);
+        this.context.scheduler.place(this);
+    }
+
+    /** Tells that no upstream can take the request in time. */
+    giveUp(): void {
+        this.apply({ kind: "hopeless" });
+    }
+
+    isExcluded(): ReadonlySet<string> {
+        return this.tried;
+    }
+
+    /** Sends the request to an upstream. */
+    sendTo(view: UpstreamView, estimated: number): void {
+        const { record, figures } = view;
+        const { request, context } = this;
+        const now = context.now();
+        this.tried.add(record.id);
+        this.view = view;
+        this.answer = undefined;
+        this.held = [];
+        this.heldBytes = 0;
+        this.splitter = createEventSplitter();
+        this.attempts.push({
+            upstream: record.id,
+            estimated,
+            figuresAgeMs: figures === undefined ? undefined : Math.round(now - figures.at),
+        });
+        const hasBody = request.body.length > 0 || request.method === "POST" || request.method === "PUT";
+        const headers = context.codec.encodeUpstreamHead(request.head, {
+            upstream: record.id,
+            waitMs: request.deadlineAt - now,
+            workspace: request.workspace?.name,
+            urgency: context.computeUrgency(request, now),
+            lastEvent: this.lastEvent,
+            bodyLength: hasBody ? request.body.length : undefined,
+        });
+        this.endOwn = noteOwnSent(context.board, record.id, now);
+        this.call = callUpstream({
+            target: record,
+            method: request.method,
+            path: request.target,
+            headers,
+            body: request.body,
+            listener: {
+                onConnected: () => this.apply({ kind: "sent" }),
+                onHead: (status, raw) => this.receiveHead(status, raw),
+                onChunk: chunk => this.receiveChunk(chunk),
+                onEnd: () => this.receiveEnd(),
+                onBroken: (isConnected, reason) =>
+                    this.endAttempt(isConnected ? AttemptEnd.lost : AttemptEnd.unconnected, reason),
+            },
+        });
+    }
+
+    private apply(event: DirectAttemptEvent): void {
+        for (const action of advanceDirectAttempt(this.state, event)) {
+            this.handlers[action.kind](action as never);
+        }
+    }
+
+    private receiveHead(status: number, raw: string[]): void {
+        const answer = this.context.codec.decodeAnswerHead(raw);
+        this.answer = answer;
+        this.status = status;
+        const { id } = this.view!.record;
+        if (answer.requestId !== undefined && answer.requestId !== this.request.id) {
+            this.endAttempt(AttemptEnd.lost, "the answer belongs to another request");
+            return;
+        }
+        if (answer.isRefusal || status === 421) {
+            this.receiveRefusal(status, answer);
+            return;
+        }
+        if (status >= 200 && status < 300 && (!answer.isSigned || answer.isEncoded)) {
+            this.endAttempt(AttemptEnd.lost, "the answer is not the upstream's");
+            return;
+        }
+        noteAnswered(this.context.board, id);
+        if (answer.load !== undefined) {
+            this.context.noteLoad(id, answer.load);
+        }
+        if (this.isStream()) {
+            this.watchSilence();
+        }
+    }
+
+    private receiveRefusal(status: number, answer: AnswerHead): void {
+        if (answer.load !== undefined) {
+            this.context.noteLoad(this.view!.record.id, answer.load);
+        }
+        if (status === 421) {
+            this.endAttempt(AttemptEnd.misdirected, "another upstream has the address");
+        }
+        else if (answer.faultAt !== undefined) {
+            this.context.noteGroupFault(this.request.pool, answer.faultAt);
+            this.endAttempt(AttemptEnd.groupBroken, `the group waits for ${answer.faultAt}`);
+        }
+        else {
+            this.endAttempt(AttemptEnd.full, `refused with ${status}`);
+        }
+    }
+
+    private isStream(): boolean {
+        return this.request.route.kind === RouteKind.streaming && this.status >= 200 && this.status < 300;
+    }
+
+    private beginStream(): void {
+        if (!this.state.hasBegun) {
+            const { relayed } = this.answer!;
+            const headers: string[] = [];
+            for (let i = 0; i < relayed.length; i += 2) {
+                if (relayed[i].toLowerCase() !== "content-length") {
+                    headers.push(relayed[i], relayed[i + 1]);
+                }
+            }
+            this.response.writeHead(this.status, headers);
+            this.response.flushHeaders();
+            this.apply({ kind: "began" });
+        }
+    }
+
+    private receiveChunk(chunk: Buffer): void {
+        if (this.answer === undefined) {
+            return;
+        }
+        if (this.isStream()) {
+            this.relayEvents(chunk);
+            return;
+        }
+        this.held.push(chunk);
+        this.heldBytes += chunk.length;
+        if (this.state.hasBegun || this.heldBytes > maxHeldBytes) {
+            this.relayHeld();
+        }
+    }
+
+    private relayEvents(chunk: Buffer): void {
+        this.watchSilence();
+        for (const event of this.splitter.push(chunk)) {
+            if (!this.isNext(event.id)) {
+                if (event.id !== undefined && Number(event.id) <= Number(this.lastEvent)) {
+                    continue;
+                }
+                this.endAttempt(AttemptEnd.lost, `event ${event.id} follows ${this.lastEvent ?? "the start"}`);
+                return;
+            }
+            this.lastEvent = event.id ?? this.lastEvent;
+            this.beginStream();
+            this.write(event.bytes);
+        }
+    }
+
+    /** Whether an event goes on where the stream stands. */
+    private isNext(id: string | undefined): boolean {
+        if (id === undefined || this.lastEvent === undefined || !countedId.test(id) || !countedId.test(this.lastEvent)) {
+            return true;
+        }
+        return Number(id) === Number(this.lastEvent) + 1;
+    }
+
+    private relayHeld(): void {
+        if (!this.state.hasBegun) {
+            this.response.writeHead(this.status, this.answer!.relayed);
+            this.apply({ kind: "began" });
+        }
+        this.held.splice(0).forEach(bytes => this.write(bytes));
+    }
+
+    private write(bytes: Buffer): void {
+        if (!this.response.write(bytes)) {
+            this.call?.pause();
+        }
+    }
+
+    private receiveEnd(): void {
+        if (this.status >= 500 && !this.state.hasBegun) {
+            this.endAttempt(AttemptEnd.failed, `status ${this.status}`);
+            return;
+        }
+        this.clearCall();
+        this.attempts.at(-1)!.end = `status ${this.status}`;
+        if (this.isStream()) {
+            this.beginStream();
+            this.write(this.splitter.getRest());
+            this.response.end();
+        }
+        else if (this.state.hasBegun) {
+            this.response.end();
+        }
+        else {
+            this.answerHeld();
+        }
+        this.outcome = "answered";
+        this.apply({ kind: "completed" });
+    }
+
+    /** Answers with what the upstream answered, which has come whole. */
+    private answerHeld(): void {
+        const body = Buffer.concat(this.held.splice(0), this.heldBytes);
+        const { relayed, length } = this.answer!;
+        const headers = length === undefined ? [...relayed, "Content-Length", String(body.length)] : relayed;
+        this.response.writeHead(this.status, headers);
+        this.response.end(body);
+    }
+
+    private relayFailure(): void {
+        this.outcome = `the upstream failed with ${this.status}`;
+        this.answerHeld();
+    }
+
+    private endAttempt(end: AttemptEnd, reason: string): void {
+        const { context, view } = this;
+        const now = context.now();
+        this.attempts.at(-1)!.end = `${end}: ${reason}`;
+        if (blamedEnds.has(end)) {
+            noteFailed(context.board, view!.record.id, now);
+        }
+        this.cancel();
+        const hasRetryBudget = repeatedEnds.has(end) && context.admitRepeat(this.request, now);
+        this.apply({ kind: "ended", end, hasRetryBudget });
+    }
+
+    private watchSilence(): void {
+        clearTimeout(this.silence);
+        this.silence = setTimeout(
+            () => this.endAttempt(AttemptEnd.lost, "the stream went silent"),
+            streamSilenceMs,
+        );
+    }
+
+    private refuse(): void {
+        const retryAfterMs = this.context.computeRetryAfterMs(this.request);
+        this.outcome = `refused, to return in ${Math.round(retryAfterMs)} ms`;
+        this.context.answerRefusal(this.response, retryAfterMs);
+    }
+
+    private fail(status: number): void {
+        this.outcome = `failed with ${status}`;
+        this.context.answerFailure(this.response, status);
+    }
+
+    private cut(): void {
+        this.outcome = "cut";
+        this.response.destroy();
+    }
+
+    private cancel(): void {
+        this.call?.cancel();
+        this.clearCall();
+    }
+
+    private clearCall(): void {
+        clearTimeout(this.silence);
+        this.call = undefined;
+        this.endOwn?.(this.context.now());
+        this.endOwn = undefined;
+    }
+
+    private finish(): void {
+        clearTimeout(this.timer);
+        this.context.scheduler.leave(this);
+        this.context.logRequest(this.request, this.outcome || "the caller has gone", this.attempts);
+    }
+}
--- /dev/null
+++ b/src/direct/scheduler.ts
@@ -0,0 +1,86 @@
+/** Sends requests to upstreams as places come free, and turns away those that cannot be served in time. */
+import type { ServingPool } from "../config/serving.js";
+import { isGroupOpen, type GroupBoard } from "../routing/groupBoard.js";
+import { placeRequest } from "../routing/place.js";
+import { estimateRequests, type UpstreamBoard } from "../routing/upstreamBoard.js";
+import { createWaitingRoom, listWaiting, takeHopeless, type WaitingRoom } from "../routing/waitingRoom.js";
+import type { Scheduler } from "./context.js";
+import type { DirectDispatch } from "./dispatch.js";
+
+/** Time between two looks for places while requests wait, in milliseconds; a tenth of the time that figures are apart. */
+const pumpIntervalMs = 20;
+/** Requests beyond its slots that an engine's rank gets from callers whose target can still be met. */
+const freshQueue = 6;
+/** The same for callers whose target has passed, who wait here so that others can go before them. */
+const lateQueue = 1;
+
+export interface SchedulerOptions {
+    board: UpstreamBoard;
+    groups: GroupBoard;
+    dataCentre: string;
+    now: () => number;
+    random: () => number;
+    findPool: (name: string) => ServingPool | undefined;
+}
+
+/** Creates a scheduler with nobody waiting. */
+export function createScheduler(options: SchedulerOptions): Scheduler & { pump: () => void; } {
+    const room: WaitingRoom<DirectDispatch> = createWaitingRoom();
+    let timer: NodeJS.Timeout | undefined;
+
+    const trySend = (dispatch: DirectDispatch): boolean => {
+        const { board, dataCentre, random, findPool, groups } = options;
+        const { request } = dispatch;
+        const now = options.now();
+        const engine = findPool(request.pool)?.engine;
+        if (engine !== undefined && !isGroupOpen(groups, request.pool, now)) {
+            return false;
+        }
+        const queue = dispatch.targetAt > now ? freshQueue : lateQueue;
+        const maxRequests = engine === undefined ? Infinity : engine.slots + queue;
+        const place = { pool: request.pool, dataCentre, maxRequests };
+        const view = placeRequest(board, { ...place, excluded: dispatch.isExcluded() }, now, random) ??
+            placeRequest(board, { ...place, excluded: new Set() }, now, random);
+        if (view === undefined) {
+            return false;
+        }
+        dispatch.sendTo(view, estimateRequests(view, now));
+        return true;
+    };
+    const pump = () => {
+        const now = options.now();
+        takeHopeless(room, now).forEach(dispatch => dispatch.giveUp());
+        for (const dispatch of listWaiting(room, now)) {
+            if (room.waiting.has(dispatch) && trySend(dispatch)) {
+                room.waiting.delete(dispatch);
+            }
+        }
+        schedule();
+    };
+    const schedule = () => {
+        clearTimeout(timer);
+        timer = room.waiting.size === 0 ? undefined : setTimeout(pump, pumpIntervalMs);
+    };
+    const wait = (dispatch: DirectDispatch) => {
+        if (dispatch.latestAt < options.now()) {
+            dispatch.giveUp();
+            return;
+        }
+        room.waiting.add(dispatch);
+        if (timer === undefined) {
+            schedule();
+        }
+    };
+    return {
+        place: dispatch => {
+            if (!trySend(dispatch)) {
+                wait(dispatch);
+            }
+        },
+        wait,
+        leave: dispatch => {
+            room.waiting.delete(dispatch);
+        },
+        pump,
+    };
+}
--- /dev/null
+++ b/src/direct/types.ts
@@ -0,0 +1,75 @@
+/** A caller's request on its way to an upstream, in the product's words. */
+import type { ServingRoute, ServingWorkspace } from "../config/serving.js";
+
+/** What the head of a request says. */
+export interface RequestHead {
+    host: string;
+    requestId?: string;
+    /** Time that the caller waits from when the request was sent, in milliseconds. */
+    waitMs?: number;
+    key?: string;
+    /** Last event of a stream that the caller has. */
+    lastEvent?: string;
+    promptTokens?: number;
+    maxAnswerTokens?: number;
+    /** Caller's estimate of the answer's tokens. */
+    answerHint?: number;
+    /** Headers that go on to the upstream unchanged, names and values by turns. */
+    forwarded: string[];
+}
+
+/** What the system adds to a request for one upstream. */
+export interface UpstreamTerms {
+    /** Upstream that alone may run the request. */
+    upstream: string;
+    waitMs?: number;
+    workspace?: string;
+    /** 0 is the most urgent, 9 the least. */
+    urgency?: number;
+    lastEvent?: string;
+    bodyLength?: number;
+}
+
+export interface LoadFigures {
+    running: number;
+    waiting: number;
+    slots: number;
+}
+
+/** What the head of an answer says. */
+export interface AnswerHead {
+    requestId?: string;
+    /** Whether the upstream says that it has not run the request. */
+    isRefusal: boolean;
+    isSigned: boolean;
+    isEncoded: boolean;
+    length?: number;
+    load?: LoadFigures;
+    /** Rank that keeps the group from running. */
+    faultAt?: string;
+    /** Headers for the caller, names and values by turns. */
+    relayed: string[];
+}
+
+/** Translates heads between the wire and the product. */
+export interface HeadCodec {
+    decodeRequestHead: (raw: string[]) => RequestHead;
+    encodeUpstreamHead: (head: RequestHead, terms: UpstreamTerms) => string[];
+    decodeAnswerHead: (raw: string[]) => AnswerHead;
+}
+
+/** A request that a route serves. */
+export interface DirectRequest {
+    id: string;
+    method: string;
+    target: string;
+    head: RequestHead;
+    body: Buffer;
+    route: ServingRoute;
+    workspace?: ServingWorkspace;
+    pool: string;
+    /** Time of arrival, in milliseconds of the monotonic clock. */
+    receivedAt: number;
+    /** Time after which the caller no longer waits or the route's timeout has passed. */
+    deadlineAt: number;
+}
--- a/src/entry/accept.ts
+++ b/src/entry/accept.ts
@@ -2,7 +2,8 @@
 import type { IncomingMessage } from "node:http";
 import { createRefusal } from "../core/errors.js";
 import { RunOutcome } from "../core/types.js";
-import { maxRpcBytes, readBody } from "../wire/rpc.js";
+import { readBody } from "../wire/body.js";
+import { maxRpcBytes } from "../wire/rpc.js";
 import type { Exchange, Filter } from "./types.js";
 
 const defaultUrgency = 3;
--- /dev/null
+++ b/src/observe/servingMetrics.ts
@@ -0,0 +1,50 @@
+/** Metrics of the direct path, without the runtime's own, which cost processor time on small machines. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+export interface ServingMetrics {
+    registry: Registry;
+    requests: Counter<"outcome">;
+    attempts: Counter<"end">;
+    refusals: Counter<string>;
+    repeatsRefused: Counter<string>;
+    revision: Gauge<string>;
+    upstreams: Gauge<string>;
+    waiting: Gauge<string>;
+    answerSeconds: Histogram<string>;
+    logLinesDropped: Counter<string>;
+}
+
+/** Creates the metrics of an entry. */
+export function createServingMetrics(): ServingMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+    const count = (name: string, help: string) => new Counter({ name, help, registers });
+    const gauge = (name: string, help: string) => new Gauge({ name, help, registers });
+    return {
+        registry,
+        requests: new Counter({
+            name: "beechdock_direct_requests_total",
+            help: "Requests by outcome.",
+            labelNames: ["outcome"],
+            registers,
+        }),
+        attempts: new Counter({
+            name: "beechdock_direct_attempts_total",
+            help: "Attempts at upstreams by how they ended.",
+            labelNames: ["end"],
+            registers,
+        }),
+        refusals: count("beechdock_direct_refusals_total", "Requests answered as not run."),
+        repeatsRefused: count("beechdock_direct_repeats_refused_total", "Repeats that the retry budget did not admit."),
+        revision: gauge("beechdock_direct_revision", "Revision of the document in force."),
+        upstreams: gauge("beechdock_direct_upstreams", "Upstreams in the instance list."),
+        waiting: gauge("beechdock_direct_in_flight", "Requests that wait or run."),
+        answerSeconds: new Histogram({
+            name: "beechdock_direct_answer_seconds",
+            help: "Time to the end of an answer.",
+            buckets: [0.03, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4],
+            registers,
+        }),
+        logLinesDropped: count("beechdock_log_lines_dropped_total", "Log lines over the rate limit."),
+    };
+}
--- a/src/standin/fakeSlot.ts
+++ b/src/standin/fakeSlot.ts
@@ -12,7 +12,7 @@
 import { encodeFrame } from "../wire/frames.js";
 import { listenOn } from "../wire/listen.js";
 import type { Frame, ResumeParams, RunParams } from "../wire/messages.js";
-import { readBody } from "../wire/rpc.js";
+import { readBody } from "../wire/body.js";
 
 export interface FakeCall {
     path: string;
--- /dev/null
+++ b/src/wire/httpCall.ts
@@ -0,0 +1,47 @@
+/** Calls over HTTP with a limit of time for the whole call, for control traffic between processes and to the platform. */
+import { type Agent, request } from "node:http";
+import { CallError } from "../core/errors.js";
+
+export interface HttpCall {
+    host: string;
+    port: number;
+    method: "GET" | "POST";
+    path: string;
+    /** Time until the whole answer has to be there, in milliseconds. */
+    timeoutMs: number;
+    body?: string;
+    /** Keeps connections; without it, each call makes its own. */
+    agent?: Agent;
+    signal?: AbortSignal;
+}
+
+export interface HttpAnswer {
+    status: number;
+    body: Buffer;
+}
+
+/** Makes a call; rejects with a `CallError` when there is no complete answer in time. */
+export function callHttp(call: HttpCall): Promise<HttpAnswer> {
+    const { host, port, method, path, timeoutMs, body, agent, signal } = call;
+    return new Promise((resolve, reject) => {
+        const headers = body === undefined ? undefined : { "content-type": "application/json", "content-length": Buffer.byteLength(body) };
+        const sent = request({ host, port, method, path, headers, agent: agent ?? false, signal });
+        const timer = setTimeout(() => fail("took too long"), timeoutMs);
+        const fail = (reason: string) => {
+            clearTimeout(timer);
+            sent.destroy();
+            reject(new CallError(`${method} ${path} at ${host}:${port} ${reason}`));
+        };
+        sent.on("error", error => fail(`failed: ${error.message}`));
+        sent.on("response", answer => {
+            const chunks: Buffer[] = [];
+            answer.on("data", (chunk: Buffer) => chunks.push(chunk));
+            answer.on("error", error => fail(`was cut: ${error.message}`));
+            answer.on("end", () => {
+                clearTimeout(timer);
+                resolve({ status: answer.statusCode ?? 0, body: Buffer.concat(chunks) });
+            });
+        });
+        sent.end(body);
+    });
+}
--- a/src/wire/rpc.ts
+++ b/src/wire/rpc.ts
@@ -1,6 +1,5 @@
 /** JSON-RPC 2.0 over kept HTTP connections, signed with the shared keys. */
 import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
-import type { IncomingMessage } from "node:http";
 import { type Dispatcher, request } from "undici";
 import { CallError } from "../core/errors.js";
 import { authHeader, signCall } from "./auth.js";
@@ -80,23 +79,3 @@
     }
     return server;
 }
-
-/** Reads a request body; undefined when it is longer than `maxBytes` or cut short. */
-export function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-    return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        message.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > maxBytes) {
-                message.pause();
-                resolve(undefined);
-                return;
-            }
-            chunks.push(chunk);
-        });
-        message.on("end", () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks, size)));
-        message.on("error", () => resolve(undefined));
-        message.on("close", () => resolve(undefined));
-    });
-}
--- a/src/wire/server.ts
+++ b/src/wire/server.ts
@@ -2,7 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Registry } from "prom-client";
 import { authHeader, verifyCall } from "./auth.js";
-import { createRpcServer, maxRpcBytes, readBody, type RpcIdentity, type RpcMethods } from "./rpc.js";
+import { readBody } from "./body.js";
+import { createRpcServer, maxRpcBytes, type RpcIdentity, type RpcMethods } from "./rpc.js";
 
 /** Handles a verified call. */
 export type InternalHandler = (body: string, response: ServerResponse) => Promise<void> | void;
