--- a/src/direct/start.ts
+++ b/src/direct/start.ts
@@ -4,15 +4,20 @@
 import { createLineLimit } from "../observe/lineLimit.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createServingMetrics } from "../observe/servingMetrics.js";
-import { createFeed, type FeedSource } from "../peers/feed.js";
+import { decodeBeacon, encodeBeacon, type VectorBeacon } from "../peers/beacon.js";
+import { createFeed, type FeedSource, type PeerRecords } from "../peers/feed.js";
+import { createHandOver, type HandOverParams, handOverMethod } from "../peers/handOver.js";
 import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
 import { estimateServiceMs } from "../routing/engineModel.js";
-import { createGroupBoard, noteGroup } from "../routing/groupBoard.js";
+import { createGroupBoard, isGroupOpen, noteGroup, noteGroupBroken } from "../routing/groupBoard.js";
 import { admitRepeat, createRetryWindow, noteFirstSend, type RetryWindow, type RetryWindowSettings } from "../routing/retryWindow.js";
 import { createUpstreamBoard, noteFigures, setUpstreams } from "../routing/upstreamBoard.js";
+import { bindDatagrams } from "../wire/datagrams.js";
 import { listenOn } from "../wire/listen.js";
+import { callPeer, createPeerHandler } from "../wire/peerRpc.js";
 import type { ServingDocument } from "../config/serving.js";
 import type { DirectContext } from "./context.js";
+import { computePositions, notePositions, pickPeer } from "./positions.js";
 import { createScheduler } from "./scheduler.js";
 import { applyLimits, createDirectServer } from "./server.js";
 import type { DirectRequest, HeadCodec } from "./types.js";
@@ -28,6 +33,10 @@
     callers: Listen;
     readiness: Listen;
     internal: Listen;
+    /** Where processes that know nobody yet ask. */
+    control?: Listen;
+    /** Control addresses of other entries. */
+    seeds: Listen[];
     /** Time between the order to stop and the kill, in milliseconds. */
     graceMs: number;
     retries: RetryWindowSettings;
@@ -51,10 +60,23 @@
 /** Longest part of a caller's time that it stays away when told to. */
 const retryAfterShare = 1 / 3;
 
+/** Entries that are taken to share the retry budget before the lead has counted them. */
+const assumedEntries = 32;
+/** Time between two tellings of this entry's presence, in milliseconds; the lead forgets it after four. */
+const presenceIntervalMs = 1000;
+/** Slots that are told while no lead is heard. */
+const presenceSpread = 3;
+/** Silence after which the lead counts as gone, in milliseconds; five vectors. */
+const leadSilenceMs = 1000;
+const handOverTimeoutMs = 600;
+/** Age of the newest knowledge at which an entry reads the log itself, and what is added at random, in milliseconds. */
+const feedTiming = { staleMs: 3000, spreadMs: 2000 };
+
 /** Starts an entry; resolves once it listens. */
 export async function startDirectEntry(options: DirectEntryOptions): Promise<RunningEntry> {
     const makeLogger = createLoggers("beechdock-entry", options.instance, "info");
     const logger = makeLogger(Prefix.entry);
+    const peersLogger = makeLogger(Prefix.peers);
     const metrics = createServingMetrics();
     const lines = createLineLimit();
     const now = () => performance.now();
@@ -64,6 +86,9 @@
     const windows = new Map<string, RetryWindow>();
     let index: ServingIndex | undefined;
     let isStopping = false;
+    /** Entries that share the retry budget, as the lead counts them. */
+    let entryCount = assumedEntries;
+    let lead: { host: string; heardAt: number; } | undefined;
 
     const feed = createFeed({
         source: options.source,
@@ -71,7 +96,14 @@
         now,
         random,
         logger: makeLogger(Prefix.config),
-        askPeer: async () => undefined,
+        askPeer: async (documentEnd, listEnd) => {
+            const slots = listSlotHosts().map(host => ({ host, port: options.internal.port }));
+            const peer = pickPeer([...slots, ...options.seeds], random);
+            const params: HandOverParams = { documentEnd, listEnd };
+            return peer === undefined ?
+                undefined :
+                await callPeer<PeerRecords>({ ...peer, method: handOverMethod, params, timeoutMs: handOverTimeoutMs });
+        },
         onDocument: document => {
             index = buildServingIndex(document);
             metrics.revision.set(document.revision);
@@ -83,8 +115,12 @@
             metrics.upstreams.set(upstreams.length);
             scheduler.pump();
         },
-        timing: { staleMs: 0, spreadMs: 0 },
+        timing: feedTiming,
     });
+    const listSlotHosts = () => {
+        const upstreams = [...board.views.values()].map(({ record }) => record);
+        return upstreams.filter(({ pool }) => index?.pools.get(pool)?.engine?.experts !== undefined).map(({ host }) => host);
+    };
     const scheduler = createScheduler({
         board,
         groups,
@@ -106,14 +142,14 @@
         now,
         noteFirstSend: request => noteFirstSend(getWindow(request.pool), now()),
         admitRepeat: (request, at) => {
-            const isAdmitted = admitRepeat(getWindow(request.pool), 18, at);
+            const isAdmitted = admitRepeat(getWindow(request.pool), entryCount, at);
             if (!isAdmitted) {
                 metrics.repeatsRefused.inc();
             }
             return isAdmitted;
         },
         noteLoad: (upstream, { running, waiting }) => noteFigures(board, upstream, { running, waiting, at: now() }),
-        noteGroupFault: pool => noteGroup(groups, pool, { isOpen: false, epoch: 0, at: now() }),
+        noteGroupFault: pool => noteGroupBroken(groups, pool, now()),
         estimateServiceMs: request => {
             const engine = findEngine(request);
             if (engine === undefined) {
@@ -166,13 +202,57 @@
     });
     const isReady = () => !isStopping && index !== undefined && board.views.size > 0;
     const readiness = createServer((message, response) => answerEmpty(response, isReady() ? 200 : 503, []));
-    const internal = createServer((message, response) => {
-        void metrics.registry.metrics().then(text => response.end(text));
-    });
+    const handlePeer = createPeerHandler({
+        [handOverMethod]: (params: HandOverParams) => createHandOver(feed.state, params),
+    }, (_, response) => void metrics.registry.metrics().then(text => response.end(text)));
+    const internal = createServer(handlePeer);
+    const control = createServer(handlePeer);
+    const noteVector = (vector: VectorBeacon) => {
+        lead = { host: vector.from, heardAt: now() };
+        entryCount = Math.max(1, vector.entryCount);
+        const wasOpen = isGroupOpen(groups, vector.pool, now());
+        noteGroup(groups, vector.pool, { isOpen: vector.isOpen, epoch: vector.epoch, at: now() });
+        const isOpen = isGroupOpen(groups, vector.pool, now());
+        if (wasOpen !== isOpen) {
+            peersLogger.warn("A group's state changed.", { pool: vector.pool, isOpen, epoch: vector.epoch });
+        }
+        const byHost = new Map([...board.views].map(([id, { record }]) => [`${record.pool} ${record.host}`, id]));
+        for (const [host, running, waiting, ageMs] of vector.ranks) {
+            const id = byHost.get(`${vector.pool} ${host}`);
+            if (id !== undefined) {
+                noteFigures(board, id, { running, waiting, at: now() - ageMs });
+            }
+        }
+        scheduler.pump();
+    };
+    const tellPresence = () => {
+        const heardLead = lead !== undefined && now() - lead.heardAt < leadSilenceMs ? [lead.host] : undefined;
+        const hosts = listSlotHosts();
+        const receivers = heardLead ?? Array.from({ length: presenceSpread }, () => pickPeer(hosts, random));
+        const presence = encodeBeacon({
+            kind: "presence",
+            host: options.internal.host,
+            positions: computePositions(feed, now()),
+        });
+        receivers.forEach(host => host !== undefined && datagrams.send(presence, host, options.internal.port));
+    };
+    const datagrams = await bindDatagrams(options.internal, bytes => {
+        const beacon = decodeBeacon(bytes);
+        if (beacon !== undefined) {
+            notePositions(feed, beacon.positions);
+        }
+        if (beacon?.kind === "vector") {
+            noteVector(beacon);
+        }
+    }, error => metrics.sendFailures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" }));
     await listenOn(server, options.callers.host, options.callers.port);
     await listenOn(readiness, options.readiness.host, options.readiness.port);
     await listenOn(internal, options.internal.host, options.internal.port);
+    if (options.control !== undefined) {
+        await listenOn(control, options.control.host, options.control.port);
+    }
     feed.start();
+    setInterval(tellPresence, presenceIntervalMs);
     logger.info("The entry listens.", { port: options.callers.port });
 
     return {
--- /dev/null
+++ b/src/direct/startSlot.ts
@@ -0,0 +1,245 @@
+/** Wires a slot of the direct path: reads its own rank, tells the lead, leads if it is its turn, and orders its rank. */
+import { createServer } from "node:http";
+import type { ServingDocument, ServingPool } from "../config/serving.js";
+import { createMapChanges } from "../group/driverChanges.js";
+import type { RankOrder, RankPlacement, RankPort, RankReport } from "../group/rankTypes.js";
+import { createLoggers, Prefix } from "../observe/logger.js";
+import { createSlotMetrics } from "../observe/servingMetrics.js";
+import { type Beacon, decodeBeacon, encodeBeacon, encodeChoices, type StateBeacon } from "../peers/beacon.js";
+import { createFeed, type FeedSource, type PeerRecords } from "../peers/feed.js";
+import { createHandOver, type HandOverParams, handOverMethod } from "../peers/handOver.js";
+import { advanceLead, createLead, noteVector } from "../peers/lead.js";
+import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
+import { bindDatagrams } from "../wire/datagrams.js";
+import { listenOn } from "../wire/listen.js";
+import { callPeer, createPeerHandler } from "../wire/peerRpc.js";
+import { computePositions, notePositions, pickPeer } from "./positions.js";
+
+interface Address {
+    host: string;
+    port: number;
+}
+
+export interface SlotOptions {
+    instance: string;
+    dataCentre: string;
+    internal: Address;
+    seeds: Address[];
+    /** Engine beside this slot. */
+    engine: Address;
+    source: FeedSource;
+    decoders: MirrorDecoders<ServingDocument>;
+    createRankPort: (address: Address) => RankPort;
+}
+
+/** Name of the call that orders a rank through its slot. */
+const orderMethod = "order";
+/** Time between two readings of the own rank, in milliseconds; the lead's vectors are as far apart. */
+const readIntervalMs = 200;
+/** Time between two vectors, in milliseconds. */
+const vectorIntervalMs = 200;
+/** Vectors of which one holds the entries' addresses. */
+const entriesEvery = 5;
+/** Time after which an entry that has not told of itself is forgotten, in milliseconds. */
+const entryMaxAgeMs = 4000;
+/** Time for an order through another slot, in milliseconds. */
+const orderTimeoutMs = 350;
+const handOverTimeoutMs = 600;
+/** Time between two looks at what a change of the map needs next, in milliseconds. */
+const changeTickMs = 50;
+/** Age of the newest knowledge at which a slot reads the log itself, and what is added at random, in milliseconds. */
+const feedTiming = { staleMs: 700, spreadMs: 1500 };
+
+/** Starts a slot; resolves once it listens. */
+export async function startDirectSlot(options: SlotOptions): Promise<{ stop: () => Promise<void>; }> {
+    const { internal, engine } = options;
+    const makeLogger = createLoggers("beechdock-slot", options.instance, "info");
+    const logger = makeLogger(Prefix.slot);
+    const groupLogger = makeLogger(Prefix.group);
+    const metrics = createSlotMetrics();
+    const now = () => performance.now();
+    const own = options.createRankPort(engine);
+    const lead = createLead(internal.host, now());
+    const entries = new Map<string, number>();
+    let pool: ServingPool | undefined;
+    let hosts: string[] = [];
+    let report: RankReport | undefined;
+    let placement: RankPlacement | undefined;
+    let lastCounts: { epoch: number; sets: number[][]; } | undefined;
+    let vectors = 0;
+
+    const feed = createFeed({
+        source: options.source,
+        decoders: options.decoders,
+        now,
+        random: Math.random,
+        logger: makeLogger(Prefix.config),
+        askPeer: (documentEnd, listEnd) => askPeer({ documentEnd, listEnd }),
+        onDocument: () => updateGroup(),
+        onList: () => updateGroup(),
+        timing: feedTiming,
+    });
+    const updateGroup = () => {
+        const upstreams = listUpstreams(feed.state);
+        const beside = upstreams.find(u => u.host === engine.host && u.port === engine.port);
+        pool = feed.state.document?.pools.find(({ name }) => name === (beside?.pool ?? pool?.name));
+        hosts = upstreams.filter(u => u.pool === pool?.name).map(({ host }) => host);
+    };
+    const askPeer = async (params: HandOverParams) => {
+        const others = hosts.filter(host => host !== internal.host).map(host => ({ host, port: internal.port }));
+        const peer = pickPeer([...others, ...options.seeds], Math.random);
+        return peer === undefined ?
+            undefined :
+            await callPeer<PeerRecords>({ ...peer, method: handOverMethod, params, timeoutMs: handOverTimeoutMs });
+    };
+    const changes = createMapChanges({
+        now,
+        random: Math.random,
+        logger: groupLogger,
+        metrics,
+        order: async (host, order, epoch) => {
+            if (host === internal.host) {
+                return orderOwn(order, epoch);
+            }
+            const params = { order, epoch };
+            return await callPeer({ host, port: internal.port, method: orderMethod, params, timeoutMs: orderTimeoutMs });
+        },
+    });
+    const orderOwn = async (order: RankOrder, epoch: number) => {
+        const outcome = await own.order(order, epoch);
+        groupLogger.info("The rank was given an order.", { order: order.kind, epoch, outcome });
+        report = await own.readReport().catch(() => undefined);
+        return { outcome, report };
+    };
+    const send = (beacon: Beacon, host: string) => datagrams.send(encodeBeacon(beacon), host, internal.port);
+    const readOwn = async () => {
+        const wasOpen = report?.isOpen;
+        report = await own.readReport();
+        if (wasOpen !== undefined && wasOpen !== report.isOpen) {
+            groupLogger.warn("The group's state changed.", { isOpen: report.isOpen, epoch: report.epoch });
+        }
+        if (placement?.version !== report.mapVersion || placement.epoch !== report.epoch) {
+            placement = await own.readPlacement();
+        }
+        const experts = pool?.engine?.experts;
+        return experts === undefined || !report.isOpen ? undefined : readChoices(experts);
+    };
+    const readChoices = async (figures: { sets: number; experts: number; }) => {
+        const counts = await own.readCounts(figures);
+        const last = lastCounts;
+        lastCounts = counts;
+        if (last === undefined || last.epoch !== counts.epoch) {
+            return undefined;
+        }
+        const since = counts.sets.map((set, index) => set.map((count, expert) => count - last.sets[index][expert]));
+        return since.some(set => set.some(count => count < 0)) ? undefined : encodeChoices(since);
+    };
+    const tellState = async () => {
+        let choices: string | undefined;
+        try {
+            choices = await readOwn();
+        }
+        catch (error) {
+            if (report !== undefined) {
+                groupLogger.warn("The rank does not answer.", { error: (error as Error).message });
+            }
+            report = undefined;
+        }
+        if (pool === undefined) {
+            return;
+        }
+        const isPlaced = report !== undefined && placement?.version === report.mapVersion && placement.epoch === report.epoch;
+        const state: StateBeacon = {
+            kind: "state",
+            from: internal.host,
+            pool: pool.name,
+            report,
+            experts: isPlaced ? placement?.experts : undefined,
+            choices,
+            positions: computePositions(feed, now()),
+        };
+        const isLead = advanceLead(lead, hosts, now());
+        if (isLead) {
+            changes.noteState(state);
+        }
+        else if (lead.lead !== undefined) {
+            send(state, lead.lead);
+        }
+    };
+    const tellVector = () => {
+        if (pool === undefined || lead.lead !== internal.host) {
+            return;
+        }
+        vectors += 1;
+        entries.forEach((heardAt, host) => now() - heardAt > entryMaxAgeMs && entries.delete(host));
+        const vector = {
+            kind: "vector" as const,
+            from: internal.host,
+            pool: pool.name,
+            ...changes.summarize(),
+            entryCount: entries.size,
+            positions: computePositions(feed, now()),
+        };
+        const bytes = encodeBeacon(vector);
+        entries.forEach((_, host) => datagrams.send(bytes, host, internal.port));
+        const toSlots = vectors % entriesEvery === 0 ?
+            encodeBeacon({ ...vector, ranks: [], entries: [...entries.keys()] }) :
+            encodeBeacon({ ...vector, ranks: [] });
+        hosts.filter(host => host !== internal.host).forEach(host => datagrams.send(toSlots, host, internal.port));
+    };
+    const handlers: { [K in Beacon["kind"]]: (beacon: Extract<Beacon, { kind: K; }>) => void; } = {
+        state: beacon => {
+            if (lead.lead === internal.host) {
+                changes.noteState(beacon);
+            }
+        },
+        vector: beacon => {
+            noteVector(lead, beacon.from, now());
+            beacon.entries?.forEach(host => entries.set(host, Math.max(entries.get(host) ?? 0, now())));
+        },
+        presence: beacon => {
+            entries.set(beacon.host, now());
+            if (lead.lead !== undefined && lead.lead !== internal.host) {
+                send(beacon, lead.lead);
+            }
+        },
+    };
+    const datagrams = await bindDatagrams(internal, bytes => {
+        const beacon = decodeBeacon(bytes);
+        if (beacon !== undefined) {
+            notePositions(feed, beacon.positions);
+            handlers[beacon.kind](beacon as never);
+        }
+    }, error => metrics.sendFailures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" }));
+    const server = createServer(createPeerHandler({
+        [handOverMethod]: (params: HandOverParams) => createHandOver(feed.state, params),
+        [orderMethod]: ({ order, epoch }: { order: RankOrder; epoch: number; }) => orderOwn(order, epoch),
+    }, (_, response) => void metrics.registry.metrics().then(text => response.end(text))));
+    await listenOn(server, internal.host, internal.port);
+    feed.start();
+    logger.info("The slot listens.", { engine: `${engine.host}:${engine.port}` });
+    let isTelling = false;
+    const timers = [
+        setInterval(() => {
+            if (!isTelling) {
+                isTelling = true;
+                void tellState().finally(() => isTelling = false);
+            }
+        }, readIntervalMs),
+        setInterval(tellVector, vectorIntervalMs),
+        setInterval(() => {
+            if (lead.lead === internal.host) {
+                changes.advance(hosts, pool?.engine?.experts);
+            }
+        }, changeTickMs),
+    ];
+    return {
+        stop: async () => {
+            logger.info("The slot has stopped.");
+            timers.forEach(clearInterval);
+            feed.stop();
+            datagrams.close();
+            server.close();
+        },
+    };
+}
--- /dev/null
+++ b/src/group/driverChanges.ts
@@ -0,0 +1,190 @@
+/** The lead's work: collects the ranks' states, plans maps when the demand calls for it, and gives the orders. */
+import type { ExpertFigures } from "../config/serving.js";
+import type { Logger } from "../observe/logger.js";
+import type { SlotMetrics } from "../observe/servingMetrics.js";
+import { decodeChoices, type StateBeacon, type VectorBeacon } from "../peers/beacon.js";
+import { computePlanSkew, planRound } from "./planRound.js";
+import { advancePopularity, createPopularity, noteChoices, type PopularityState, PopularityStep } from "./popularity.js";
+import type { ExpertPlan, OrderOutcome, RankOrder, RankReport } from "./rankTypes.js";
+import {
+    abandonPlan,
+    type AddressedOrder,
+    createRound,
+    createVersion,
+    decideRound,
+    isRoundIdle,
+    type KnownReport,
+    noteOrderResult,
+} from "./round.js";
+
+interface KnownRank {
+    host: string;
+    report: KnownReport | undefined;
+    experts: number[][] | undefined;
+    heardAt: number;
+}
+
+export interface OrderResult {
+    outcome: OrderOutcome;
+    report?: RankReport;
+}
+
+export interface MapChangeOptions {
+    now: () => number;
+    random: () => number;
+    logger: Logger;
+    metrics: SlotMetrics;
+    /** Gives an order to the rank whose slot is at `host`. */
+    order: (host: string, order: RankOrder, epoch: number) => Promise<OrderResult>;
+}
+
+export interface MapChanges {
+    noteState: (state: StateBeacon) => void;
+    /** What the vector tells of the ranks. */
+    summarize: () => Pick<VectorBeacon, "isOpen" | "epoch" | "ranks">;
+    /** Plans and orders what is due. */
+    advance: (hosts: string[], figures: ExpertFigures | undefined) => void;
+}
+
+/** Skew of the estimated demand under the map in force above which a change is planned. */
+const plannedSkew = 1.12;
+/** Part of the excess over an even load that a change has to take away. */
+const minRelief = 0.25;
+/** Time between two plans, in milliseconds; a change takes some 500 ms. */
+const planIntervalMs = 700;
+/** Time after which a change that does not come about is given up, in milliseconds. */
+const planTimeoutMs = 4000;
+/** Age after which a rank's state no longer counts, in milliseconds. */
+const stateMaxAgeMs = 1500;
+
+/** Creates the lead's work for one group. */
+export function createMapChanges(options: MapChangeOptions): MapChanges {
+    const { now, random, logger, metrics } = options;
+    const ranks = new Map<string, KnownRank>();
+    const round = createRound();
+    let popularity: PopularityState | undefined;
+    let plannedAt = -Infinity;
+
+    const listReports = () => {
+        const known = [...ranks.values()].flatMap(({ report }) => report === undefined ? [] : [report]);
+        return known.sort((a, b) => a.rank - b.rank);
+    };
+    const noteReport = (host: string, report: RankReport | undefined) => {
+        const rank = ranks.get(host);
+        if (rank !== undefined && report !== undefined) {
+            rank.report = { ...report, at: now() };
+        }
+    };
+    const giveOrder = ({ rank, epoch, order }: AddressedOrder) => {
+        const known = [...ranks.values()].find(({ report }) => report?.rank === rank);
+        if (known === undefined) {
+            return;
+        }
+        options.order(known.host, order, epoch).then(({ outcome, report }) => {
+            metrics.orders.inc({ kind: order.kind, outcome });
+            noteReport(known.host, report);
+            noteOrderResult(round, rank, order.kind, outcome);
+        }).catch((error: Error) => {
+            metrics.orders.inc({ kind: order.kind, outcome: "unreachable" });
+            logger.warn("An order did not reach its slot.", { rank, order: order.kind, error: error.message });
+            noteOrderResult(round, rank, order.kind, undefined);
+        }).finally(runRound);
+    };
+    const runRound = () => {
+        const reports = listReports();
+        const hadPlan = round.plan;
+        decideRound(round, reports, now()).forEach(giveOrder);
+        if (hadPlan !== undefined && round.plan === undefined) {
+            logger.info("The map has changed.", { version: hadPlan.version, ms: Math.round(now() - plannedAt) });
+        }
+    };
+    const planNext = (figures: ExpertFigures, reports: KnownReport[]) => {
+        const current = collectCurrent(figures, reports);
+        if (popularity === undefined || popularity.weight === 0 || current === undefined) {
+            return;
+        }
+        const input = { current, shares: popularity.shares, ...figures };
+        const skew = computePlanSkew(input);
+        if (skew < plannedSkew || now() - plannedAt < planIntervalMs) {
+            return;
+        }
+        const planned = planRound(input);
+        if (planned === undefined || planned.skewBefore - planned.skewAfter < minRelief * (planned.skewBefore - 1)) {
+            return;
+        }
+        plannedAt = now();
+        const version = createVersion(reports, reports[0].rank, random());
+        round.plan = { version, epoch: reports[0].epoch, plan: planned.plan };
+        metrics.plans.inc();
+        metrics.moves.inc(planned.moves);
+        const { moves, skewBefore, skewAfter } = planned;
+        logger.info("A map is planned.", { version, moves, skewBefore, skewAfter, weight: popularity.weight });
+    };
+    /** Experts by set and rank of the map that all ranks have in force. */
+    const collectCurrent = (figures: ExpertFigures, reports: KnownReport[]): ExpertPlan | undefined => {
+        const first = reports[0];
+        const isWhole = first !== undefined && reports.length === first.size &&
+            reports.every(r => r.isOpen && r.epoch === first.epoch && r.mapVersion === first.mapVersion);
+        if (!isWhole) {
+            return undefined;
+        }
+        const byRank = [...ranks.values()].filter(({ report }) => report !== undefined);
+        byRank.sort((a, b) => a.report!.rank - b.report!.rank);
+        if (byRank.some(({ experts }) => experts === undefined || experts.length !== figures.sets)) {
+            return undefined;
+        }
+        return Array.from({ length: figures.sets }, (_, set) => byRank.map(({ experts }) => experts![set]));
+    };
+    return {
+        noteState: state => {
+            const known = ranks.get(state.from) ?? { host: state.from, report: undefined, experts: undefined, heardAt: 0 };
+            const report = state.report === undefined ? undefined : { ...state.report, at: now() };
+            const experts = state.experts ?? (report?.mapVersion === known.report?.mapVersion ? known.experts : undefined);
+            ranks.set(state.from, { host: state.from, report, experts, heardAt: now() });
+            if (popularity !== undefined && state.choices !== undefined) {
+                const choices = decodeChoices(state.choices, popularity.experts);
+                if (choices.length === popularity.sets) {
+                    noteChoices(popularity, choices);
+                }
+            }
+        },
+        summarize: () => {
+            const reports = listReports();
+            const newest = Math.max(0, ...reports.map(({ epoch }) => epoch));
+            const current = reports.filter(({ epoch, at }) => epoch === newest && now() - at < stateMaxAgeMs);
+            return {
+                isOpen: current.length === 0 || current.some(({ isOpen }) => isOpen),
+                epoch: newest,
+                ranks: [...ranks.values()].flatMap(({ host, report }) =>
+                    report === undefined ? [] : [[host, report.running, report.queued, Math.round(now() - report.at)]]
+                ) as VectorBeacon["ranks"],
+            };
+        },
+        advance: (hosts, figures) => {
+            for (const [host, { heardAt }] of ranks) {
+                if (!hosts.includes(host) || now() - heardAt > stateMaxAgeMs) {
+                    ranks.delete(host);
+                }
+            }
+            if (figures === undefined) {
+                return;
+            }
+            if (popularity?.sets !== figures.sets || popularity.experts !== figures.experts) {
+                popularity = createPopularity(figures.sets, figures.experts);
+            }
+            const { step, distance } = advancePopularity(popularity);
+            if (step === PopularityStep.changed) {
+                logger.info("The demand for experts has changed.", { distance });
+            }
+            if (round.plan !== undefined && now() - plannedAt > planTimeoutMs) {
+                logger.warn("A change of the map is given up.", { version: round.plan.version });
+                abandonPlan(round);
+            }
+            const reports = listReports();
+            if (step !== PopularityStep.waiting && isRoundIdle(round, reports)) {
+                planNext(figures, reports);
+            }
+            runRound();
+        },
+    };
+}
--- a/src/group/plan.ts
+++ b/src/group/plan.ts
@@ -45,6 +45,10 @@
     budget: number;
     /** Whether the document forbids moves at this time. */
     isQuiet?: boolean;
+    /** Experts that are new to a rank, at most; without bound when absent. */
+    spare?: number;
+    /** Stands for a slot that holds nothing: an expert without load that ranks need not load. */
+    emptyExpert?: number;
 }
 
 export type PlanResult = { kind: "move"; moves: Move[]; placement: LayerPlacement; } | {
@@ -69,6 +73,14 @@
     powers: Float64Array;
     speeds: number[] | undefined;
     mean: number;
+    rules: SpareRules | undefined;
+}
+
+/** What each rank held at first, for the bound on new experts. */
+interface SpareRules {
+    spare: number;
+    emptyExpert: number | undefined;
+    held: Set<number>[];
 }
 
 /** One candidate: slots that change and the loads that follow. */
@@ -119,7 +131,7 @@
     return skew <= weights.targetSkew ? `the predicted skew ${skew.toFixed(3)} is within the target` : undefined;
 }
 
-function createSearch({ placement, forecast, speeds }: PlanInput): Search {
+function createSearch({ placement, forecast, speeds, spare, emptyExpert }: PlanInput): Search {
     const experts = Int32Array.from(placement.experts);
     const loads = computeRankLoads(placement, forecast, speeds);
     const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
@@ -127,7 +139,29 @@
     const copies = countCopies(placement, forecast.length);
     const slots: number[][] = Array.from(copies, () => []);
     experts.forEach((expert, slot) => slots[expert].push(slot));
-    return { placement: { ...placement, experts }, forecast, copies, slots, loads, powers, speeds, mean };
+    const rules = spare === undefined ? undefined : { spare, emptyExpert, held: listHeld(placement) };
+    return { placement: { ...placement, experts }, forecast, copies, slots, loads, powers, speeds, mean, rules };
+}
+
+function listHeld({ experts, slotsPerRank, ranks }: LayerPlacement): Set<number>[] {
+    return Array.from(
+        { length: ranks },
+        (_, rank) => new Set(experts.subarray(rank * slotsPerRank, (rank + 1) * slotsPerRank)),
+    );
+}
+
+/** Whether `rank` may take `expert` in place of what `slot` holds, within the bound on new experts. */
+function mayTake(search: Search, rank: number, expert: number, slot: number): boolean {
+    const { rules, placement: { experts, slotsPerRank } } = search;
+    if (rules === undefined || expert === rules.emptyExpert || rules.held[rank].has(expert)) {
+        return true;
+    }
+    let added = 1;
+    for (let other = rank * slotsPerRank; other < (rank + 1) * slotsPerRank; other++) {
+        const isNew = experts[other] !== rules.emptyExpert && !rules.held[rank].has(experts[other]);
+        added += Number(other !== slot && isNew);
+    }
+    return added <= rules.spare;
 }
 
 function computeMax(search: Search): number {
@@ -198,6 +232,9 @@
                 if (taken >= given || hasExpert(search, heaviest, experts[other])) {
                     continue;
                 }
+                if (!mayTake(search, rank, experts[slot], other) || !mayTake(search, heaviest, experts[other], slot)) {
+                    continue;
+                }
                 const delta = given - taken;
                 const after = computePower((loads[heaviest] - delta / getSpeed(search, heaviest)) / mean) +
                     computePower((loads[rank] + delta / getSpeed(search, rank)) / mean);
@@ -232,7 +269,8 @@
     const { experts, slotsPerRank } = search.placement;
     const dropped = experts[slot];
     const rank = Math.floor(slot / slotsPerRank);
-    if (dropped === expert || search.copies[dropped] < 2 || hasExpert(search, rank, expert)) {
+    const isNeeded = search.copies[dropped] < 2 && dropped !== search.rules?.emptyExpert;
+    if (dropped === expert || isNeeded || hasExpert(search, rank, expert) || !mayTake(search, rank, expert, slot)) {
         return;
     }
     offer(computeReplacementDrop(search, slot, expert), slot, expert);
@@ -245,7 +283,7 @@
     const gained = forecast[expert] / (copies[expert] + 1);
     const relief = forecast[expert] / copies[expert] - gained;
     const lost = forecast[dropped] / copies[dropped];
-    const burden = forecast[dropped] / (copies[dropped] - 1) - lost;
+    const burden = copies[dropped] === 1 ? 0 : forecast[dropped] / (copies[dropped] - 1) - lost;
     let drop = powers[own] - computePower((loads[own] + (gained - lost) / getSpeed(search, own)) / mean);
     const addShift = (index: number, shift: number) => {
         const rank = Math.floor(index / slotsPerRank);
--- /dev/null
+++ b/src/group/round.ts
@@ -0,0 +1,185 @@
+/**
+ * Changes the expert map of a group whose engines let any one rank hold all of them back. The first rank's hold is the
+ * lock: with it, every rank is armed for the held step, and only then does the step begin. A change that was begun is
+ * always finished, whoever began it, so that orders which are carried out late can do no harm in the same epoch.
+ */
+import { type ExpertPlan, OrderOutcome, type RankOrder, type RankOrderKind, type RankReport } from "./rankTypes.js";
+
+export interface RoundPlan {
+    version: number;
+    epoch: number;
+    plan: ExpertPlan;
+}
+
+/** A report and the time at which it was read. */
+export interface KnownReport extends RankReport {
+    /** In milliseconds. */
+    at: number;
+}
+
+export interface RoundState {
+    plan: RoundPlan | undefined;
+    /** Times of the orders without a result yet, by rank and kind. */
+    pending: Map<string, number>;
+    /** Step of the hold that this process asked for. */
+    ownHold: number | undefined;
+    /** Time since which a hold of somebody else is seen, in milliseconds. */
+    foreignSince: number | undefined;
+}
+
+export interface AddressedOrder {
+    rank: number;
+    epoch: number;
+    order: RankOrder;
+}
+
+/** Passes between the newest known one and the held one; orders take less than these passes. */
+const holdLead = 3;
+/**
+ * Times after which an order whose effect is not reported is given again, in milliseconds: several reports, and for
+ * experts to be copied over the ranks' links.
+ */
+const repeatMs: Record<RankOrderKind, number> = { prepare: 1200, arm: 300, disarm: 300, hold: 300, go: 300 };
+/** Time for which another process is left to finish its own change, in milliseconds. */
+const foreignPatienceMs = 500;
+/** Age up to which reports count for the begin of a change, in milliseconds; three intervals of the slots' reports. */
+const reportMaxAgeMs = 700;
+/** Rank whose hold is the lock. */
+const lockRank = 0;
+
+/** Creates the state of a process that changes nothing. */
+export function createRound(): RoundState {
+    return { plan: undefined, pending: new Map(), ownHold: undefined, foreignSince: undefined };
+}
+
+/** Whether a change may be planned now. */
+export function isRoundIdle(state: RoundState, reports: KnownReport[]): boolean {
+    return state.plan === undefined && reports.every(({ heldStep, armed }) => heldStep === undefined && armed === undefined);
+}
+
+/** Creates a version that no other process and no earlier life of this one uses; `random` is in [0, 1). */
+export function createVersion(reports: KnownReport[], rank: number, random: number): number {
+    const known = reports.flatMap(r => [r.mapVersion, r.preparedVersion ?? 0, r.armed?.version ?? 0]);
+    const highest = Math.max(0, ...known);
+    const steps = 1 + Math.floor(random * versionSpread);
+    return (Math.floor(highest / versionRanks) + steps) * versionRanks + rank;
+}
+
+/** Ranks that a version tells apart. */
+const versionRanks = 1024;
+/** Versions that one process may choose from, so that it does not choose one of an earlier life again. */
+const versionSpread = 4096;
+
+/** Decides the next orders from what all ranks report; the state remembers what is under way. */
+export function decideRound(state: RoundState, reports: KnownReport[], now: number): AddressedOrder[] {
+    const first = reports[0];
+    const isWhole = first !== undefined && reports.length === first.size &&
+        reports.every(({ epoch, isOpen }) => epoch === first.epoch && isOpen);
+    if (!isWhole) {
+        return [];
+    }
+    if (state.plan !== undefined && state.plan.epoch !== first.epoch) {
+        abandonPlan(state);
+    }
+    const holder = reports.find(({ heldStep }) => heldStep !== undefined);
+    const wanted = holder === undefined ? decideUnheld(state, reports, now) : decideHeld(state, reports, holder, now);
+    return wanted.filter(({ rank, order }) => admitOrder(state, rank, order, now));
+}
+
+/** Notes the result of an order; one that was not accepted may be given again at once. */
+export function noteOrderResult(
+    state: RoundState,
+    rank: number,
+    kind: RankOrderKind,
+    outcome: OrderOutcome | undefined,
+): void {
+    if (outcome !== OrderOutcome.accepted) {
+        state.pending.delete(`${rank} ${kind}`);
+    }
+}
+
+/** Forgets the change that this process has planned; one that was begun is finished from the reports all the same. */
+export function abandonPlan(state: RoundState): void {
+    state.plan = undefined;
+    state.ownHold = undefined;
+    state.pending.clear();
+}
+
+function admitOrder(state: RoundState, rank: number, order: RankOrder, now: number): boolean {
+    const key = `${rank} ${order.kind}`;
+    if (now - (state.pending.get(key) ?? -Infinity) < repeatMs[order.kind]) {
+        return false;
+    }
+    state.pending.set(key, now);
+    return true;
+}
+
+/** Prepares the plan on every rank, then asks for the hold. */
+function decideUnheld(state: RoundState, reports: KnownReport[], now: number): AddressedOrder[] {
+    const { plan } = state;
+    state.foreignSince = undefined;
+    if (plan === undefined || reports.some(({ armed }) => armed !== undefined)) {
+        return [];
+    }
+    if (reports.every(({ mapVersion }) => mapVersion === plan.version)) {
+        abandonPlan(state);
+        return [];
+    }
+    const unprepared = reports.filter(({ preparedVersion }) => preparedVersion !== plan.version);
+    const order: RankOrder = { kind: "prepare", version: plan.version, plan: plan.plan };
+    if (unprepared.length > 0) {
+        return unprepared.map(({ rank, epoch }) => ({ rank, epoch, order }));
+    }
+    if (reports.some(({ at }) => now - at > reportMaxAgeMs)) {
+        return [];
+    }
+    const step = Math.max(...reports.map(report => report.step)) + holdLead;
+    state.ownHold = step;
+    return [{ rank: lockRank, epoch: plan.epoch, order: { kind: "hold", step } }];
+}
+
+/** Arms every rank for the held step, then lets the group go on. */
+function decideHeld(state: RoundState, reports: KnownReport[], holder: KnownReport, now: number): AddressedOrder[] {
+    const step = holder.heldStep!;
+    const { epoch } = holder;
+    if (state.ownHold !== step) {
+        state.foreignSince ??= now;
+        if (now - state.foreignSince < foreignPatienceMs) {
+            return [];
+        }
+    }
+    const go: AddressedOrder = { rank: holder.rank, epoch, order: { kind: "go", step } };
+    const version = chooseVersion(state, reports);
+    if (version === undefined) {
+        return [go];
+    }
+    const isReady = (report: KnownReport) => report.armed?.version === version || report.mapVersion === version;
+    if (reports.every(isReady)) {
+        return [go];
+    }
+    const strays = reports.filter(({ armed }) => armed !== undefined && armed.version !== version);
+    const disarms = strays.map(({ rank, armed }): AddressedOrder => ({
+        rank,
+        epoch,
+        order: { kind: "disarm", version: armed!.version },
+    }));
+    if (reports.some(report => !isReady(report) && report.preparedVersion !== version)) {
+        // Not every rank can take the armed version, so it is taken back everywhere.
+        const armed = reports.filter(report => report.armed?.version === version);
+        return [...disarms, ...armed.map(({ rank }): AddressedOrder => ({ rank, epoch, order: { kind: "disarm", version } }))];
+    }
+    const unarmed = reports.filter(report => !isReady(report) && report.armed === undefined);
+    return [...disarms, ...unarmed.map(({ rank }): AddressedOrder => ({ rank, epoch, order: { kind: "arm", version, step } }))];
+}
+
+/** The version that a held group changes to: an armed one, or one that every rank has prepared. */
+function chooseVersion(state: RoundState, reports: KnownReport[]): number | undefined {
+    const armed = reports.flatMap(report => report.armed === undefined ? [] : [report.armed.version]);
+    if (armed.length > 0) {
+        return Math.max(...armed);
+    }
+    const { preparedVersion } = reports[0];
+    const isCommon = preparedVersion !== undefined && reports.every(r => r.preparedVersion === preparedVersion);
+    const isNew = reports.some(({ mapVersion }) => mapVersion !== preparedVersion);
+    return isCommon && isNew ? preparedVersion : undefined;
+}
--- a/src/observe/servingMetrics.ts
+++ b/src/observe/servingMetrics.ts
@@ -12,6 +12,7 @@
     waiting: Gauge<string>;
     answerSeconds: Histogram<string>;
     logLinesDropped: Counter<string>;
+    sendFailures: Counter<"code">;
 }
 
 /** Creates the metrics of an entry. */
@@ -46,5 +47,41 @@
             registers,
         }),
         logLinesDropped: count("beechdock_log_lines_dropped_total", "Log lines over the rate limit."),
+        sendFailures: createSendFailures(registry),
     };
 }
+
+export interface SlotMetrics {
+    registry: Registry;
+    orders: Counter<"kind" | "outcome">;
+    plans: Counter<string>;
+    moves: Counter<string>;
+    sendFailures: Counter<"code">;
+}
+
+/** Creates the metrics of a slot. */
+export function createSlotMetrics(): SlotMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+    return {
+        registry,
+        orders: new Counter({
+            name: "beechdock_rank_orders_total",
+            help: "Orders to ranks by kind and outcome.",
+            labelNames: ["kind", "outcome"],
+            registers,
+        }),
+        plans: new Counter({ name: "beechdock_map_plans_total", help: "Expert maps planned.", registers }),
+        moves: new Counter({ name: "beechdock_map_moves_total", help: "Experts moved by planned maps.", registers }),
+        sendFailures: createSendFailures(registry),
+    };
+}
+
+function createSendFailures(registry: Registry): Counter<"code"> {
+    return new Counter({
+        name: "beechdock_datagram_failures_total",
+        help: "Datagrams that could not be sent.",
+        labelNames: ["code"],
+        registers: [registry],
+    });
+}
--- a/src/routing/groupBoard.ts
+++ b/src/routing/groupBoard.ts
@@ -35,6 +35,11 @@
     board.groups.set(pool, { ...state, brokenSince: wasBroken ? known.brokenSince : state.at });
 }
 
+/** Takes in that an answer told of a broken group. */
+export function noteGroupBroken(board: GroupBoard, pool: string, at: number): void {
+    noteGroup(board, pool, { isOpen: false, epoch: board.groups.get(pool)?.epoch ?? 0, at });
+}
+
 /** Whether requests may be sent to the pool's group. */
 export function isGroupOpen(board: GroupBoard, pool: string, now: number): boolean {
     const group = board.groups.get(pool);
--- /dev/null
+++ b/src/wire/peerRpc.ts
@@ -0,0 +1,64 @@
+/** JSON-RPC 2.0 between processes of the direct path, over short HTTP calls on the internal network. */
+import type { Agent } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
+import { CallError } from "../core/errors.js";
+import { readBody } from "./body.js";
+import { callHttp } from "./httpCall.js";
+
+const rpcPath = "/rpc";
+/** Longest message that is read, in bytes; the largest is a handed-over document. */
+const maxMessageBytes = 8 * 1024 * 1024;
+
+export type PeerMethods = Record<string, (params: never) => unknown>;
+
+export interface PeerCall {
+    host: string;
+    port: number;
+    method: string;
+    params: unknown;
+    timeoutMs: number;
+    agent?: Agent;
+}
+
+/** Calls a method of another process; rejects with a `CallError` when it does not answer in time. */
+export async function callPeer<T>({ host, port, method, params, timeoutMs, agent }: PeerCall): Promise<T> {
+    const client = new JSONRPCClient(async payload => {
+        const answer = await callHttp({
+            host,
+            port,
+            method: "POST",
+            path: rpcPath,
+            timeoutMs,
+            body: JSON.stringify(payload),
+            agent,
+        });
+        if (answer.status !== 200) {
+            throw new CallError(`${host}:${port} answered ${answer.status} to ${method}`);
+        }
+        client.receive(JSON.parse(answer.body.toString()));
+    });
+    return await client.request(method, params) as T;
+}
+
+/** Creates the handler of calls from other processes; it passes on what is no call. */
+export function createPeerHandler(
+    methods: PeerMethods,
+    passOn: (message: IncomingMessage, response: ServerResponse) => void,
+): (message: IncomingMessage, response: ServerResponse) => void {
+    const server = new JSONRPCServer({ errorListener: () => undefined });
+    for (const [name, method] of Object.entries(methods)) {
+        server.addMethod(name, method as (params: unknown) => unknown);
+    }
+    return (message, response) => {
+        if (message.method !== "POST" || message.url !== rpcPath) {
+            passOn(message, response);
+            return;
+        }
+        void readBody(message, maxMessageBytes).then(async body => {
+            const answer = body === undefined ? undefined : await server.receiveJSON(body.toString());
+            response.writeHead(answer === undefined ? 400 : 200, { "content-type": "application/json" });
+            response.end(answer === undefined ? undefined : JSON.stringify(answer));
+        });
+    };
+}
