--- a/src/group/driverChanges.ts
+++ b/src/group/driverChanges.ts
@@ -47,7 +47,7 @@
 }
 
 /** Skew of the estimated demand under the map in force above which a change is planned. */
-const plannedSkew = 1.12;
+const plannedSkew = 1.4;
 /** Part of the excess over an even load that a change has to take away. */
 const minRelief = 0.25;
 /** Time between two plans, in milliseconds; a change takes some 500 ms. */
--- a/src/group/planRound.ts
+++ b/src/group/planRound.ts
@@ -24,7 +24,7 @@
 }
 
 /** Moves are planned while each brings this much; a move costs a copy over the ranks' links. */
-const weights: PlanWeights = { targetSkew: 1.03, minGain: 0.003, movesPerInterval: 0, savedIntervals: 0, caution: 0 };
+const weights: PlanWeights = { targetSkew: 1.03, minGain: 0.02, movesPerInterval: 0, savedIntervals: 0, caution: 0 };
 
 /** Plans a change of all sets; undefined when no move brings more than it costs. */
 export function planRound(input: RoundPlanInput): PlannedRound | undefined {
