--- a/src/config/serving.ts
+++ b/src/config/serving.ts
@@ -29,6 +29,8 @@
     targetMs: number;
     /** Longest pause between events that callers accept, in milliseconds; streams only. */
     targetGapMs?: number;
+    /** Gap after which callers leave a stream, also before its first event, in milliseconds. */
+    patienceMs?: number;
     /** Upstreams that one request may run on. */
     maxAttempts: number;
     /** 0 is the most urgent. */
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -22,6 +22,10 @@
     /** Whether one more arrival at the request's pool is within the retry budget; counts it. */
     admitRepeat: (request: DirectRequest, now: number) => boolean;
     noteLoad: (upstream: string, load: LoadFigures) => void;
+    /** Notes that an upstream of the pool has sent part of a stream. */
+    noteProgress: (pool: string) => void;
+    /** Whether no stream of the pool goes on. */
+    isStalled: (pool: string) => boolean;
     noteGroupFault: (pool: string, faultAt: string) => void;
     estimateServiceMs: (request: DirectRequest) => number;
     /** Urgency at the upstream, from 0 to 9; undefined where upstreams know none. */
--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -1,7 +1,7 @@
 /** Carries one request to upstreams and their answer back, as the attempt machine decides. */
 import type { ServerResponse } from "node:http";
 import { isRepeatable, RouteKind } from "../config/serving.js";
-import { noteAnswered, noteFailed, noteOwnSent, type UpstreamView } from "../routing/upstreamBoard.js";
+import { noteAnswered, noteFailed, noteMisdirected, noteOwnSent, type UpstreamView } from "../routing/upstreamBoard.js";
 import type { WaitingRequest } from "../routing/waitingRoom.js";
 import {
     advanceDirectAttempt,
@@ -17,13 +17,15 @@
 
 /** Silence after which a stream's connection counts as lost, in milliseconds; half of what callers bear. */
 const streamSilenceMs = 1000;
+/** Time to the first event of a request that is sent, with a margin for the way back, in milliseconds. */
+const firstEventMs = 250;
 /** Longest answer that is held until it is complete, in bytes; longer ones are relayed as they come. */
 const maxHeldBytes = 256 * 1024;
 /** Ids of events are counted up from one by these upstreams; others are relayed unchecked. */
 const countedId = /^\d{1,15}$/;
 
 /** Ends after which the upstream is avoided for a while. */
-const blamedEnds = new Set<AttemptEnd>([AttemptEnd.lost, AttemptEnd.unconnected, AttemptEnd.misdirected]);
+const blamedEnds = new Set<AttemptEnd>([AttemptEnd.lost, AttemptEnd.unconnected]);
 /** Ends after which another attempt is one more arrival at the pool. */
 const repeatedEnds = new Set<AttemptEnd>([
     AttemptEnd.full,
@@ -83,11 +85,11 @@
         private readonly response: ServerResponse,
         number: number,
     ) {
-        const { route, workspace, head, receivedAt, deadlineAt } = request;
+        const { route, workspace, head, receivedAt } = request;
         this.number = number;
         this.urgency = workspace?.urgency ?? route.urgency;
         this.targetAt = receivedAt + route.targetMs;
-        this.latestAt = deadlineAt - context.estimateServiceMs(request);
+        this.latestAt = this.computeLatestAt(receivedAt);
         this.lastEvent = head.lastEvent;
         this.state = createDirectAttempt({
             isRepeatable: isRepeatable(route),
@@ -109,6 +111,14 @@
         this.apply({ kind: "hopeless" });
     }
 
+    /** Latest time to send, when the caller heard something last at `heardAt`. */
+    private computeLatestAt(heardAt: number): number {
+        const { request, context } = this;
+        const { patienceMs } = request.route;
+        const wholeAt = request.deadlineAt - context.estimateServiceMs(request);
+        return patienceMs === undefined ? wholeAt : Math.min(wholeAt, heardAt + patienceMs - firstEventMs);
+    }
+
     isExcluded(): ReadonlySet<string> {
         return this.tried;
     }
@@ -240,6 +250,7 @@
 
     private relayEvents(chunk: Buffer): void {
         this.watchSilence();
+        this.context.noteProgress(this.request.pool);
         for (const event of this.splitter.push(chunk)) {
             if (!this.isNext(event.id)) {
                 if (event.id !== undefined && Number(event.id) <= Number(this.lastEvent)) {
@@ -250,6 +261,7 @@
             }
             this.lastEvent = event.id ?? this.lastEvent;
             this.beginStream();
+            this.latestAt = this.computeLatestAt(this.context.now());
             this.write(event.bytes);
         }
     }
@@ -316,6 +328,9 @@
         const { context, view } = this;
         const now = context.now();
         this.attempts.at(-1)!.end = `${end}: ${reason}`;
+        if (end === AttemptEnd.misdirected) {
+            noteMisdirected(context.board, view!.record.id);
+        }
         if (blamedEnds.has(end)) {
             noteFailed(context.board, view!.record.id, now);
         }
@@ -326,10 +341,17 @@
 
     private watchSilence(): void {
         clearTimeout(this.silence);
-        this.silence = setTimeout(
-            () => this.endAttempt(AttemptEnd.lost, "the stream went silent"),
-            streamSilenceMs,
-        );
+        this.silence = setTimeout(() => this.handleSilence(), streamSilenceMs);
+    }
+
+    /** One silent stream among others that go on has lost its connection; when all are silent, their group stalls. */
+    private handleSilence(): void {
+        if (this.context.isStalled(this.request.pool)) {
+            this.watchSilence();
+        }
+        else {
+            this.endAttempt(AttemptEnd.lost, "the stream went silent");
+        }
     }
 
     private refuse(): void {
--- a/src/direct/positions.ts
+++ b/src/direct/positions.ts
@@ -6,8 +6,8 @@
 const neverMs = 1e9;
 
 /** Computes this process's positions. */
-export function computePositions({ state, freshAt }: Feed, now: number): Positions {
-    const age = (topic: FeedTopic) => Math.min(neverMs, Math.round(now - freshAt[topic]));
+export function computePositions({ state, getFreshAt }: Feed, now: number): Positions {
+    const age = (topic: FeedTopic) => Math.min(neverMs, Math.round(now - getFreshAt(topic)));
     return {
         document: [state.documentEnd, age(FeedTopic.document)],
         list: [state.listEnd, age(FeedTopic.list)],
--- a/src/direct/start.ts
+++ b/src/direct/start.ts
@@ -59,7 +59,12 @@
 const leastUrgent = 9;
 /** Longest part of a caller's time that it stays away when told to. */
 const retryAfterShare = 1 / 3;
+/** Least part of the longest stay away: a broken group is back in seconds, a full one sooner. */
+const brokenReturnShare = 0.9;
+const fullReturnShare = 0.5;
 
+/** Time without any part of a stream after which a pool's group counts as stalled, in milliseconds; several passes. */
+const stallAfterMs = 500;
 /** Entries that are taken to share the retry budget before the lead has counted them. */
 const assumedEntries = 32;
 /** Time between two tellings of this entry's presence, in milliseconds; the lead forgets it after four. */
@@ -84,6 +89,8 @@
     const board = createUpstreamBoard();
     const groups = createGroupBoard();
     const windows = new Map<string, RetryWindow>();
+    /** Time of the newest part of a stream, by pool. */
+    const progressAt = new Map<string, number>();
     let index: ServingIndex | undefined;
     let isStopping = false;
     /** Entries that share the retry budget, as the lead counts them. */
@@ -116,6 +123,7 @@
             scheduler.pump();
         },
         timing: feedTiming,
+        isReader: () => false,
     });
     const listSlotHosts = () => {
         const upstreams = [...board.views.values()].map(({ record }) => record);
@@ -149,6 +157,8 @@
             return isAdmitted;
         },
         noteLoad: (upstream, { running, waiting }) => noteFigures(board, upstream, { running, waiting, at: now() }),
+        noteProgress: pool => progressAt.set(pool, now()),
+        isStalled: pool => now() - (progressAt.get(pool) ?? -Infinity) > stallAfterMs,
         noteGroupFault: pool => noteGroupBroken(groups, pool, now()),
         estimateServiceMs: request => {
             const engine = findEngine(request);
@@ -168,8 +178,12 @@
             const isLate = at > request.receivedAt + request.route.targetMs;
             return isLate ? leastUrgent : Math.min(leastUrgent - 1, request.workspace?.urgency ?? request.route.urgency);
         },
-        computeRetryAfterMs: request =>
-            Math.max(0, request.deadlineAt - now()) * retryAfterShare * (0.5 + random() / 2),
+        computeRetryAfterMs: request => {
+            const isBroken = !isGroupOpen(groups, request.pool, now());
+            const least = isBroken ? brokenReturnShare : fullReturnShare;
+            const longest = Math.max(0, request.deadlineAt - now()) * retryAfterShare;
+            return longest * (least + random() * (1 - least));
+        },
         answerRefusal: (response, retryAfterMs) => {
             metrics.refusals.inc();
             answerEmpty(response, 503, ["Retry-After", (retryAfterMs / 1000).toFixed(3)]);
--- a/src/direct/startSlot.ts
+++ b/src/direct/startSlot.ts
@@ -48,7 +48,7 @@
 /** Time between two looks at what a change of the map needs next, in milliseconds. */
 const changeTickMs = 50;
 /** Age of the newest knowledge at which a slot reads the log itself, and what is added at random, in milliseconds. */
-const feedTiming = { staleMs: 700, spreadMs: 1500 };
+const feedTiming = { staleMs: 1200, spreadMs: 2000 };
 
 /** Starts a slot; resolves once it listens. */
 export async function startDirectSlot(options: SlotOptions): Promise<{ stop: () => Promise<void>; }> {
@@ -78,6 +78,7 @@
         onDocument: () => updateGroup(),
         onList: () => updateGroup(),
         timing: feedTiming,
+        isReader: () => lead.lead === internal.host,
     });
     const updateGroup = () => {
         const upstreams = listUpstreams(feed.state);
--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -42,6 +42,8 @@
     onDocument: (document: ServingDocument) => void;
     onList: () => void;
     timing: FeedTiming;
+    /** Whether this process reads the log all the time, so that the others need not. */
+    isReader: () => boolean;
 }
 
 export interface FeedTiming {
@@ -61,8 +63,8 @@
 
 export interface Feed {
     state: MirrorState<ServingDocument>;
-    /** Time at which each topic was last known to be current, in milliseconds. */
-    freshAt: Record<FeedTopic, number>;
+    /** Time at which a topic was last known to be current, in milliseconds. */
+    getFreshAt: (topic: FeedTopic) => number;
     start: () => void;
     stop: () => void;
     /** Takes in how far a peer's mirror is, and the age of that knowledge in milliseconds. */
@@ -75,6 +77,10 @@
 /** Delays after failed reads, in milliseconds; the letter wants news within two seconds of the log's return. */
 const minRetryMs = 150;
 const maxRetryMs = 1000;
+/** Time within which news that a peer told of is read, in milliseconds; several records come in one read. */
+const newsSpreadMs = 250;
+/** Time after which a read that has not brought known news counts as stuck, in milliseconds. */
+const overdueMs = 400;
 /** Time between two checks whether something is due, in milliseconds. */
 const tickMs = 100;
 
@@ -87,6 +93,10 @@
     jitter: number;
     /** Highest offset that a peer has told of. */
     heardEnd: number;
+    /** Time at which news that a peer told of is read, in milliseconds. */
+    newsAt: number;
+    /** Time at which the read under way began, in milliseconds. */
+    readAt: number;
 }
 
 /** Creates a feed that knows nothing. */
@@ -101,6 +111,8 @@
         notBefore: 0,
         jitter: random(),
         heardEnd: 0,
+        newsAt: 0,
+        readAt: 0,
     });
     const topics: Record<FeedTopic, TopicState> = { document: createTopic(), list: createTopic() };
     let timer: NodeJS.Timeout | undefined;
@@ -142,6 +154,7 @@
     const runRead = (topic: FeedTopic) => {
         const place = topics[topic];
         place.isReading = true;
+        place.readAt = now();
         read(topic).then(() => {
             if (place.failures > 0) {
                 logger.info("The log answers again.", { topic, failures: place.failures });
@@ -183,9 +196,12 @@
         const time = now();
         for (const topic of Object.values(FeedTopic)) {
             const place = topics[topic];
-            const isStale = time - freshAt[topic] > timing.staleMs + place.jitter * timing.spreadMs;
-            const hasNews = place.heardEnd > (place.end ?? 0);
-            if (!place.isReading && time >= place.notBefore && (isStale || hasNews || place.end === undefined)) {
+            const isStale = options.isReader() ||
+                time - freshAt[topic] > timing.staleMs + place.jitter * timing.spreadMs;
+            const hasNews = place.heardEnd > (place.end ?? 0) && time >= place.newsAt;
+            const isOverdue = hasNews && time - Math.max(place.newsAt, place.readAt) > overdueMs;
+            const isFree = (!place.isReading && time >= place.notBefore) || isOverdue;
+            if (isFree && (isStale || hasNews || place.end === undefined)) {
                 runRead(topic);
             }
         }
@@ -196,7 +212,11 @@
     };
     return {
         state,
-        freshAt,
+        getFreshAt: topic => {
+            const { isReading, failures, readAt, end } = topics[topic];
+            const isWaiting = isReading && failures === 0 && end !== undefined && now() - readAt < readWaitMs;
+            return isWaiting ? now() : freshAt[topic];
+        },
         start: () => {
             tick();
             timer = setInterval(tick, tickMs);
@@ -204,13 +224,13 @@
         stop: () => clearInterval(timer),
         notePosition: (topic, end, ageMs) => {
             const place = topics[topic];
-            place.heardEnd = Math.max(place.heardEnd, end);
+            if (end > place.heardEnd) {
+                place.heardEnd = end;
+                place.newsAt = now() + random() * newsSpreadMs;
+            }
             if (place.end !== undefined && end === place.end) {
                 freshAt[topic] = Math.max(freshAt[topic], now() - ageMs);
             }
-            else if (place.end !== undefined && end > place.end && !place.isReading) {
-                tick();
-            }
         },
         mergePeerRecords,
     };
--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -18,6 +18,8 @@
     port: number;
     dataCentre: string;
     isLeaving: boolean;
+    /** Unix time of the upstream's start, in milliseconds. */
+    startedAt?: number;
 }
 
 interface ListEntry {
@@ -135,9 +137,28 @@
     return hasChanged;
 }
 
-/** Lists the upstreams that may be used, leaving ones included. */
+/**
+ * Lists the upstreams that may be used, leaving ones included. Of several at one address only the one that was listed
+ * last is there; the records of the others have not lapsed yet.
+ */
 export function listUpstreams<Document>(state: MirrorState<Document>): UpstreamRecord[] {
-    return [...state.entries.values()].flatMap(({ upstream }) => upstream === undefined ? [] : [upstream]);
+    const byAddress = new Map<string, ListEntry>();
+    for (const entry of state.entries.values()) {
+        const { upstream } = entry;
+        if (upstream !== undefined) {
+            const address = `${upstream.host}:${upstream.port}`;
+            const other = byAddress.get(address);
+            if (other === undefined || compareListed(entry, other) > 0) {
+                byAddress.set(address, entry);
+            }
+        }
+    }
+    return [...byAddress.values()].map(({ upstream }) => upstream!);
+}
+
+/** Which of two upstreams of one address was started later; the offsets decide where the list does not tell. */
+function compareListed(a: ListEntry, b: ListEntry): number {
+    return (a.upstream?.startedAt ?? 0) - (b.upstream?.startedAt ?? 0) || a.record.offset - b.record.offset;
 }
 
 /** Lists the records after the offsets that a peer has. */
--- a/src/routing/place.ts
+++ b/src/routing/place.ts
@@ -28,8 +28,8 @@
     now: number,
     random: () => number,
 ): UpstreamView | undefined {
-    const usable = [...board.views.values()].filter(({ record }) =>
-        record.pool === options.pool && !record.isLeaving && !options.excluded.has(record.id)
+    const usable = [...board.views.values()].filter(({ record, isGone }) =>
+        record.pool === options.pool && !record.isLeaving && !isGone && !options.excluded.has(record.id)
     );
     const sound = usable.filter(({ avoidedUntil }) => avoidedUntil <= now);
     const candidates = sound.length > 0 ? sound : usable;
--- a/src/routing/upstreamBoard.ts
+++ b/src/routing/upstreamBoard.ts
@@ -26,6 +26,8 @@
     failures: number;
     /** Time until which the upstream is avoided, in milliseconds. */
     avoidedUntil: number;
+    /** Whether another upstream answered at its address. */
+    isGone: boolean;
 }
 
 export interface UpstreamBoard {
@@ -50,11 +52,13 @@
 export function setUpstreams(board: UpstreamBoard, records: UpstreamRecord[]): void {
     const views = new Map<string, UpstreamView>();
     for (const record of records) {
-        const known = board.views.get(record.id);
+        const view = board.views.get(record.id);
+        // An upstream that started again under its id holds nothing of before.
+        const known = view?.record.startedAt === record.startedAt ? view : undefined;
         if (known !== undefined) {
             known.record = record;
         }
-        views.set(record.id, known ?? { record, figures: undefined, own: [], failures: 0, avoidedUntil: 0 });
+        views.set(record.id, known ?? { record, figures: undefined, own: [], failures: 0, avoidedUntil: 0, isGone: false });
     }
     board.views = views;
 }
@@ -96,6 +100,14 @@
     }
 }
 
+/** Notes that another upstream has the address; this one is gone, and only its record is left. */
+export function noteMisdirected(board: UpstreamBoard, id: string): void {
+    const view = board.views.get(id);
+    if (view !== undefined) {
+        view.isGone = true;
+    }
+}
+
 /** Counts this entry's requests at an upstream. */
 export function countOwn(view: UpstreamView): number {
     return view.own.reduce((count, { endedAt }) => count + Number(endedAt === undefined), 0);
