Tell a reset from the end of an answer; let the lead hold the group through another rank; stop taking requests before the grace ends

(2) A machine that froze right after its slot had given the hold kept the group from running for 4.5 s; the lead now orders hold and go past the slot, its own rank is armed last, and the next lead takes a change back without the frozen rank. Ruled out for (2): reading the frozen rank from another machine (it does not answer while its machine is frozen).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,7 @@
 const ioModules = ["node:http", "node:net", "node:fs", "node:dgram", "undici", "bunyan", "prom-client"];
 
 export default tseslint.config(
-    { ignores: ["dist", "node_modules"] },
+    { ignores: ["dist", "node_modules", "target", "journal"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -10,8 +10,8 @@
     type DirectAttemptAction,
     type DirectAttemptEvent,
 } from "./attempt.js";
-import { createEventSplitter } from "./events.js";
 import type { DirectContext } from "./context.js";
+import { createEventSplitter } from "./events.js";
 import type { AnswerHead, DirectRequest } from "./types.js";
 import { callUpstream, type UpstreamCall } from "./upstreamCall.js";
 
@@ -268,7 +268,9 @@
 
     /** Whether an event goes on where the stream stands. */
     private isNext(id: string | undefined): boolean {
-        if (id === undefined || this.lastEvent === undefined || !countedId.test(id) || !countedId.test(this.lastEvent)) {
+        if (
+            id === undefined || this.lastEvent === undefined || !countedId.test(id) || !countedId.test(this.lastEvent)
+        ) {
             return true;
         }
         return Number(id) === Number(this.lastEvent) + 1;
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -1,6 +1,6 @@
 /** Sends requests to upstreams as places come free, and turns away those that cannot be served in time. */
 import type { ServingPool } from "../config/serving.js";
-import { isGroupOpen, type GroupBoard } from "../routing/groupBoard.js";
+import { type GroupBoard, isGroupOpen } from "../routing/groupBoard.js";
 import { placeRequest } from "../routing/place.js";
 import { estimateRequests, type UpstreamBoard } from "../routing/upstreamBoard.js";
 import { createWaitingRoom, listWaiting, takeHopeless, type WaitingRoom } from "../routing/waitingRoom.js";
@@ -9,10 +9,13 @@
 
 /** Time between two looks for places while requests wait, in milliseconds; a tenth of the time that figures are apart. */
 const pumpIntervalMs = 20;
-/** Requests beyond its slots that an engine's rank gets from callers whose target can still be met. */
-const freshQueue = 6;
-/** The same for callers whose target has passed, who wait here so that others can go before them. */
-const lateQueue = 1;
+/**
+ * Requests beyond its slots that an engine's rank gets from callers whose target can still be met: a place comes free in
+ * a fraction of the target. All others wait here, where the younger can go before them.
+ */
+const freshQueue = 1;
+/** The same for callers whose target has passed. */
+const lateQueue = 0;
 
 export interface SchedulerOptions {
     board: UpstreamBoard;
--- a/src/direct/start.ts
+++ b/src/direct/start.ts
@@ -1,21 +1,27 @@
 /** Wires an entry of the direct path: document and list from the log, the callers' server, readiness, metrics. */
 import { createServer, type ServerResponse } from "node:http";
 import { buildServingIndex, type ServingIndex } from "../config/serving.js";
+import type { ServingDocument } from "../config/serving.js";
 import { createLineLimit } from "../observe/lineLimit.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createServingMetrics } from "../observe/servingMetrics.js";
 import { decodeBeacon, encodeBeacon, type VectorBeacon } from "../peers/beacon.js";
 import { createFeed, type FeedSource, type PeerRecords } from "../peers/feed.js";
-import { createHandOver, type HandOverParams, handOverMethod } from "../peers/handOver.js";
+import { createHandOver, handOverMethod, type HandOverParams } from "../peers/handOver.js";
 import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
 import { estimateServiceMs } from "../routing/engineModel.js";
 import { createGroupBoard, isGroupOpen, noteGroup, noteGroupBroken } from "../routing/groupBoard.js";
-import { admitRepeat, createRetryWindow, noteFirstSend, type RetryWindow, type RetryWindowSettings } from "../routing/retryWindow.js";
+import {
+    admitRepeat,
+    createRetryWindow,
+    noteFirstSend,
+    type RetryWindow,
+    type RetryWindowSettings,
+} from "../routing/retryWindow.js";
 import { createUpstreamBoard, noteFigures, setUpstreams } from "../routing/upstreamBoard.js";
 import { bindDatagrams } from "../wire/datagrams.js";
 import { listenOn } from "../wire/listen.js";
 import { callPeer, createPeerHandler } from "../wire/peerRpc.js";
-import type { ServingDocument } from "../config/serving.js";
 import type { DirectContext } from "./context.js";
 import { computePositions, notePositions, pickPeer } from "./positions.js";
 import { createScheduler } from "./scheduler.js";
@@ -127,7 +133,9 @@
     });
     const listSlotHosts = () => {
         const upstreams = [...board.views.values()].map(({ record }) => record);
-        return upstreams.filter(({ pool }) => index?.pools.get(pool)?.engine?.experts !== undefined).map(({ host }) => host);
+        return upstreams.filter(({ pool }) => index?.pools.get(pool)?.engine?.experts !== undefined).map(({ host }) =>
+            host
+        );
     };
     const scheduler = createScheduler({
         board,
@@ -176,7 +184,9 @@
                 return undefined;
             }
             const isLate = at > request.receivedAt + request.route.targetMs;
-            return isLate ? leastUrgent : Math.min(leastUrgent - 1, request.workspace?.urgency ?? request.route.urgency);
+            return isLate ?
+                leastUrgent :
+                Math.min(leastUrgent - 1, request.workspace?.urgency ?? request.route.urgency);
         },
         computeRetryAfterMs: request => {
             const isBroken = !isGroupOpen(groups, request.pool, now());
@@ -218,7 +228,7 @@
     const readiness = createServer((message, response) => answerEmpty(response, isReady() ? 200 : 503, []));
     const handlePeer = createPeerHandler({
         [handOverMethod]: (params: HandOverParams) => createHandOver(feed.state, params),
-    }, (_, response) => void metrics.registry.metrics().then(text => response.end(text)));
+    }, (message, response) => void metrics.registry.metrics().then(text => response.end(text)));
     const internal = createServer(handlePeer);
     const control = createServer(handlePeer);
     const noteVector = (vector: VectorBeacon) => {
@@ -274,10 +284,12 @@
             isStopping = true;
             const startedAt = now();
             logger.info("The entry is leaving.", { inFlight: countInFlight() });
-            await sleep(balancerLagMs);
+            await waitFor(balancerLagMs);
+            // A request that is taken later might not be finished within the grace.
+            server.close();
             server.closeIdleConnections();
             while (countInFlight() > 0 && now() - startedAt < options.graceMs * drainShare) {
-                await sleep(drainTickMs);
+                await waitFor(drainTickMs);
                 server.closeIdleConnections();
             }
             logger.info("The entry has stopped.", { inFlight: countInFlight() });
@@ -285,7 +297,7 @@
     };
 }
 
-function sleep(ms: number): Promise<void> {
+function waitFor(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
 
--- a/src/direct/startSlot.ts
+++ b/src/direct/startSlot.ts
@@ -3,13 +3,14 @@
 import type { ServingDocument, ServingPool } from "../config/serving.js";
 import { createMapChanges } from "../group/driverChanges.js";
 import type { RankOrder, RankPlacement, RankPort, RankReport } from "../group/rankTypes.js";
+import { lockRank } from "../group/round.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createSlotMetrics } from "../observe/servingMetrics.js";
 import { type Beacon, decodeBeacon, encodeBeacon, encodeChoices, type StateBeacon } from "../peers/beacon.js";
 import { createFeed, type FeedSource, type PeerRecords } from "../peers/feed.js";
-import { createHandOver, type HandOverParams, handOverMethod } from "../peers/handOver.js";
-import { advanceLead, createLead, noteVector } from "../peers/lead.js";
-import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
+import { createHandOver, handOverMethod, type HandOverParams } from "../peers/handOver.js";
+import { advanceLead, createLead, findNextLead, noteVector } from "../peers/lead.js";
+import { listUpstreams, type MirrorDecoders, type UpstreamRecord } from "../peers/mirror.js";
 import { bindDatagrams } from "../wire/datagrams.js";
 import { listenOn } from "../wire/listen.js";
 import { callPeer, createPeerHandler } from "../wire/peerRpc.js";
@@ -34,6 +35,8 @@
 
 /** Name of the call that orders a rank through its slot. */
 const orderMethod = "order";
+/** Name of the call that reads a rank through its slot. */
+const readMethod = "read";
 /** Time between two readings of the own rank, in milliseconds; the lead's vectors are as far apart. */
 const readIntervalMs = 200;
 /** Time between two vectors, in milliseconds. */
@@ -67,6 +70,8 @@
     let placement: RankPlacement | undefined;
     let lastCounts: { epoch: number; sets: number[][]; } | undefined;
     let vectors = 0;
+    /** Rank beside the slot that led before this one. */
+    let lostRank: number | undefined;
 
     const feed = createFeed({
         source: options.source,
@@ -84,7 +89,7 @@
         const upstreams = listUpstreams(feed.state);
         const beside = upstreams.find(u => u.host === engine.host && u.port === engine.port);
         pool = feed.state.document?.pools.find(({ name }) => name === (beside?.pool ?? pool?.name));
-        hosts = upstreams.filter(u => u.pool === pool?.name).map(({ host }) => host);
+        hosts = orderSlots(upstreams.filter(u => u.pool === pool?.name));
     };
     const askPeer = async (params: HandOverParams) => {
         const others = hosts.filter(host => host !== internal.host).map(host => ({ host, port: internal.port }));
@@ -98,14 +103,37 @@
         random: Math.random,
         logger: groupLogger,
         metrics,
-        order: async (host, order, epoch) => {
+        order: async (host, order, epoch, isDirect) => {
             if (host === internal.host) {
                 return orderOwn(order, epoch);
             }
+            if (isDirect) {
+                const rank = createRemotePort(host);
+                return {
+                    outcome: await rank.order(order, epoch),
+                    report: await rank.readReport().catch(() => undefined),
+                };
+            }
             const params = { order, epoch };
-            return await callPeer({ host, port: internal.port, method: orderMethod, params, timeoutMs: orderTimeoutMs });
+            return await callPeer({
+                host,
+                port: internal.port,
+                method: orderMethod,
+                params,
+                timeoutMs: orderTimeoutMs,
+            });
         },
+        read: host =>
+            host === internal.host ?
+                own.readReport() :
+                callPeer({ host, port: internal.port, method: readMethod, params: {}, timeoutMs: orderTimeoutMs }),
+        getOwner: () => ({ ownRank: report?.rank, lostRank }),
+        fetchReport: host => createRemotePort(host).readReport(),
     });
+    const createRemotePort = (host: string) => {
+        const port = listUpstreams(feed.state).find(u => u.host === host && u.pool === pool?.name)?.port ?? engine.port;
+        return options.createRankPort({ host, port });
+    };
     const orderOwn = async (order: RankOrder, epoch: number) => {
         const outcome = await own.order(order, epoch);
         groupLogger.info("The rank was given an order.", { order: order.kind, epoch, outcome });
@@ -149,7 +177,8 @@
         if (pool === undefined) {
             return;
         }
-        const isPlaced = report !== undefined && placement?.version === report.mapVersion && placement.epoch === report.epoch;
+        const isPlaced = report !== undefined && placement?.version === report.mapVersion &&
+            placement.epoch === report.epoch;
         const state: StateBeacon = {
             kind: "state",
             from: internal.host,
@@ -159,13 +188,25 @@
             choices,
             positions: computePositions(feed, now()),
         };
+        const before = lead.lead;
         const isLead = advanceLead(lead, hosts, now());
+        if (isLead && before !== internal.host) {
+            lostRank = listUpstreams(feed.state).find(u => u.host === before && u.pool === pool?.name)?.rank;
+            groupLogger.info("This slot leads.", { before, lostRank });
+        }
         if (isLead) {
             changes.noteState(state);
         }
         else if (lead.lead !== undefined) {
             send(state, lead.lead);
         }
+        const next = findNextLead(lead, hosts);
+        if (next === internal.host) {
+            changes.noteState(state);
+        }
+        else if (next !== undefined) {
+            send({ ...state, choices: undefined }, next);
+        }
     };
     const tellVector = () => {
         if (pool === undefined || lead.lead !== internal.host) {
@@ -182,20 +223,16 @@
             positions: computePositions(feed, now()),
         };
         const bytes = encodeBeacon(vector);
-        entries.forEach((_, host) => datagrams.send(bytes, host, internal.port));
+        [...entries.keys()].forEach(host => datagrams.send(bytes, host, internal.port));
         const toSlots = vectors % entriesEvery === 0 ?
             encodeBeacon({ ...vector, ranks: [], entries: [...entries.keys()] }) :
             encodeBeacon({ ...vector, ranks: [] });
         hosts.filter(host => host !== internal.host).forEach(host => datagrams.send(toSlots, host, internal.port));
     };
     const handlers: { [K in Beacon["kind"]]: (beacon: Extract<Beacon, { kind: K; }>) => void; } = {
-        state: beacon => {
-            if (lead.lead === internal.host) {
-                changes.noteState(beacon);
-            }
-        },
+        state: beacon => changes.noteState(beacon),
         vector: beacon => {
-            noteVector(lead, beacon.from, now());
+            noteVector(lead, beacon.from, hosts, now());
             beacon.entries?.forEach(host => entries.set(host, Math.max(entries.get(host) ?? 0, now())));
         },
         presence: beacon => {
@@ -214,8 +251,9 @@
     }, error => metrics.sendFailures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" }));
     const server = createServer(createPeerHandler({
         [handOverMethod]: (params: HandOverParams) => createHandOver(feed.state, params),
+        [readMethod]: () => own.readReport(),
         [orderMethod]: ({ order, epoch }: { order: RankOrder; epoch: number; }) => orderOwn(order, epoch),
-    }, (_, response) => void metrics.registry.metrics().then(text => response.end(text))));
+    }, (message, response) => void metrics.registry.metrics().then(text => response.end(text))));
     await listenOn(server, internal.host, internal.port);
     feed.start();
     logger.info("The slot listens.", { engine: `${engine.host}:${engine.port}` });
@@ -244,3 +282,10 @@
         },
     };
 }
+
+/** Hosts of slots in the order in which they lead; the lock's rank comes last, so that the lead and the lock differ. */
+function orderSlots(upstreams: UpstreamRecord[]): string[] {
+    const weigh = (u: UpstreamRecord) => Number(u.rank === lockRank);
+    const sorted = [...upstreams].sort((a, b) => weigh(a) - weigh(b) || (a.host < b.host ? -1 : 1));
+    return sorted.map(({ host }) => host);
+}
--- /dev/null
+++ b/src/direct/tests/upstreamCall.test.ts
@@ -0,0 +1,89 @@
+import { createServer, type Socket } from "node:net";
+import { afterEach, expect, test } from "vitest";
+import { callUpstream } from "../upstreamCall.js";
+
+const closers: (() => void)[] = [];
+afterEach(() => closers.splice(0).forEach(close => close()));
+
+/** Answers one request by `answer` and tells what the caller hears, in order. */
+async function callOnce(answer: (socket: Socket) => void): Promise<string[]> {
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => answer(socket));
+    });
+    closers.push(() => server.close());
+    const port = await new Promise<number>(resolve =>
+        server.listen(0, "127.0.0.1", () => resolve((server.address() as { port: number; }).port))
+    );
+    const heard: string[] = [];
+    await new Promise<void>(resolve =>
+        callUpstream({
+            target: { host: "127.0.0.1", port },
+            method: "POST",
+            path: "/",
+            headers: ["Host", "upstream", "Content-Length", "0"],
+            body: Buffer.alloc(0),
+            listener: {
+                onConnected: () => heard.push("connected"),
+                onHead: status => heard.push(`head ${status}`),
+                onChunk: () => undefined,
+                onEnd: () => {
+                    heard.push("end");
+                    resolve();
+                },
+                onBroken: () => {
+                    heard.push("broken");
+                    resolve();
+                },
+            },
+        })
+    );
+    return heard;
+}
+
+const head = "HTTP/1.1 200 OK\r\n";
+
+test.each<[string, (socket: Socket) => void, string]>([
+    ["a length", socket => socket.end(`${head}Content-Length: 5\r\n\r\nhello`), "end"],
+    ["no length, closed in good order", socket => socket.end(`${head}\r\nhello`), "end"],
+    [
+        "no length, reset with the last bytes",
+        socket => socket.write(`${head}\r\nhello`, () => socket.resetAndDestroy()),
+        "broken",
+    ],
+    ["a length, closed early", socket => socket.end(`${head}Content-Length: 9\r\n\r\nhello`), "broken"],
+    ["chunks, closed early", socket => socket.end(`${head}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n`), "broken"],
+    ["chunks, unreadable", socket => socket.write(`${head}Transfer-Encoding: chunked\r\n\r\nZZ\r\nhello`), "broken"],
+    ["a second answer behind it", socket => socket.write(`${head}Content-Length: 5\r\n\r\nhello${head}\r\n`), "end"],
+    ["no head", socket => socket.end("hello"), "broken"],
+])("hears the end of an answer with %s", async (title, answer, end) => {
+    // A reset may overtake the bytes before it, so the case is played several times.
+    for (let i = 0; i < 20; i++) {
+        const heard = await callOnce(answer);
+        expect(heard.at(-1)).toBe(end);
+    }
+});
+
+test("hears that nothing was sent when no connection is made", async () => {
+    const heard: boolean[] = [];
+    await new Promise<void>(resolve =>
+        callUpstream({
+            target: { host: "127.0.0.1", port: 1 },
+            method: "GET",
+            path: "/",
+            headers: ["Host", "upstream"],
+            body: Buffer.alloc(0),
+            listener: {
+                onConnected: () => undefined,
+                onHead: () => undefined,
+                onChunk: () => undefined,
+                onEnd: () => undefined,
+                onBroken: isConnected => {
+                    heard.push(isConnected);
+                    resolve();
+                },
+            },
+        })
+    );
+    expect(heard).toEqual([false]);
+});
--- a/src/direct/upstreamCall.ts
+++ b/src/direct/upstreamCall.ts
@@ -1,5 +1,6 @@
 /** One request to one upstream on a connection of its own, which no other answer can come on. */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import { Socket } from "node:net";
 
 /** Time to make a connection, in milliseconds; ten times the way to the farthest data centre of a region. */
 const connectTimeoutMs = 300;
@@ -41,7 +42,13 @@
     let isConnected = false;
     let isOver = false;
     let response: IncomingMessage | undefined;
-    const sent: ClientRequest = request({ ...target, method, path, headers, agent: false });
+    const sent: ClientRequest = request({
+        ...target,
+        method,
+        path,
+        headers,
+        createConnection: () => new UpstreamSocket().connect(target).setNoDelay(true),
+    });
     const connecting = setTimeout(() => fail("no connection in time"), connectTimeoutMs);
     const close = () => {
         isOver = true;
@@ -55,7 +62,7 @@
             listener.onBroken(isConnected, reason);
         }
     };
-    sent.on("socket", socket =>
+    sent.on("socket", socket => {
         socket.on("connect", () => {
             isConnected = true;
             clearTimeout(connecting);
@@ -63,7 +70,8 @@
                 listener.onConnected();
                 sent.end(body);
             }
-        }));
+        });
+    });
     sent.on("error", error => fail(error.message));
     sent.on("close", () => fail("closed without an answer"));
     sent.on("response", answer => {
@@ -95,3 +103,31 @@
         resume: () => response?.resume(),
     };
 }
+
+/** What is sent on a connection that has ended to see whether it was reset; an empty line, which servers ignore. */
+const closeProbe = "\r\n";
+
+/**
+ * A connection that tells a reset from a close. The runtime reports a reset that arrives together with the last bytes as
+ * the end of the stream, and an answer without a length would look complete; writing fails only after a reset.
+ */
+class UpstreamSocket extends Socket {
+    constructor() {
+        super({ allowHalfOpen: true });
+    }
+
+    override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+        if (chunk) {
+            return super.push(chunk, encoding);
+        }
+        this.write(closeProbe, error => {
+            if (error) {
+                this.destroy(error);
+            }
+            else {
+                super.push(chunk);
+            }
+        });
+        return false;
+    }
+}
--- a/src/group/driverChanges.ts
+++ b/src/group/driverChanges.ts
@@ -4,8 +4,14 @@
 import type { SlotMetrics } from "../observe/servingMetrics.js";
 import { decodeChoices, type StateBeacon, type VectorBeacon } from "../peers/beacon.js";
 import { computePlanSkew, planRound } from "./planRound.js";
-import { advancePopularity, createPopularity, noteChoices, type PopularityState, PopularityStep } from "./popularity.js";
-import type { ExpertPlan, OrderOutcome, RankOrder, RankReport } from "./rankTypes.js";
+import {
+    advancePopularity,
+    createPopularity,
+    noteChoices,
+    type PopularityState,
+    PopularityStep,
+} from "./popularity.js";
+import { type ExpertPlan, OrderOutcome, type RankOrder, type RankReport } from "./rankTypes.js";
 import {
     abandonPlan,
     type AddressedOrder,
@@ -13,8 +19,10 @@
     createVersion,
     decideRound,
     isRoundIdle,
+    isRoundStuck,
     type KnownReport,
     noteOrderResult,
+    type RoundOwner,
 } from "./round.js";
 
 interface KnownRank {
@@ -22,6 +30,8 @@
     report: KnownReport | undefined;
     experts: number[][] | undefined;
     heardAt: number;
+    /** Whether the report was read past the rank's slot. */
+    isSlotSilent: boolean;
 }
 
 export interface OrderResult {
@@ -34,8 +44,13 @@
     random: () => number;
     logger: Logger;
     metrics: SlotMetrics;
-    /** Gives an order to the rank whose slot is at `host`. */
-    order: (host: string, order: RankOrder, epoch: number) => Promise<OrderResult>;
+    /** Gives an order to the rank at `host`, through its slot or past it, which has a price. */
+    order: (host: string, order: RankOrder, epoch: number, isDirect: boolean) => Promise<OrderResult>;
+    /** Reads the report of the rank at `host` through its slot. */
+    read: (host: string) => Promise<RankReport>;
+    getOwner: () => RoundOwner;
+    /** Reads the report of the rank at `host` past its slot, which has a price. */
+    fetchReport: (host: string) => Promise<RankReport>;
 }
 
 export interface MapChanges {
@@ -54,15 +69,33 @@
 const planIntervalMs = 700;
 /** Time after which a change that does not come about is given up, in milliseconds. */
 const planTimeoutMs = 4000;
+/** Silence of a slot after which its rank is read past it when the group is stuck, in milliseconds; three states. */
+const silentMs = 600;
+/** Time between two such readings of one rank, in milliseconds. */
+const fetchIntervalMs = 300;
+/** Age after which the report of the rank beside the lost lead no longer counts, in milliseconds; two states. */
+const lostMaxAgeMs = 400;
 /** Age after which a rank's state no longer counts, in milliseconds. */
 const stateMaxAgeMs = 1500;
 
+type ReportChange = { [K in RankOrder["kind"]]: (order: Extract<RankOrder, { kind: K; }>) => Partial<RankReport>; };
+
+/** What an accepted order changes in a rank's report. */
+const reportChange: ReportChange = {
+    prepare: () => ({}),
+    arm: ({ version, step }) => ({ armed: { version, step } }),
+    disarm: () => ({ armed: undefined }),
+    hold: ({ step }) => ({ heldStep: step }),
+    go: () => ({ heldStep: undefined }),
+};
+
 /** Creates the lead's work for one group. */
 export function createMapChanges(options: MapChangeOptions): MapChanges {
     const { now, random, logger, metrics } = options;
     const ranks = new Map<string, KnownRank>();
     const round = createRound();
     let popularity: PopularityState | undefined;
+    const fetchedAt = new Map<string, number>();
     let plannedAt = -Infinity;
 
     const listReports = () => {
@@ -80,7 +113,10 @@
         if (known === undefined) {
             return;
         }
-        options.order(known.host, order, epoch).then(({ outcome, report }) => {
+        const result = order.kind === "read" ?
+            options.read(known.host).then((report): OrderResult => ({ outcome: OrderOutcome.accepted, report })) :
+            giveRankOrder(known, order, epoch);
+        result.then(({ outcome, report }) => {
             metrics.orders.inc({ kind: order.kind, outcome });
             noteReport(known.host, report);
             noteOrderResult(round, rank, order.kind, outcome);
@@ -90,14 +126,45 @@
             noteOrderResult(round, rank, order.kind, undefined);
         }).finally(runRound);
     };
+    const giveRankOrder = async (known: KnownRank, order: RankOrder, epoch: number): Promise<OrderResult> => {
+        if (!known.isSlotSilent && order.kind !== "hold" && order.kind !== "go") {
+            return options.order(known.host, order, epoch, false);
+        }
+        // A slot that stops with its machine right after a hold could not let the group go on, so the lead does both.
+        const { outcome } = await options.order(known.host, order, epoch, true);
+        if (outcome === OrderOutcome.accepted && known.report !== undefined) {
+            return { outcome, report: { ...known.report, ...reportChange[order.kind](order as never) } };
+        }
+        return { outcome, report: known.isSlotSilent ? undefined : await options.read(known.host) };
+    };
     const runRound = () => {
-        const reports = listReports();
+        const owner = options.getOwner();
+        const reports = listReports().filter(({ rank, at }) => rank !== owner.lostRank || now() - at < lostMaxAgeMs);
         const hadPlan = round.plan;
-        decideRound(round, reports, now()).forEach(giveOrder);
+        decideRound(round, reports, owner, now()).forEach(giveOrder);
         if (hadPlan !== undefined && round.plan === undefined) {
             logger.info("The map has changed.", { version: hadPlan.version, ms: Math.round(now() - plannedAt) });
         }
     };
+    /** Reads the reports of ranks whose slots are silent. */
+    const fetchMissing = (hosts: string[]) => {
+        const isDue = (host: string) => now() - (fetchedAt.get(host) ?? -Infinity) > fetchIntervalMs;
+        const isHeard = (host: string) => now() - (ranks.get(host)?.heardAt ?? -Infinity) <= silentMs;
+        for (const host of hosts.filter(host => !isHeard(host) && isDue(host))) {
+            fetchedAt.set(host, now());
+            options.fetchReport(host).then(report => {
+                logger.info("A rank was read past its slot.", { host, rank: report.rank, heldStep: report.heldStep });
+                ranks.set(host, {
+                    host,
+                    report: { ...report, at: now() },
+                    experts: undefined,
+                    heardAt: now() - silentMs,
+                    isSlotSilent: true,
+                });
+                runRound();
+            }).catch((error: Error) => logger.warn("A rank does not answer.", { host, error: error.message }));
+        }
+    };
     const planNext = (figures: ExpertFigures, reports: KnownReport[]) => {
         const current = collectCurrent(figures, reports);
         if (popularity === undefined || popularity.weight === 0 || current === undefined) {
@@ -133,14 +200,15 @@
         if (byRank.some(({ experts }) => experts === undefined || experts.length !== figures.sets)) {
             return undefined;
         }
-        return Array.from({ length: figures.sets }, (_, set) => byRank.map(({ experts }) => experts![set]));
+        return Array.from({ length: figures.sets }, (ignored, set) => byRank.map(({ experts }) => experts![set]));
     };
     return {
         noteState: state => {
-            const known = ranks.get(state.from) ?? { host: state.from, report: undefined, experts: undefined, heardAt: 0 };
+            const known = ranks.get(state.from) ?? { host: state.from, report: undefined, experts: undefined };
             const report = state.report === undefined ? undefined : { ...state.report, at: now() };
-            const experts = state.experts ?? (report?.mapVersion === known.report?.mapVersion ? known.experts : undefined);
-            ranks.set(state.from, { host: state.from, report, experts, heardAt: now() });
+            const experts = state.experts ??
+                (report?.mapVersion === known.report?.mapVersion ? known.experts : undefined);
+            ranks.set(state.from, { host: state.from, report, experts, heardAt: now(), isSlotSilent: false });
             if (popularity !== undefined && state.choices !== undefined) {
                 const choices = decodeChoices(state.choices, popularity.experts);
                 if (choices.length === popularity.sets) {
@@ -181,6 +249,9 @@
                 abandonPlan(round);
             }
             const reports = listReports();
+            if (isRoundStuck(round, reports, now())) {
+                fetchMissing(hosts);
+            }
             if (step !== PopularityStep.waiting && isRoundIdle(round, reports)) {
                 planNext(figures, reports);
             }
--- a/src/group/plan.ts
+++ b/src/group/plan.ts
@@ -146,12 +146,12 @@
 function listHeld({ experts, slotsPerRank, ranks }: LayerPlacement): Set<number>[] {
     return Array.from(
         { length: ranks },
-        (_, rank) => new Set(experts.subarray(rank * slotsPerRank, (rank + 1) * slotsPerRank)),
+        (ignored, rank) => new Set(experts.subarray(rank * slotsPerRank, (rank + 1) * slotsPerRank)),
     );
 }
 
 /** Whether `rank` may take `expert` in place of what `slot` holds, within the bound on new experts. */
-function mayTake(search: Search, rank: number, expert: number, slot: number): boolean {
+function hasRoom(search: Search, rank: number, expert: number, slot: number): boolean {
     const { rules, placement: { experts, slotsPerRank } } = search;
     if (rules === undefined || expert === rules.emptyExpert || rules.held[rank].has(expert)) {
         return true;
@@ -232,7 +232,7 @@
                 if (taken >= given || hasExpert(search, heaviest, experts[other])) {
                     continue;
                 }
-                if (!mayTake(search, rank, experts[slot], other) || !mayTake(search, heaviest, experts[other], slot)) {
+                if (!hasRoom(search, rank, experts[slot], other) || !hasRoom(search, heaviest, experts[other], slot)) {
                     continue;
                 }
                 const delta = given - taken;
@@ -270,7 +270,7 @@
     const dropped = experts[slot];
     const rank = Math.floor(slot / slotsPerRank);
     const isNeeded = search.copies[dropped] < 2 && dropped !== search.rules?.emptyExpert;
-    if (dropped === expert || isNeeded || hasExpert(search, rank, expert) || !mayTake(search, rank, expert, slot)) {
+    if (dropped === expert || isNeeded || hasExpert(search, rank, expert) || !hasRoom(search, rank, expert, slot)) {
         return;
     }
     offer(computeReplacementDrop(search, slot, expert), slot, expert);
--- a/src/group/planRound.ts
+++ b/src/group/planRound.ts
@@ -35,7 +35,10 @@
     const plan = current.map((ranks, set) => {
         const placement = packSlots(ranks, placements, experts);
         const forecast = [...Array.from(shares[set]), 0];
-        const result = planLayer({ placement, forecast, budget: ranks.length * spare, spare, emptyExpert: experts }, weights);
+        const result = planLayer(
+            { placement, forecast, budget: ranks.length * spare, spare, emptyExpert: experts },
+            weights,
+        );
         const next = result.kind === "move" ? result.placement : placement;
         skewBefore += computeSlotSkew(placement, forecast) / current.length;
         skewAfter += computeSlotSkew(next, forecast) / current.length;
@@ -48,7 +51,9 @@
 
 /** Load of the most loaded rank over the mean, averaged over the sets. */
 export function computePlanSkew({ current, shares, experts, placements }: RoundPlanInput): number {
-    const skews = current.map((ranks, set) => computeSlotSkew(packSlots(ranks, placements, experts), [...Array.from(shares[set]), 0]));
+    const skews = current.map((ranks, set) =>
+        computeSlotSkew(packSlots(ranks, placements, experts), [...Array.from(shares[set]), 0])
+    );
     return skews.reduce((sum, skew) => sum + skew, 0) / Math.max(1, skews.length);
 }
 
@@ -66,7 +71,7 @@
 }
 
 function unpackSlots({ experts, ranks, slotsPerRank }: LayerPlacement, empty: number): number[][] {
-    return Array.from({ length: ranks }, (_, rank) => {
+    return Array.from({ length: ranks }, (ignored, rank) => {
         const held = Array.from(experts.subarray(rank * slotsPerRank, (rank + 1) * slotsPerRank));
         return held.filter(expert => expert !== empty).sort((a, b) => a - b);
     });
--- a/src/group/popularity.ts
+++ b/src/group/popularity.ts
@@ -53,8 +53,9 @@
     if (total < stepChoices) {
         return { step: PopularityStep.waiting, distance: 0 };
     }
-    const shapes = state.fresh.map(normalize);
-    const distance = shapes.reduce((sum, shape, set) => sum + computeDistance(shape, state.shares[set]), 0) / state.sets;
+    const shapes = state.fresh.map(computeShares);
+    const distance = shapes.reduce((sum, shape, set) => sum + computeDistance(shape, state.shares[set]), 0) /
+        state.sets;
     const hasChanged = state.weight === 0 || distance > changeDistance;
     const kept = hasChanged ? 0 : state.weight * keptWeight;
     state.shares = shapes.map((shape, set) =>
@@ -77,7 +78,7 @@
     return sum;
 }
 
-function normalize(set: Float64Array): Float64Array {
+function computeShares(set: Float64Array): Float64Array {
     const sum = Math.max(1, sumOne(set));
     return set.map(count => count / sum);
 }
--- a/src/peers/beacon.ts
+++ b/src/peers/beacon.ts
@@ -92,12 +92,17 @@
 
 /** Encodes counts as one byte each, on a logarithmic scale. */
 export function encodeChoices(sets: ArrayLike<number>[]): string {
-    const flat = sets.flatMap(set => Array.from(set, count => Math.min(255, Math.round(Math.log2(1 + count) * stepsPerDoubling))));
+    const flat = sets.flatMap(set =>
+        Array.from(set, count => Math.min(255, Math.round(Math.log2(1 + count) * stepsPerDoubling)))
+    );
     return Buffer.from(flat).toString("base64");
 }
 
 /** Decodes counts of `experts` for each set. */
 export function decodeChoices(text: string, experts: number): number[][] {
     const flat = Array.from(Buffer.from(text, "base64"), step => 2 ** (step / stepsPerDoubling) - 1);
-    return Array.from({ length: Math.floor(flat.length / experts) }, (_, set) => flat.slice(set * experts, (set + 1) * experts));
+    return Array.from(
+        { length: Math.floor(flat.length / experts) },
+        (ignored, set) => flat.slice(set * experts, (set + 1) * experts),
+    );
 }
--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -128,7 +128,10 @@
         }
         const apply = slice.isComplete ? replaceList : applyListRecords;
         if (apply(state, slice.records, slice.end, decoders, now())) {
-            const changed = slice.records.slice(0, 8).map(({ key, value }) => ({ upstream: key, isGone: value === undefined }));
+            const changed = slice.records.slice(0, 8).map(({ key, value }) => ({
+                upstream: key,
+                isGone: value === undefined,
+            }));
             logger.info("The instance list changed.", { changed, records: slice.records.length, offset: slice.end });
             options.onList();
         }
--- a/src/peers/lead.ts
+++ b/src/peers/lead.ts
@@ -1,7 +1,7 @@
 /**
  * Which slot of a group leads: collects all ranks' states, tells everyone, plans maps. Leading needs no agreement, since
- * what the lead orders is safe with two of them; one is only cheaper. The lowest id leads; the others take over in order
- * of their ids when they hear nothing.
+ * what the lead orders is safe with two of them; one is only cheaper. The slots take over in a fixed order when they
+ * hear nothing, and each tells its state to the next one too, which so knows at once what the last lead left unfinished.
  */
 
 export interface LeadState {
@@ -12,8 +12,8 @@
     heardAt: number;
 }
 
-/** Silence after which the next slot leads, in milliseconds; three vectors. */
-const leadSilenceMs = 600;
+/** Silence after which the next slot leads, in milliseconds; more than two vectors. */
+const leadSilenceMs = 500;
 /** Added for each slot that comes before, in milliseconds; more than a vector takes to arrive. */
 const stepMs = 150;
 /** Slots that may come before at most, so that the last one does not wait for long. */
@@ -24,24 +24,30 @@
     return { own, lead: undefined, heardAt: now };
 }
 
-/** Takes in a vector; between two leads the lower id stays. */
-export function noteVector(state: LeadState, from: string, now: number): void {
-    if (state.lead === state.own && from > state.own) {
+/** Takes in a vector; `slots` are in the order in which they lead, and between two leads the earlier one stays. */
+export function noteVector(state: LeadState, from: string, slots: string[], now: number): void {
+    if (state.lead === state.own && slots.indexOf(from) > slots.indexOf(state.own)) {
         return;
     }
     state.lead = from;
     state.heardAt = now;
 }
 
-/** Whether this slot leads now; `slots` are the ids of all slots of the group. */
+/** Whether this slot leads now. */
 export function advanceLead(state: LeadState, slots: string[], now: number): boolean {
     if (state.lead === state.own) {
         return true;
     }
-    const before = slots.filter(id => id < state.own).length;
+    const others = slots.filter(slot => slot !== state.lead);
+    const before = Math.max(0, others.indexOf(state.own));
     if (now - state.heardAt > leadSilenceMs + Math.min(before, maxSteps) * stepMs) {
         state.lead = state.own;
         return true;
     }
     return false;
 }
+
+/** The slot that leads next when the present one falls silent. */
+export function findNextLead(state: LeadState, slots: string[]): string | undefined {
+    return slots.find(slot => slot !== state.lead);
+}
--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -20,6 +20,8 @@
     isLeaving: boolean;
     /** Unix time of the upstream's start, in milliseconds. */
     startedAt?: number;
+    /** Place in its group, for ranks of groups. */
+    rank?: number;
 }
 
 interface ListEntry {
--- a/src/routing/groupBoard.ts
+++ b/src/routing/groupBoard.ts
@@ -26,7 +26,11 @@
 }
 
 /** Takes in the state of a pool's group; older states than known are dropped. */
-export function noteGroup(board: GroupBoard, pool: string, state: { isOpen: boolean; epoch: number; at: number; }): void {
+export function noteGroup(
+    board: GroupBoard,
+    pool: string,
+    state: { isOpen: boolean; epoch: number; at: number; },
+): void {
     const known = board.groups.get(pool);
     if (known !== undefined && (known.at > state.at || known.epoch > state.epoch)) {
         return;
--- a/src/routing/upstreamBoard.ts
+++ b/src/routing/upstreamBoard.ts
@@ -58,7 +58,10 @@
         if (known !== undefined) {
             known.record = record;
         }
-        views.set(record.id, known ?? { record, figures: undefined, own: [], failures: 0, avoidedUntil: 0, isGone: false });
+        views.set(
+            record.id,
+            known ?? { record, figures: undefined, own: [], failures: 0, avoidedUntil: 0, isGone: false },
+        );
     }
     board.views = views;
 }
--- a/src/standin/fakeSlot.ts
+++ b/src/standin/fakeSlot.ts
@@ -9,10 +9,10 @@
 import { createSlotClient } from "../entry/slotClient.js";
 import { createMetrics } from "../observe/metrics.js";
 import { createUpstreamTable, noteReport, updateInstances } from "../routing/table.js";
+import { readBody } from "../wire/body.js";
 import { encodeFrame } from "../wire/frames.js";
 import { listenOn } from "../wire/listen.js";
 import type { Frame, ResumeParams, RunParams } from "../wire/messages.js";
-import { readBody } from "../wire/body.js";
 
 export interface FakeCall {
     path: string;
--- a/src/wire/httpCall.ts
+++ b/src/wire/httpCall.ts
@@ -24,7 +24,9 @@
 export function callHttp(call: HttpCall): Promise<HttpAnswer> {
     const { host, port, method, path, timeoutMs, body, agent, signal } = call;
     return new Promise((resolve, reject) => {
-        const headers = body === undefined ? undefined : { "content-type": "application/json", "content-length": Buffer.byteLength(body) };
+        const headers = body === undefined ?
+            undefined :
+            { "content-type": "application/json", "content-length": Buffer.byteLength(body) };
         const sent = request({ host, port, method, path, headers, agent: agent ?? false, signal });
         const timer = setTimeout(() => fail("took too long"), timeoutMs);
         const fail = (reason: string) => {
--- a/src/wire/peerRpc.ts
+++ b/src/wire/peerRpc.ts
@@ -1,7 +1,7 @@
 /** JSON-RPC 2.0 between processes of the direct path, over short HTTP calls on the internal network. */
+import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
 import type { Agent } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { JSONRPCClient, JSONRPCServer } from "json-rpc-2.0";
 import { CallError } from "../core/errors.js";
 import { readBody } from "./body.js";
 import { callHttp } from "./httpCall.js";
