--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -99,8 +99,8 @@
         return [{ kind: "finish" }];
     },
     ended: (state, event) => endHandlers[event.end](state, event.hasRetryBudget),
-    hopeless: state => giveUp(state),
-    timeout: state => [{ kind: "cancel" }, ...giveUp(state, 504)],
+    hopeless: state => abandon(state),
+    timeout: state => [{ kind: "cancel" }, ...abandon(state, 504)],
     "caller-gone": state => {
         state.isOver = true;
         return [{ kind: "cancel" }, { kind: "finish" }];
@@ -110,16 +110,16 @@
 type EndHandler = (state: DirectAttemptState, hasRetryBudget: boolean) => DirectAttemptAction[];
 
 const endHandlers: Record<AttemptEnd, EndHandler> = {
-    unconnected: state => [{ kind: "place" }],
+    unconnected: () => [{ kind: "place" }],
     full: (state, hasRetryBudget) => placeRefused(state, hasRetryBudget),
     misdirected: (state, hasRetryBudget) => placeRefused(state, hasRetryBudget),
     "group-broken": state => {
         state.runs -= 1;
-        return state.arrivals < maxArrivals ? [{ kind: "wait-for-group" }] : giveUp(state);
+        return state.arrivals < maxArrivals ? [{ kind: "wait-for-group" }] : abandon(state);
     },
-    lost: (state, hasRetryBudget) => mayRunAgain(state, hasRetryBudget) ? [{ kind: "place" }] : giveUp(state),
+    lost: (state, hasRetryBudget) => isRepeatAllowed(state, hasRetryBudget) ? [{ kind: "place" }] : abandon(state),
     failed: (state, hasRetryBudget) => {
-        if (!state.hasBegun && mayRunAgain(state, hasRetryBudget)) {
+        if (!state.hasBegun && isRepeatAllowed(state, hasRetryBudget)) {
             return [{ kind: "place" }];
         }
         state.isOver = true;
@@ -135,15 +135,15 @@
 /** Places a request again that an upstream has refused. */
 function placeRefused(state: DirectAttemptState, hasRetryBudget: boolean): DirectAttemptAction[] {
     state.runs -= 1;
-    return hasRetryBudget && state.arrivals < maxArrivals ? [{ kind: "place" }] : giveUp(state);
+    return hasRetryBudget && state.arrivals < maxArrivals ? [{ kind: "place" }] : abandon(state);
 }
 
-function mayRunAgain(state: DirectAttemptState, hasRetryBudget: boolean): boolean {
+function isRepeatAllowed(state: DirectAttemptState, hasRetryBudget: boolean): boolean {
     const isAllowed = state.isRepeatable && (!state.hasBegun || state.isResumable);
     return isAllowed && hasRetryBudget && state.runs < state.maxRuns && state.arrivals < maxArrivals;
 }
 
-function giveUp(state: DirectAttemptState, status: 502 | 504 = 502): DirectAttemptAction[] {
+function abandon(state: DirectAttemptState, status: 502 | 504 = 502): DirectAttemptAction[] {
     state.isOver = true;
     if (state.hasBegun) {
         return [{ kind: "cut" }, { kind: "finish" }];
