--- /dev/null
+++ b/src/direct/tests/attempt.test.ts
@@ -0,0 +1,65 @@
+import { expect, test } from "vitest";
+import { advanceDirectAttempt, AttemptEnd, createDirectAttempt, type DirectAttemptEvent } from "../attempt.js";
+
+const kinds = {
+    once: { isRepeatable: false, isResumable: false, maxRuns: 2 },
+    idempotent: { isRepeatable: true, isResumable: false, maxRuns: 2 },
+    resumable: { isRepeatable: true, isResumable: true, maxRuns: 2 },
+};
+
+const sent: DirectAttemptEvent = { kind: "sent" };
+const began: DirectAttemptEvent = { kind: "began" };
+const timeout: DirectAttemptEvent = { kind: "timeout" };
+const completed: DirectAttemptEvent = { kind: "completed" };
+const ended = (end: AttemptEnd, hasRetryBudget = true): DirectAttemptEvent => ({ kind: "ended", end, hasRetryBudget });
+
+/** Plays events and lists the actions after each. */
+function play(kind: keyof typeof kinds, events: DirectAttemptEvent[]): string[] {
+    const state = createDirectAttempt(kinds[kind]);
+    return events.map(event =>
+        advanceDirectAttempt(state, event).map(action => action.kind === "fail" ? `fail ${action.status}` : action.kind)
+            .join(" ")
+    );
+}
+
+test.each<[string, keyof typeof kinds, DirectAttemptEvent[], string]>([
+    ["never connected", "once", [ended(AttemptEnd.unconnected)], "place"],
+    ["refused as full", "once", [sent, ended(AttemptEnd.full)], "place"],
+    ["refused as full without budget", "once", [sent, ended(AttemptEnd.full, false)], "refuse finish"],
+    ["refused by three", "once", [
+        sent,
+        ended(AttemptEnd.full),
+        sent,
+        ended(AttemptEnd.full),
+        sent,
+        ended(AttemptEnd.full),
+    ], "refuse finish"],
+    ["lost after it was sent", "once", [sent, ended(AttemptEnd.lost)], "fail 502 finish"],
+    ["lost after it was sent", "idempotent", [sent, ended(AttemptEnd.lost)], "place"],
+    ["lost twice", "idempotent", [sent, ended(AttemptEnd.lost), sent, ended(AttemptEnd.lost)], "fail 502 finish"],
+    ["refused after one that may have run", "idempotent", [
+        sent,
+        ended(AttemptEnd.lost),
+        sent,
+        ended(AttemptEnd.full, false),
+    ], "fail 502 finish"],
+    ["failed by the upstream", "once", [sent, ended(AttemptEnd.failed)], "relay-failure finish"],
+    ["failed by the upstream", "idempotent", [sent, ended(AttemptEnd.failed)], "place"],
+    ["broken off midway", "resumable", [sent, began, ended(AttemptEnd.lost)], "place"],
+    ["broken off midway", "once", [sent, began, ended(AttemptEnd.lost)], "cut finish"],
+    ["refused by a broken group", "resumable", [sent, ended(AttemptEnd.groupBroken)], "wait-for-group"],
+    ["out of time before it was sent", "once", [timeout], "cancel refuse finish"],
+    ["out of time after it was sent", "once", [sent, timeout], "cancel fail 504 finish"],
+    ["out of time midway", "resumable", [sent, began, timeout], "cancel cut finish"],
+    ["hopeless before it was sent", "resumable", [{ kind: "hopeless" }], "refuse finish"],
+    [
+        "hopeless after a refusal",
+        "resumable",
+        [sent, ended(AttemptEnd.groupBroken), { kind: "hopeless" }],
+        "refuse finish",
+    ],
+    ["left by its caller", "resumable", [sent, { kind: "caller-gone" }], "cancel finish"],
+    ["left by its caller after the end", "once", [sent, completed, { kind: "caller-gone" }], ""],
+])("a request that is %s (%s)", (title, kind, events, last) => {
+    expect(play(kind, events).at(-1)).toBe(last);
+});
--- /dev/null
+++ b/src/peers/tests/mirror.test.ts
@@ -0,0 +1,177 @@
+import { describe, expect, test } from "vitest";
+import {
+    applyDocumentRecords,
+    applyListRecords,
+    createMirror,
+    expireLapsed,
+    lapseGraceMs,
+    listNewer,
+    listUpstreams,
+    type MirrorDecoders,
+    type MirrorRecord,
+    noteLogFailure,
+    replaceList,
+} from "../mirror.js";
+
+interface Document {
+    revision: number;
+}
+
+const decoders: MirrorDecoders<Document> = {
+    decodeDocument: text => text.startsWith("{") ? JSON.parse(text) as Document : undefined,
+    getRevision: ({ revision }) => revision,
+    decodeUpstream: (id, text) => {
+        const [host, state, startedAt] = text.split(" ");
+        return host === "?" ? undefined : {
+            id,
+            pool: "p",
+            host,
+            port: 1,
+            dataCentre: "a",
+            isLeaving: state === "leaving",
+            startedAt: startedAt === undefined ? undefined : Number(startedAt),
+        };
+    },
+};
+
+const record = (key: string, offset: number, value?: string): MirrorRecord => ({ key, offset, value });
+
+function playList(steps: ((mirror: ReturnType<typeof createMirror<Document>>) => void)[]): string[] {
+    const mirror = createMirror<Document>();
+    return steps.map(step => {
+        step(mirror);
+        return listUpstreams(mirror).map(({ id, isLeaving }) => `${id}${isLeaving ? " leaving" : ""}`).join(", ");
+    });
+}
+
+describe("the list", () => {
+    test("takes the newest record of each key, in any order and more than once", () => {
+        const seen = playList([
+            m => applyListRecords(m, [record("a", 3, "h1 leaving"), record("b", 2, "h2 live")], 4, decoders, 0),
+            m => applyListRecords(m, [record("a", 1, "h1 live"), record("b", 2, "h2 live")], 3, decoders, 0),
+            m => applyListRecords(m, [record("a", 4)], 5, decoders, 0),
+            m => applyListRecords(m, [record("c", 5, "? live")], 6, decoders, 0),
+        ]);
+        expect(seen).toMatchInlineSnapshot(`
+          [
+            "a leaving, b",
+            "a leaving, b",
+            "b",
+            "b",
+          ]
+        `);
+    });
+
+    test("keeps what lapses while the log is away until its grace has passed", () => {
+        const seen = playList([
+            m => applyListRecords(m, [record("a", 1, "h1 live"), record("b", 2, "h2 live")], 3, decoders, 0),
+            m => noteLogFailure(m, 1000),
+            m => applyListRecords(m, [record("a", 3), record("b", 4)], 5, decoders, 1100),
+            m => applyListRecords(m, [record("a", 5, "h1 live")], 6, decoders, 2000),
+            m => expireLapsed(m, 1000 + lapseGraceMs - 1),
+            m => expireLapsed(m, 1000 + lapseGraceMs),
+        ]);
+        expect(seen).toMatchInlineSnapshot(`
+          [
+            "a, b",
+            "a, b",
+            "a, b",
+            "a, b",
+            "a, b",
+            "a",
+          ]
+        `);
+    });
+
+    test("lets go at once of what lapses in calm, or was leaving before", () => {
+        const seen = playList([
+            m => applyListRecords(m, [record("a", 1, "h1 live"), record("b", 2, "h2 leaving")], 3, decoders, 0),
+            m => noteLogFailure(m, 1000),
+            m => applyListRecords(m, [record("b", 3)], 4, decoders, 1100),
+            m => applyListRecords(m, [record("a", 4)], 5, decoders, 1000 + lapseGraceMs),
+        ]);
+        expect(seen).toMatchInlineSnapshot(`
+          [
+            "a, b leaving",
+            "a, b leaving",
+            "a",
+            "",
+          ]
+        `);
+    });
+
+    test("drops the keys that a full listing lacks, but not newer ones", () => {
+        const seen = playList([
+            m => applyListRecords(
+                m,
+                [record("a", 1, "h1 live"), record("b", 2, "h2 live"), record("c", 9, "h3 live")],
+                10,
+                decoders,
+                0,
+            ),
+            m => replaceList(m, [record("b", 2, "h2 live")], 5, decoders, 0),
+        ]);
+        expect(seen).toEqual(["a, b, c", "b, c"]);
+    });
+
+    test("names one upstream an address: the one that was started last", () => {
+        const seen = playList([
+            m => applyListRecords(
+                m,
+                [record("old", 9, "h1 live 100"), record("new", 5, "h1 live 200")],
+                10,
+                decoders,
+                0,
+            ),
+            m => applyListRecords(m, [record("x", 11, "h2 live"), record("y", 12, "h2 live")], 13, decoders, 0),
+        ]);
+        expect(seen).toEqual(["new", "new, y"]);
+    });
+});
+
+describe("the document", () => {
+    test("never goes back", () => {
+        const mirror = createMirror<Document>();
+        const apply = (offset: number, value: string) => {
+            applyDocumentRecords(mirror, [record("config", offset, value)], offset + 1, decoders);
+            return mirror.document?.revision;
+        };
+        expect([
+            apply(5, "{\"revision\":7}"),
+            apply(4, "{\"revision\":9}"),
+            apply(6, "unreadable"),
+            apply(7, "{\"revision\":3}"),
+            apply(8, "{\"revision\":8}"),
+        ]).toEqual([7, 7, 7, 7, 8]);
+    });
+
+    test("is handed over to peers that lack it", () => {
+        const mirror = createMirror<Document>();
+        applyDocumentRecords(mirror, [record("config", 5, "{\"revision\":7}")], 6, decoders);
+        applyListRecords(mirror, [record("a", 1, "h1 live"), record("b", 4)], 5, decoders, 0);
+        expect([listNewer(mirror, 0, 2), listNewer(mirror, 6, 5)]).toMatchInlineSnapshot(`
+          [
+            {
+              "documents": [
+                {
+                  "key": "config",
+                  "offset": 5,
+                  "value": "{"revision":7}",
+                },
+              ],
+              "list": [
+                {
+                  "key": "b",
+                  "offset": 4,
+                  "value": undefined,
+                },
+              ],
+            },
+            {
+              "documents": [],
+              "list": [],
+            },
+          ]
+        `);
+    });
+});
--- a/src/routing/place.ts
+++ b/src/routing/place.ts
@@ -14,10 +14,8 @@
     maxRequests: number;
 }
 
-/** Share of the upstreams that one request compares. */
-const comparedShare = 1 / 3;
-/** Upstreams that one request compares at least. */
-const minCompared = 4;
+/** Upstreams that one request compares; more of them send too many requests to one that looked idle to all entries. */
+const compared = 3;
 /** Requests by which an upstream of another data centre has to be less loaded; bytes between data centres have a price. */
 const remotePenalty = 1;
 
@@ -34,10 +32,9 @@
     const sound = usable.filter(({ avoidedUntil }) => avoidedUntil <= now);
     const candidates = sound.length > 0 ? sound : usable;
     const free = candidates.filter(view => estimateRequests(view, now) < options.maxRequests);
-    const count = Math.max(minCompared, Math.ceil(free.length * comparedShare));
     let best: UpstreamView | undefined;
     let bestCost = Infinity;
-    for (const view of takeSample(free, count, random)) {
+    for (const view of takeSample(free, compared, random)) {
         const isRemote = view.record.dataCentre !== options.dataCentre;
         const cost = estimateRequests(view, now) + (isRemote ? remotePenalty : 0) + random();
         if (cost < bestCost) {
--- /dev/null
+++ b/src/routing/tests/direct.test.ts
@@ -0,0 +1,186 @@
+import { describe, expect, test } from "vitest";
+import { createRandom } from "../../core/random.js";
+import type { UpstreamRecord } from "../../peers/mirror.js";
+import { createGroupBoard, isGroupOpen, noteGroup, noteGroupBroken } from "../groupBoard.js";
+import { placeRequest } from "../place.js";
+import { admitRepeat, createRetryWindow, noteFirstSend } from "../retryWindow.js";
+import {
+    createUpstreamBoard,
+    estimateRequests,
+    noteFailed,
+    noteFigures,
+    noteMisdirected,
+    noteOwnSent,
+    setUpstreams,
+} from "../upstreamBoard.js";
+import { createWaitingRoom, listWaiting, takeHopeless, type WaitingRequest } from "../waitingRoom.js";
+
+const createRecord = (id: string, more: Partial<UpstreamRecord> = {}): UpstreamRecord => ({
+    id,
+    pool: "p",
+    host: id,
+    port: 1,
+    dataCentre: "a",
+    isLeaving: false,
+    ...more,
+});
+
+const options = { pool: "p", dataCentre: "a", excluded: new Set<string>(), maxRequests: 9 };
+
+describe("placing", () => {
+    test.each<[string, (board: ReturnType<typeof createUpstreamBoard>) => void, string[]]>([
+        ["all are idle", () => undefined, ["near-1", "near-2"]],
+        ["the near ones are busier by two", board => {
+            noteFigures(board, "near-1", { running: 3, waiting: 0, at: 0 });
+            noteFigures(board, "near-2", { running: 4, waiting: 0, at: 0 });
+        }, ["far"]],
+        ["one is gone and one has just failed", board => {
+            noteMisdirected(board, "near-1");
+            noteFailed(board, "near-2", 0);
+        }, ["far"]],
+        ["none has a place", board => {
+            ["near-1", "near-2", "far"].forEach(id => noteFigures(board, id, { running: 8, waiting: 1, at: 0 }));
+        }, ["none"]],
+    ])("chooses among the right ones when %s", (title, prepare, expected) => {
+        const board = createUpstreamBoard();
+        setUpstreams(board, [
+            createRecord("near-1"),
+            createRecord("near-2"),
+            createRecord("far", { dataCentre: "b" }),
+            createRecord("leaving", { isLeaving: true }),
+            createRecord("other", { pool: "q" }),
+        ]);
+        prepare(board);
+        const random = createRandom(7);
+        const chosen = Array.from(
+            { length: 40 },
+            () => placeRequest(board, options, 1, random.next)?.record.id ?? "none",
+        );
+        expect([...new Set(chosen)].sort()).toEqual([...expected].sort());
+    });
+
+    test("keeps requests spread when many entries see the same old figures", () => {
+        const random = createRandom(3);
+        const ids = Array.from({ length: 16 }, (ignored, index) => `rank-${index}`);
+        const sent = new Map(ids.map(id => [id, 0]));
+        // 18 entries place three requests each within one interval of the vector, which showed rank 5 idle.
+        for (let entry = 0; entry < 18; entry++) {
+            const board = createUpstreamBoard();
+            setUpstreams(board, ids.map(id => createRecord(id)));
+            ids.forEach((id, index) => noteFigures(board, id, { running: index === 5 ? 0 : 3, waiting: 0, at: 0 }));
+            for (let request = 0; request < 3; request++) {
+                const view = placeRequest(board, { ...options, maxRequests: 8 }, 100, random.next)!;
+                noteOwnSent(board, view.record.id, 100);
+                sent.set(view.record.id, sent.get(view.record.id)! + 1);
+            }
+        }
+        // A rank has eight slots; half as many may wait for a moment.
+        expect(sent.get("rank-5")).toBeLessThanOrEqual(12);
+        expect(Math.max(...[...sent.values()].filter((count, index) => index !== 5))).toBeLessThanOrEqual(9);
+    });
+
+    test("counts own requests that figures do not hold yet, and not those that ended since", () => {
+        const board = createUpstreamBoard();
+        setUpstreams(board, [createRecord("u")]);
+        const view = board.views.get("u")!;
+        const endFirst = noteOwnSent(board, "u", 10);
+        noteOwnSent(board, "u", 20);
+        const estimates = [estimateRequests(view, 30)];
+        noteFigures(board, "u", { running: 5, waiting: 1, at: 15 });
+        estimates.push(estimateRequests(view, 30));
+        endFirst(40);
+        estimates.push(estimateRequests(view, 41), estimateRequests(view, 5000));
+        expect(estimates).toEqual([2, 7, 6, 1]);
+    });
+
+    test("forgets what it knew of an upstream that started again under its id", () => {
+        const board = createUpstreamBoard();
+        setUpstreams(board, [createRecord("u", { startedAt: 1 })]);
+        noteMisdirected(board, "u");
+        setUpstreams(board, [createRecord("u", { startedAt: 1 })]);
+        const before = board.views.get("u")!.isGone;
+        setUpstreams(board, [createRecord("u", { startedAt: 2 })]);
+        expect([before, board.views.get("u")!.isGone]).toEqual([true, false]);
+    });
+});
+
+describe("the retry budget", () => {
+    test("holds over all entries when thousands of requests are refused at once, and over restarts", () => {
+        const settings = { ratio: 0.2, slack: 207, windowMs: 10_000 };
+        const entries = 18;
+        let requests = 0;
+        let repeats = 0;
+        for (let entry = 0; entry < entries; entry++) {
+            // Every entry restarts once within the window and forgets what it used.
+            for (let life = 0; life < 2; life++) {
+                const window = createRetryWindow(settings);
+                for (let i = 0; i < 60; i++) {
+                    noteFirstSend(window, i);
+                    requests += 1;
+                    repeats += Number(admitRepeat(window, entries, i)) + Number(admitRepeat(window, entries, i));
+                }
+            }
+        }
+        expect(repeats).toBeGreaterThan(100);
+        expect(repeats).toBeLessThanOrEqual(settings.ratio * requests + settings.slack);
+    });
+
+    test("comes back as the window moves on", () => {
+        const window = createRetryWindow({ ratio: 0, slack: 4, windowMs: 1000 });
+        expect([0, 1, 2, 3, 1500].map(at => admitRepeat(window, 1, at))).toEqual([true, true, false, false, true]);
+    });
+});
+
+describe("the waiting room", () => {
+    const createRequest = (number: number, targetAt: number, latestAt = 10_000, urgency = 1): WaitingRequest => ({
+        number,
+        urgency,
+        targetAt,
+        latestAt,
+    });
+
+    test("lets those go first whose target can be met, by urgency, the younger before the older", () => {
+        const room = createWaitingRoom();
+        [
+            createRequest(1, 100),
+            createRequest(2, 900),
+            createRequest(3, 900),
+            createRequest(4, 900, 10_000, 0),
+            createRequest(5, 200),
+        ]
+            .forEach(request => room.waiting.add(request));
+        expect(listWaiting(room, 500).map(({ number }) => number)).toEqual([4, 3, 2, 5, 1]);
+    });
+
+    test("gives up those that cannot be served in time, and only those", () => {
+        const room = createWaitingRoom();
+        [createRequest(1, 100, 400), createRequest(2, 100, 600)].forEach(request => room.waiting.add(request));
+        expect(takeHopeless(room, 500).map(({ number }) => number)).toEqual([1]);
+        expect(room.waiting.size).toBe(1);
+    });
+});
+
+describe("a group", () => {
+    test("is broken for all once one answer tells so, until the lead tells that it runs in a new epoch", () => {
+        const board = createGroupBoard();
+        const steps = [
+            () => undefined,
+            () => noteGroup(board, "p", { isOpen: true, epoch: 1, at: 0 }),
+            () => noteGroupBroken(board, "p", 10),
+            () => noteGroup(board, "p", { isOpen: true, epoch: 1, at: 5 }),
+            () => noteGroup(board, "p", { isOpen: false, epoch: 1, at: 20 }),
+            () => noteGroup(board, "p", { isOpen: true, epoch: 2, at: 30 }),
+        ];
+        const seen = steps.map(step => {
+            step();
+            return isGroupOpen(board, "p", 30);
+        });
+        expect(seen).toEqual([true, true, false, false, false, true]);
+    });
+
+    test("is tried again when nothing is heard of it any more", () => {
+        const board = createGroupBoard();
+        noteGroupBroken(board, "p", 0);
+        expect([isGroupOpen(board, "p", 500), isGroupOpen(board, "p", 700)]).toEqual([false, true]);
+    });
+});
