--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,11 @@
 // Modules that do I/O; decision modules take their results as arguments instead.
 const ioModules = ["node:http", "node:net", "node:fs", "node:dgram", "undici", "bunyan", "prom-client"];
 
+const restrictedSyntax = [
+    { selector: "Literal[raw='null']", message: "Use undefined." },
+    { selector: "TSEnumDeclaration", message: "Use a constant object." },
+];
+
 export default tseslint.config(
     { ignores: ["dist", "node_modules", "target", "journal"] },
     ...tseslint.configs.recommended,
@@ -17,10 +22,7 @@
             "no-var": "error",
             "prefer-const": "error",
             "max-lines": ["error", { max: 400, skipBlankLines: true, skipComments: true }],
-            "no-restricted-syntax": ["error", { selector: "Literal[raw='null']", message: "Use undefined." }, {
-                selector: "TSEnumDeclaration",
-                message: "Use a constant object.",
-            }],
+            "no-restricted-syntax": ["error", ...restrictedSyntax],
             "@typescript-eslint/consistent-type-imports": "error",
             "@typescript-eslint/no-unused-vars": ["error", { args: "after-used" }],
             "@typescript-eslint/naming-convention": [
@@ -36,6 +38,17 @@
             ],
         },
     },
+    {
+        // Only platform/ knows the platform's names.
+        files: ["src/**/*.ts"],
+        rules: {
+            "no-restricted-syntax": ["error", ...restrictedSyntax, {
+                selector:
+                    "Literal[value=/beechdock-(request-deadline|request-priority|tenant|expected|server-|token-usage|prompt|weight|not-exec|length)|keyed\\.(op|servers|status)|log-(read|newest|append)/i]",
+                message: "Names of the platform belong into platform/.",
+            }],
+        },
+    },
     {
         files: [
             "src/group/**/*.ts",
--- a/src/bin/program.ts
+++ b/src/bin/program.ts
@@ -3,8 +3,7 @@
 import type { z } from "zod";
 import { loadSettings } from "../config/loadSettings.js";
 import { InputError } from "../core/errors.js";
-
-export const ExitCode = { ok: 0, failed: 1, badInput: 2 } as const;
+import { ExitCode, exitWith } from "./exit.js";
 
 const help = (program: string, text: string) => `
     Usage
@@ -46,9 +45,3 @@
         throw error;
     }
 }
-
-/** Prints `text` to standard error and exits. */
-export function exitWith(code: number, text: string): never {
-    process.stderr.write(`${text}\n`);
-    process.exit(code);
-}
--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -4,7 +4,7 @@
 import { startListStandin } from "../standin/list.js";
 import { startLogStandin } from "../standin/log.js";
 import { startPlainStandin } from "../standin/plain.js";
-import { ExitCode, exitWith } from "./program.js";
+import { ExitCode, exitWith } from "./exit.js";
 
 const cli = meow(
     `
--- a/src/direct/start.ts
+++ b/src/direct/start.ts
@@ -51,8 +51,13 @@
     decoders: MirrorDecoders<ServingDocument>;
 }
 
+/** Settings that may change while the entry runs. */
+export type EntryChanges = Pick<DirectEntryOptions, "seeds" | "graceMs" | "retries">;
+
 export interface RunningEntry {
     stop: () => Promise<void>;
+    applySettings: (changes: EntryChanges) => void;
+    noteBadSettings: (error: Error) => void;
 }
 
 /** Time for which callers' new connections still come after readiness is denied, in milliseconds: two questions, a second apart. */
@@ -84,7 +89,8 @@
 const feedTiming = { staleMs: 3000, spreadMs: 2000 };
 
 /** Starts an entry; resolves once it listens. */
-export async function startDirectEntry(options: DirectEntryOptions): Promise<RunningEntry> {
+export async function startDirectEntry(initial: DirectEntryOptions): Promise<RunningEntry> {
+    const options = { ...initial };
     const makeLogger = createLoggers("beechdock-entry", options.instance, "info");
     const logger = makeLogger(Prefix.entry);
     const peersLogger = makeLogger(Prefix.peers);
@@ -280,6 +286,12 @@
     logger.info("The entry listens.", { port: options.callers.port });
 
     return {
+        applySettings: changes => {
+            Object.assign(options, changes);
+            windows.forEach(window => window.settings = changes.retries);
+            logger.info("The settings have changed.", changes);
+        },
+        noteBadSettings: error => logger.error("The changed settings are left out.", { error: error.message }),
         stop: async () => {
             isStopping = true;
             const startedAt = now();
--- a/src/direct/startSlot.ts
+++ b/src/direct/startSlot.ts
@@ -33,6 +33,15 @@
     createRankPort: (address: Address) => RankPort;
 }
 
+/** Settings that may change while the slot runs. */
+export type SlotChanges = Pick<SlotOptions, "seeds">;
+
+export interface RunningSlot {
+    stop: () => Promise<void>;
+    applySettings: (changes: SlotChanges) => void;
+    noteBadSettings: (error: Error) => void;
+}
+
 /** Name of the call that orders a rank through its slot. */
 const orderMethod = "order";
 /** Name of the call that reads a rank through its slot. */
@@ -54,7 +63,8 @@
 const feedTiming = { staleMs: 1200, spreadMs: 2000 };
 
 /** Starts a slot; resolves once it listens. */
-export async function startDirectSlot(options: SlotOptions): Promise<{ stop: () => Promise<void>; }> {
+export async function startDirectSlot(initial: SlotOptions): Promise<RunningSlot> {
+    const options = { ...initial };
     const { internal, engine } = options;
     const makeLogger = createLoggers("beechdock-slot", options.instance, "info");
     const logger = makeLogger(Prefix.slot);
@@ -273,6 +283,11 @@
         }, changeTickMs),
     ];
     return {
+        applySettings: changes => {
+            Object.assign(options, changes);
+            logger.info("The settings have changed.", changes);
+        },
+        noteBadSettings: error => logger.error("The changed settings are left out.", { error: error.message }),
         stop: async () => {
             logger.info("The slot has stopped.");
             timers.forEach(clearInterval);
--- a/src/peers/beacon.ts
+++ b/src/peers/beacon.ts
@@ -3,7 +3,6 @@
 
 /** How far a process has read a topic, and the age of the knowledge that this is its end, in milliseconds. */
 const PositionSchema = z.tuple([z.number(), z.number()]);
-export type Position = z.infer<typeof PositionSchema>;
 
 const PositionsSchema = z.object({ document: PositionSchema, list: PositionSchema });
 export type Positions = z.infer<typeof PositionsSchema>;
@@ -65,7 +64,6 @@
     host: z.string(),
     positions: PositionsSchema,
 });
-export type PresenceBeacon = z.infer<typeof PresenceSchema>;
 
 const BeaconSchema = z.discriminatedUnion("kind", [StateSchema, VectorSchema, PresenceSchema]);
 export type Beacon = z.infer<typeof BeaconSchema>;
