--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -2,6 +2,7 @@
 import type { ServingPool } from "../config/serving.js";
 import { type GroupBoard, isGroupOpen } from "../routing/groupBoard.js";
 import { placeRequest } from "../routing/place.js";
+import { countFreePlaces, createPlaceShare, type PlaceShare, refillShare, takePlace } from "../routing/placeShare.js";
 import { estimateRequests, type UpstreamBoard } from "../routing/upstreamBoard.js";
 import { createWaitingRoom, listWaiting, takeHopeless, type WaitingRoom } from "../routing/waitingRoom.js";
 import type { Scheduler } from "./context.js";
@@ -26,11 +27,24 @@
     findPool: (name: string) => ServingPool | undefined;
 }
 
+export interface PumpedScheduler extends Scheduler {
+    /** Looks for places for those that wait. */
+    pump: () => void;
+    /** Takes in that the lead has told new figures of the pool to that many entries. */
+    noteVector: (pool: string, entries: number) => void;
+}
+
 /** Creates a scheduler with nobody waiting. */
-export function createScheduler(options: SchedulerOptions): Scheduler & { pump: () => void; } {
+export function createScheduler(options: SchedulerOptions): PumpedScheduler {
     const room: WaitingRoom<DirectDispatch> = createWaitingRoom();
+    const shares = new Map<string, PlaceShare>();
     let timer: NodeJS.Timeout | undefined;
 
+    const getShare = (pool: string) => {
+        const share = shares.get(pool) ?? createPlaceShare();
+        shares.set(pool, share);
+        return share;
+    };
     const trySend = (dispatch: DirectDispatch): boolean => {
         const { board, dataCentre, random, findPool, groups } = options;
         const { request } = dispatch;
@@ -44,7 +58,7 @@
         const place = { pool: request.pool, dataCentre, maxRequests };
         const view = placeRequest(board, { ...place, excluded: dispatch.isExcluded() }, now, random) ??
             placeRequest(board, { ...place, excluded: new Set() }, now, random);
-        if (view === undefined) {
+        if (view === undefined || (engine !== undefined && !takePlace(getShare(request.pool), now))) {
             return false;
         }
         dispatch.sendTo(view, estimateRequests(view, now));
@@ -85,5 +99,13 @@
             room.waiting.delete(dispatch);
         },
         pump,
+        noteVector: (pool, entries) => {
+            const engine = options.findPool(pool)?.engine;
+            if (engine !== undefined) {
+                const free = countFreePlaces(options.board, pool, engine.slots);
+                refillShare(getShare(pool), free, entries, options.now(), options.random());
+            }
+            pump();
+        },
     };
 }
--- a/src/direct/start.ts
+++ b/src/direct/start.ts
@@ -253,7 +253,7 @@
                 noteFigures(board, id, { running, waiting, at: now() - ageMs });
             }
         }
-        scheduler.pump();
+        scheduler.noteVector(vector.pool, entryCount);
     };
     const tellPresence = () => {
         const heardLead = lead !== undefined && now() - lead.heardAt < leadSilenceMs ? [lead.host] : undefined;
--- a/src/group/driverChanges.ts
+++ b/src/group/driverChanges.ts
@@ -55,6 +55,8 @@
 
 export interface MapChanges {
     noteState: (state: StateBeacon) => void;
+    /** Whether another slot has told its state of late, which so could lead. */
+    hearsOthers: (own: string) => boolean;
     /** What the vector tells of the ranks. */
     summarize: () => Pick<VectorBeacon, "isOpen" | "epoch" | "ranks">;
     /** Plans and orders what is due. */
@@ -216,6 +218,7 @@
                 }
             }
         },
+        hearsOthers: own => [...ranks.values()].some(({ host, heardAt }) => host !== own && now() - heardAt < silentMs),
         summarize: () => {
             const reports = listReports();
             const newest = Math.max(0, ...reports.map(({ epoch }) => epoch));
--- a/src/peers/lead.ts
+++ b/src/peers/lead.ts
@@ -33,6 +33,15 @@
     state.heardAt = now;
 }
 
+/** Gives the lead up to the next slot; does nothing when this one does not lead. */
+export function resignLead(state: LeadState, slots: string[], now: number): void {
+    const next = slots.find(slot => slot !== state.own);
+    if (state.lead === state.own && next !== undefined) {
+        state.lead = next;
+        state.heardAt = now;
+    }
+}
+
 /** Whether this slot leads now. */
 export function advanceLead(state: LeadState, slots: string[], now: number): boolean {
     if (state.lead === state.own) {
--- /dev/null
+++ b/src/routing/placeShare.ts
@@ -0,0 +1,47 @@
+/**
+ * An entry's share of the places that are free at a pool. Answers the load pattern in which more requests wait at all
+ * entries than places come free: without shares, every entry sends into the same few places at each vector, and most of
+ * these requests wait at full ranks until their callers leave.
+ */
+import { figuresMaxAgeMs, type UpstreamBoard } from "./upstreamBoard.js";
+
+export interface PlaceShare {
+    /** Requests that may be sent before the next figures. */
+    credits: number;
+    /** Time of the figures that the credits stand on, in milliseconds. */
+    at: number;
+}
+
+/** Part that is given out beyond the free places; some entries do not use theirs. */
+const overcommit = 1.3;
+
+/** Creates a share that has heard of no free places. */
+export function createPlaceShare(): PlaceShare {
+    return { credits: 0, at: -Infinity };
+}
+
+/** Counts the free places of a pool whose ranks have `slots` places each, by the shared figures. */
+export function countFreePlaces(board: UpstreamBoard, pool: string, slots: number): number {
+    let free = 0;
+    for (const { record, figures } of board.views.values()) {
+        if (record.pool === pool && !record.isLeaving && figures !== undefined) {
+            free += Math.max(0, slots - figures.running - figures.waiting);
+        }
+    }
+    return free;
+}
+
+/** Takes in new figures: `free` places for all `entries`; a part of a place is a chance of one. `random` is in [0, 1). */
+export function refillShare(share: PlaceShare, free: number, entries: number, now: number, random: number): void {
+    share.credits = Math.floor(overcommit * free / Math.max(1, entries) + random);
+    share.at = now;
+}
+
+/** Takes a place of the share; always granted while no figures are heard. */
+export function takePlace(share: PlaceShare, now: number): boolean {
+    if (now - share.at > figuresMaxAgeMs) {
+        return true;
+    }
+    share.credits -= 1;
+    return share.credits >= 0;
+}
--- a/src/routing/tests/direct.test.ts
+++ b/src/routing/tests/direct.test.ts
@@ -3,6 +3,7 @@
 import type { UpstreamRecord } from "../../peers/mirror.js";
 import { createGroupBoard, isGroupOpen, noteGroup, noteGroupBroken } from "../groupBoard.js";
 import { placeRequest } from "../place.js";
+import { countFreePlaces, createPlaceShare, refillShare, takePlace } from "../placeShare.js";
 import { admitRepeat, createRetryWindow, noteFirstSend } from "../retryWindow.js";
 import {
     createUpstreamBoard,
@@ -184,3 +185,46 @@
         expect([isGroupOpen(board, "p", 500), isGroupOpen(board, "p", 700)]).toEqual([false, true]);
     });
 });
+
+describe("shares of free places", () => {
+    /** 15 entries with many waiting requests see the same vectors; counts what they send for each free place. */
+    function playVectors(hasShares: boolean): number {
+        const random = createRandom(5);
+        const entries = 15;
+        const shares = Array.from({ length: entries }, () => createPlaceShare());
+        let offered = 0;
+        let sent = 0;
+        for (let vector = 0; vector < 50; vector++) {
+            const free = 1 + random.pickIndex(6);
+            offered += free;
+            for (const share of shares) {
+                refillShare(share, free, entries, vector * 200, random.next());
+                // Each entry has three requests waiting, which it would send while the figures show a free rank.
+                for (let request = 0; request < 3; request++) {
+                    sent += Number(!hasShares || takePlace(share, vector * 200));
+                }
+            }
+        }
+        return sent / offered;
+    }
+
+    test("keep all entries together from sending much more than there are places", () => {
+        expect(playVectors(false)).toBeGreaterThan(5);
+        expect(playVectors(true)).toBeLessThan(1.5);
+        expect(playVectors(true)).toBeGreaterThan(0.9);
+    });
+
+    test("do not bind while nothing is heard", () => {
+        const share = createPlaceShare();
+        expect([takePlace(share, 0), takePlace(share, 1)]).toEqual([true, true]);
+    });
+
+    test("count the places of a pool's ranks that stay", () => {
+        const board = createUpstreamBoard();
+        setUpstreams(board, [createRecord("u"), createRecord("v"), createRecord("leaving", { isLeaving: true })]);
+        noteFigures(board, "u", { running: 5, waiting: 0, at: 0 });
+        noteFigures(board, "v", { running: 8, waiting: 3, at: 0 });
+        noteFigures(board, "leaving", { running: 0, waiting: 0, at: 0 });
+        expect(countFreePlaces(board, "p", 8)).toBe(3);
+    });
+});
