--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -2,7 +2,7 @@
 import type { ServingPool } from "../config/serving.js";
 import { type GroupBoard, isGroupOpen } from "../routing/groupBoard.js";
 import { placeRequest } from "../routing/place.js";
-import { countFreePlaces, createPlaceShare, type PlaceShare, refillShare, takePlace } from "../routing/placeShare.js";
+import { countFreePlaces, createPlaceShare, type PlaceShare, takePlace, updateShare } from "../routing/placeShare.js";
 import { estimateRequests, type UpstreamBoard } from "../routing/upstreamBoard.js";
 import { createWaitingRoom, listWaiting, takeHopeless, type WaitingRoom } from "../routing/waitingRoom.js";
 import type { Scheduler } from "./context.js";
@@ -103,7 +103,7 @@
             const engine = options.findPool(pool)?.engine;
             if (engine !== undefined) {
                 const free = countFreePlaces(options.board, pool, engine.slots);
-                refillShare(getShare(pool), free, entries, options.now(), options.random());
+                updateShare(getShare(pool), free, entries, options.now(), options.random());
             }
             pump();
         },
--- a/src/direct/startSlot.ts
+++ b/src/direct/startSlot.ts
@@ -9,7 +9,7 @@
 import { type Beacon, decodeBeacon, encodeBeacon, encodeChoices, type StateBeacon } from "../peers/beacon.js";
 import { createFeed, type FeedSource, type PeerRecords } from "../peers/feed.js";
 import { createHandOver, handOverMethod, type HandOverParams } from "../peers/handOver.js";
-import { advanceLead, createLead, findNextLead, noteVector, resignLead } from "../peers/lead.js";
+import { advanceLead, createLead, findNextLead, noteVector, yieldLead } from "../peers/lead.js";
 import { listUpstreams, type MirrorDecoders, type UpstreamRecord } from "../peers/mirror.js";
 import { bindDatagrams } from "../wire/datagrams.js";
 import { listenOn } from "../wire/listen.js";
@@ -199,7 +199,7 @@
             positions: computePositions(feed, now()),
         };
         if (report?.rank === lockRank && changes.hearsOthers(internal.host)) {
-            resignLead(lead, hosts, now());
+            yieldLead(lead, hosts, now());
         }
         const before = lead.lead;
         const isLead = advanceLead(lead, hosts, now());
--- a/src/group/round.ts
+++ b/src/group/round.ts
@@ -51,7 +51,7 @@
  * Times after which an order whose effect is not reported is given again, in milliseconds: several reports, and for
  * experts to be copied over the ranks' links.
  */
-const repeatMs: Record<StepKind, number> = { prepare: 1200, arm: 300, disarm: 300, hold: 300, go: 300, read: 300 };
+const repeatMs: Record<StepKind, number> = { prepare: 1200, arm: 300, disarm: 300, hold: 300, go: 300, read: 100 };
 /** Time for which another process is left to finish its own change, in milliseconds. */
 const foreignPatienceMs = 300;
 /** Age up to which reports count for the begin of a change, in milliseconds; about the interval of the slots' reports. */
@@ -126,7 +126,7 @@
         holder === undefined ? decideUnheld(state, reports, now) : decideHeld(state, reports, holder, owner, now) :
         holder === undefined ?
         [] :
-        decideWithout(reports, holder, owner);
+        decideWithout(state, reports, holder, owner, now);
     return wanted.filter(({ rank, order }) => admitOrder(state, rank, order.kind, now));
 }
 
@@ -134,11 +134,21 @@
  * Lets a held group go on without the report of the rank beside the lost lead. That rank is armed last, so it is not
  * armed as long as any other one is not; then the change is taken back everywhere.
  */
-function decideWithout(reports: KnownReport[], holder: KnownReport, { lostRank }: RoundOwner): AddressedOrder[] {
+function decideWithout(
+    state: RoundState,
+    reports: KnownReport[],
+    holder: KnownReport,
+    { lostRank }: RoundOwner,
+    now: number,
+): AddressedOrder[] {
     const isOnlyLost = reports.length === holder.size - 1 && reports.every(({ rank }) => rank !== lostRank);
-    if (lostRank === undefined || !isOnlyLost || reports.every(({ armed }) => armed !== undefined)) {
+    if (lostRank === undefined || !isOnlyLost) {
         return [];
     }
+    const unsettled = listUnsettled(state, reports, now);
+    if (unsettled.length > 0 || reports.every(({ armed }) => armed !== undefined)) {
+        return unsettled;
+    }
     const { epoch } = holder;
     const armed = reports.filter(report => report.armed !== undefined);
     if (armed.length > 0) {
@@ -147,6 +157,20 @@
     return [{ rank: holder.rank, epoch, order: { kind: "go", step: holder.heldStep! } }];
 }
 
+/**
+ * Readings that are due before the change of another process may be finished: its last orders have to be carried out,
+ * and every report has to be newer than these.
+ */
+function listUnsettled(state: RoundState, reports: KnownReport[], now: number): AddressedOrder[] {
+    state.foreignSince ??= now;
+    const settledAt = state.foreignSince + foreignPatienceMs;
+    return reports.filter(({ at }) => at < settledAt).map(createRead);
+}
+
+function createRead({ rank, epoch }: KnownReport): AddressedOrder {
+    return { rank, epoch, order: { kind: "read" } };
+}
+
 function createDisarm({ rank, epoch, armed }: KnownReport): AddressedOrder {
     return { rank, epoch, order: { kind: "disarm", version: armed!.version } };
 }
@@ -197,7 +221,7 @@
     }
     const stale = reports.filter(({ at }) => now - at > reportMaxAgeMs);
     if (stale.length > 0) {
-        return stale.map(({ rank, epoch }) => ({ rank, epoch, order: { kind: "read" } }));
+        return stale.map(createRead);
     }
     const step = Math.max(...reports.map(report => report.step)) + holdLead;
     state.ownHold = step;
@@ -215,15 +239,16 @@
     const step = holder.heldStep!;
     const { epoch } = holder;
     if (state.ownHold !== step) {
-        state.foreignSince ??= now;
-        if (now - state.foreignSince < foreignPatienceMs) {
-            return [];
+        const unsettled = listUnsettled(state, reports, now);
+        if (unsettled.length > 0) {
+            return unsettled;
         }
     }
+    const stale = reports.filter(({ at }) => now - at > reportMaxAgeMs).map(createRead);
     const go: AddressedOrder = { rank: holder.rank, epoch, order: { kind: "go", step } };
     const version = chooseVersion(reports);
     if (version === undefined) {
-        return [go];
+        return stale.length > 0 ? stale : [go];
     }
     const isReady = (report: KnownReport) => report.armed?.version === version || report.mapVersion === version;
     if (reports.every(isReady)) {
@@ -236,6 +261,10 @@
     const strays = reports.filter(({ armed }) => armed !== undefined && armed.version !== version);
     const unarmed = reports.filter(report => !isReady(report) && report.armed === undefined);
     const others = unarmed.filter(({ rank }) => rank !== ownRank);
+    if (others.length === 0 && stale.length > 0) {
+        // The own rank is armed only while all others are known to be armed now.
+        return stale;
+    }
     const next = others.length > 0 ? others : unarmed;
     return [
         ...strays.map(createDisarm),
--- a/src/group/tests/round.test.ts
+++ b/src/group/tests/round.test.ts
@@ -227,19 +227,22 @@
             group.isIdle = random.next() < faults.idleShare;
             beginStep(group);
         }
-        if (now % reportMs === 0) {
-            for (let rank = 0; rank < ranks; rank++) {
-                if (!isFrozen(rank, now)) {
+        for (let rank = 0; rank < ranks; rank++) {
+            // Slots read their ranks at times of their own, and some of what they tell is lost.
+            if (now % reportMs === rank * 37 % reportMs && !isFrozen(rank, now) && random.next() > 0.2) {
+                const report = readReport(group, rank);
+                schedule(now + 1 + random.next() * 30, time =>
                     leads.forEach(lead => {
-                        if (lead.frozenUntil <= now) {
-                            lead.reports.set(rank, { ...readReport(group, rank), at: now });
+                        if (lead.frozenUntil <= time && (lead.reports.get(rank)?.at ?? -1) < now) {
+                            lead.reports.set(rank, { ...report, at: now });
                         }
-                    });
-                }
+                    }));
             }
         }
         // The other process leads once the first has been silent for 600 ms, and stops when it is back.
         const [first, second] = leads;
+        const isSecondSilent = second.frozenUntil > now && second.frozenUntil - now < 3400;
+        first.lostRank = isSecondSilent ? second.rank : undefined;
         const isSilent = first.frozenUntil > now && first.frozenUntil - now < 3400;
         if (isSilent && second.leadsFrom === Infinity) {
             second.leadsFrom = now;
--- a/src/peers/lead.ts
+++ b/src/peers/lead.ts
@@ -34,7 +34,7 @@
 }
 
 /** Gives the lead up to the next slot; does nothing when this one does not lead. */
-export function resignLead(state: LeadState, slots: string[], now: number): void {
+export function yieldLead(state: LeadState, slots: string[], now: number): void {
     const next = slots.find(slot => slot !== state.own);
     if (state.lead === state.own && next !== undefined) {
         state.lead = next;
--- /dev/null
+++ b/src/peers/tests/feed.test.ts
@@ -0,0 +1,159 @@
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
+import type { ServingDocument } from "../../config/serving.js";
+import { createFeed, type FeedOptions, type FeedSlice, type FeedSource, FeedTopic } from "../feed.js";
+import type { MirrorDecoders } from "../mirror.js";
+
+beforeEach(() => {
+    vi.useFakeTimers();
+});
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+const decoders: MirrorDecoders<ServingDocument> = {
+    decodeDocument: text =>
+        ({ revision: Number(text), routes: [], pools: [], limits: {} }) as unknown as ServingDocument,
+    getRevision: ({ revision }) => revision,
+    decodeUpstream: id => ({ id, pool: "p", host: id, port: 1, dataCentre: "a", isLeaving: false }),
+};
+
+const logger = { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined };
+
+/** A log with one document whose revision is the offset; reads wait until there is news. */
+function createLog() {
+    const log = { end: 1, isDown: false, reads: 0, hasDropped: false };
+    const readAll = (): FeedSlice => ({
+        records: [{ key: "config", offset: log.end - 1, value: String(log.end - 1) }],
+        end: log.end,
+        isComplete: true,
+    });
+    const source: FeedSource = {
+        readNewest: async () => {
+            log.reads += 1;
+            if (log.isDown) {
+                throw new Error("down");
+            }
+            return readAll();
+        },
+        read: async (topic, from, waitMs) => {
+            log.reads += 1;
+            for (let waited = 0; waited < waitMs && log.end <= from && !log.isDown; waited += 50) {
+                await new Promise(resolve => setTimeout(resolve, 50));
+            }
+            if (log.isDown) {
+                throw new Error("down");
+            }
+            if (log.hasDropped) {
+                log.hasDropped = false;
+                return undefined;
+            }
+            return log.end <= from ?
+                { records: [], end: from, isComplete: false } :
+                { ...readAll(), isComplete: false };
+        },
+    };
+    return { log, source };
+}
+
+function startFeed(source: FeedSource, more: Partial<FeedOptions> = {}) {
+    const revisions: number[] = [];
+    const feed = createFeed({
+        source,
+        decoders,
+        now: () => performance.now(),
+        random: () => 0.5,
+        logger,
+        askPeer: async () => undefined,
+        onDocument: ({ revision }) => revisions.push(revision),
+        onList: () => undefined,
+        timing: { staleMs: 1000, spreadMs: 0 },
+        isReader: () => false,
+        ...more,
+    });
+    feed.start();
+    return { feed, revisions };
+}
+
+describe("the feed", () => {
+    test("reads a document at the start and each new one while it reads all the time", async () => {
+        const { log, source } = createLog();
+        const { feed, revisions } = startFeed(source, { isReader: () => true });
+        await vi.advanceTimersByTimeAsync(500);
+        log.end = 2;
+        await vi.advanceTimersByTimeAsync(500);
+        log.end = 5;
+        await vi.advanceTimersByTimeAsync(500);
+        feed.stop();
+        expect(revisions).toEqual([0, 1, 4]);
+    });
+
+    test("does not read while peers tell that nothing is new, and reads at once when they tell of news", async () => {
+        const { log, source } = createLog();
+        const { feed, revisions } = startFeed(source);
+        await vi.advanceTimersByTimeAsync(300);
+        const readsAtStart = log.reads;
+        for (let i = 0; i < 20; i++) {
+            await vi.advanceTimersByTimeAsync(200);
+            Object.values(FeedTopic).forEach(topic => feed.notePosition(topic, 1, 100));
+        }
+        const readsWhileTold = log.reads - readsAtStart;
+        log.end = 3;
+        feed.notePosition(FeedTopic.document, 3, 0);
+        await vi.advanceTimersByTimeAsync(400);
+        feed.stop();
+        expect([readsWhileTold, revisions]).toEqual([0, [0, 2]]);
+    });
+
+    test("asks a peer when the log fails, and takes up the log again", async () => {
+        const { log, source } = createLog();
+        const asked: number[] = [];
+        const { feed, revisions } = startFeed(source, {
+            isReader: () => true,
+            askPeer: async documentEnd => {
+                asked.push(documentEnd);
+                return { documents: [{ key: "config", offset: 6, value: "6" }], documentEnd: 7, list: [], listEnd: 0 };
+            },
+        });
+        await vi.advanceTimersByTimeAsync(300);
+        log.isDown = true;
+        await vi.advanceTimersByTimeAsync(3000);
+        log.isDown = false;
+        log.end = 9;
+        await vi.advanceTimersByTimeAsync(1500);
+        feed.stop();
+        expect(asked.length).toBeGreaterThan(1);
+        expect(revisions).toEqual([0, 6, 8]);
+    });
+
+    test("reads the newest records when the log has dropped some", async () => {
+        const { log, source } = createLog();
+        const { feed, revisions } = startFeed(source, { isReader: () => true });
+        await vi.advanceTimersByTimeAsync(300);
+        log.hasDropped = true;
+        log.end = 40;
+        await vi.advanceTimersByTimeAsync(2500);
+        feed.stop();
+        expect(revisions).toEqual([0, 39]);
+    });
+
+    test("reads on another connection when a read is stuck while peers tell of news", async () => {
+        const { log, source } = createLog();
+        let isStuck = false;
+        const read: FeedSource["read"] = (topic, from, waitMs) => {
+            if (isStuck) {
+                isStuck = false;
+                return new Promise(() => undefined);
+            }
+            return source.read(topic, from, waitMs);
+        };
+        const { feed, revisions } = startFeed({ ...source, read }, { isReader: () => true });
+        await vi.advanceTimersByTimeAsync(1600);
+        isStuck = true;
+        await vi.advanceTimersByTimeAsync(1600);
+        log.end = 2;
+        feed.notePosition(FeedTopic.document, 2, 0);
+        await vi.advanceTimersByTimeAsync(1200);
+        feed.stop();
+        expect(revisions).toEqual([0, 1]);
+    });
+});
--- a/src/routing/placeShare.ts
+++ b/src/routing/placeShare.ts
@@ -32,7 +32,7 @@
 }
 
 /** Takes in new figures: `free` places for all `entries`; a part of a place is a chance of one. `random` is in [0, 1). */
-export function refillShare(share: PlaceShare, free: number, entries: number, now: number, random: number): void {
+export function updateShare(share: PlaceShare, free: number, entries: number, now: number, random: number): void {
     share.credits = Math.floor(overcommit * free / Math.max(1, entries) + random);
     share.at = now;
 }
--- a/src/routing/tests/direct.test.ts
+++ b/src/routing/tests/direct.test.ts
@@ -3,7 +3,7 @@
 import type { UpstreamRecord } from "../../peers/mirror.js";
 import { createGroupBoard, isGroupOpen, noteGroup, noteGroupBroken } from "../groupBoard.js";
 import { placeRequest } from "../place.js";
-import { countFreePlaces, createPlaceShare, refillShare, takePlace } from "../placeShare.js";
+import { countFreePlaces, createPlaceShare, takePlace, updateShare } from "../placeShare.js";
 import { admitRepeat, createRetryWindow, noteFirstSend } from "../retryWindow.js";
 import {
     createUpstreamBoard,
@@ -198,7 +198,7 @@
             const free = 1 + random.pickIndex(6);
             offered += free;
             for (const share of shares) {
-                refillShare(share, free, entries, vector * 200, random.next());
+                updateShare(share, free, entries, vector * 200, random.next());
                 // Each entry has three requests waiting, which it would send while the figures show a free rank.
                 for (let request = 0; request < 3; request++) {
                     sent += Number(!hasShares || takePlace(share, vector * 200));
