--- a/scripts/test.js
+++ b/scripts/test.js
@@ -8,14 +8,13 @@
 const resultFile = "dist/test-results.json";
 mkdirSync("dist", { recursive: true });
 const args = [
-    "vitest",
     "run",
     "--reporter=default",
     "--reporter=json",
     `--outputFile.json=${resultFile}`,
     ...process.argv.slice(2),
 ];
-const run = spawnSync("npx", args, { stdio: "inherit" });
+const run = spawnSync("node_modules/.bin/vitest", args, { stdio: "inherit" });
 const result = JSON.parse(readFileSync(resultFile, "utf8"));
 
 const tests = result.testResults.flatMap(file => file.assertionResults);
