--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,9 +1,12 @@
-/** Bundles the platform's programs into one file each: a process that is restarted reads and compiles less. */
+/**
+ * Bundles the platform's programs into one file each: a process that is restarted reads and compiles less.
+ * The files go into the folder that is given, or into target/.
+ */
 import { build } from "esbuild";
 
 await build({
     entryPoints: ["platform/bin/entry.ts", "platform/bin/slot.ts"],
-    outdir: "target",
+    outdir: process.argv[2] ?? "target",
     outExtension: { ".js": ".mjs" },
     bundle: true,
     platform: "node",
