--- a/src/peers/tests/cadence.test.ts
+++ b/src/peers/tests/cadence.test.ts
@@ -1,4 +1,5 @@
-import { describe, expect, test } from "vitest";
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
+import type { ServingDocument } from "../../config/serving.js";
 import { encodeBeacon, encodeChoices, measureChoices, packRanks, unpackRanks } from "../beacon.js";
 import {
     countChoiceTurns,
@@ -8,6 +9,7 @@
     splitIntoBursts,
     stateIntervalMs,
 } from "../cadence.js";
+import { createFeed, type FeedSource } from "../feed.js";
 
 const positions = { document: [123, 45], list: [4567, 89] } as { document: [number, number]; list: [number, number]; };
 
@@ -109,3 +111,50 @@
         { rank: 3, running: 1, waiting: 0, ageMs: 0 },
     ]);
 });
+
+describe("an entry that hears no lead", () => {
+    beforeEach(() => {
+        vi.useFakeTimers();
+    });
+    afterEach(() => {
+        vi.useRealTimers();
+    });
+
+    test.each([0, 0.5, 0.999])("has a new document 2.5 s after it was accepted (random part %d)", async random => {
+        const log = { end: 1 };
+        const read = async () => {
+            await new Promise(resolve => setTimeout(resolve, 5));
+            const records = [{ key: "config", offset: log.end - 1, value: String(log.end - 1) }];
+            return { records, end: log.end, isComplete: false };
+        };
+        const source: FeedSource = { readNewest: read, read };
+        const acceptedAt: number[] = [];
+        const inForceAt: number[] = [];
+        const feed = createFeed({
+            source,
+            decoders: {
+                decodeDocument: text => ({ revision: Number(text) }) as unknown as ServingDocument,
+                getRevision: ({ revision }) => revision,
+                decodeUpstream: () => undefined,
+            },
+            now: () => performance.now(),
+            random: () => random,
+            logger: { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined },
+            askPeer: async () => undefined,
+            onDocument: ({ revision }) => inForceAt[revision] ??= performance.now(),
+            onList: () => undefined,
+            timing: entryFeedTiming,
+            isReader: () => false,
+        });
+        feed.start();
+        await vi.advanceTimersByTimeAsync(1000);
+        for (let i = 0; i < 20; i++) {
+            log.end += 1;
+            acceptedAt[log.end - 1] = performance.now();
+            await vi.advanceTimersByTimeAsync(2700 + 37 * i);
+        }
+        feed.stop();
+        const delays = acceptedAt.map((at, revision) => inForceAt[revision] - at);
+        expect(Math.max(...delays.filter(delay => delay !== undefined))).toBeLessThan(2500);
+    });
+});
