Add a fault soak of the real programs on the platform's side

Processes of the product run on addresses of the loopback interface; faults come from outside them: signals, proxies before entries, ranks and plain upstreams (delay, reset, silence, one way), doors of the store stand-in (down, slow, busy, lost answers, silent for one, truncated), lost ranks, orders that are carried out late, wall clocks that jump. Nine promises are checked from what callers, upstreams and the processes' ends show; schedules follow from a seed, and failing ones shrink. Links between the product's own processes are only disturbed by signals: their datagrams name the sender's address.

--- a/src/standin/proxy.ts
+++ b/src/standin/proxy.ts
@@ -9,6 +9,8 @@
     /** Refuses new connections and silences the open ones until `heal`. */
     cut: () => void;
     heal: () => void;
+    /** Loses what comes from one end, on open and new connections, until `heal`. */
+    mute: (end: "client" | "server") => void;
     /** Resets every open connection. */
     reset: () => void;
     setDelay: (ms: number) => void;
@@ -24,10 +26,19 @@
     frozen: boolean;
 }
 
+/** Addresses of the loopback interface. */
+export interface ProxyHosts {
+    host: string;
+    targetHost: string;
+}
+
+const usualHosts: ProxyHosts = { host: "127.0.0.1", targetHost: "127.0.0.1" };
+
 /** Starts a proxy on `port` before `targetPort` of the loopback interface. */
-export async function startFaultProxy(port: number, targetPort: number): Promise<FaultProxy> {
+export async function startFaultProxy(port: number, targetPort: number, hosts = usualHosts): Promise<FaultProxy> {
     const links = new Set<Link>();
     let isCut = false;
+    let muted: "client" | "server" | undefined;
     let delayMs = 0;
     let bytes = 0;
     const note = (chunk: Buffer) => {
@@ -39,10 +50,10 @@
             client.destroy();
             return;
         }
-        const link: Link = { client, server: connect(targetPort, "127.0.0.1"), frozen: false };
+        const link: Link = { client, server: connect(targetPort, hosts.targetHost), frozen: false };
         links.add(link);
-        forwardData(link, link.client, link.server, note);
-        forwardData(link, link.server, link.client, note);
+        forwardData(link, link.client, link.server, note, () => muted === "client");
+        forwardData(link, link.server, link.client, note, () => muted === "server");
         const end = () => {
             links.delete(link);
             link.client.destroy();
@@ -59,7 +70,7 @@
     });
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
-        server.listen(port, "127.0.0.1", resolve);
+        server.listen(port, hosts.host, resolve);
     });
     const bound = (server.address() as { port: number; }).port;
     const freeze = () => {
@@ -78,7 +89,7 @@
     };
     return {
         port: bound,
-        url: `http://127.0.0.1:${bound}`,
+        url: `http://${hosts.host}:${bound}`,
         freeze,
         reset,
         cut: () => {
@@ -87,6 +98,14 @@
         },
         heal: () => {
             isCut = false;
+            if (muted !== undefined) {
+                // What was lost is missing from these connections for good.
+                muted = undefined;
+                freeze();
+            }
+        },
+        mute: end => {
+            muted = end;
         },
         setDelay: ms => {
             delayMs = ms;
@@ -100,9 +119,15 @@
     };
 }
 
-function forwardData(link: Link, from: Socket, to: Socket, note: (chunk: Buffer) => number): void {
+function forwardData(
+    link: Link,
+    from: Socket,
+    to: Socket,
+    note: (chunk: Buffer) => number,
+    isMuted: () => boolean,
+): void {
     const write = (chunk: Buffer) => {
-        if (!link.frozen) {
+        if (!link.frozen && !isMuted()) {
             to.write(chunk);
         }
     };
