Tell only the choices of the last interval

Cause: ranks that tell their choices by turns told those of the whole time between two turns (1.2 s), so a new demand was mixed with the old one.

--- a/src/direct/startSlot.ts
+++ b/src/direct/startSlot.ts
@@ -196,8 +196,10 @@
         try {
             await readOwn();
             const experts = pool?.engine?.experts;
-            if (experts !== undefined && report?.isOpen === true && isOnTurn(intervals)) {
-                choices = await readChoices(experts);
+            // Only the choices since the interval before are told; older ones would hide a change of the demand.
+            if (experts !== undefined && report?.isOpen === true && (isOnTurn(intervals) || isOnTurn(intervals + 1))) {
+                const since = await readChoices(experts);
+                choices = isOnTurn(intervals) ? since : undefined;
             }
         }
         catch (error) {
