Tell ranks only what a new map changes, over kept connections

Cause: a prepare carried the whole map; 72 of them filled the lead's link for 0.4 s, vectors were lost meanwhile, and other slots began to lead.

--- a/src/direct/startSlot.ts
+++ b/src/direct/startSlot.ts
@@ -1,8 +1,15 @@
 /** Wires a slot of the direct path: reads its own rank, tells the lead, leads if it is its turn, and orders its rank. */
-import { createServer } from "node:http";
+import { Agent, createServer } from "node:http";
 import type { ServingDocument, ServingPool } from "../config/serving.js";
-import { createMapChanges } from "../group/driverChanges.js";
-import type { RankOrder, RankPlacement, RankPort, RankReport } from "../group/rankTypes.js";
+import { createMapChanges, type OrderResult } from "../group/driverChanges.js";
+import { createPlanBook, packOrder, rememberPlan, type ShortPrepare, unpackOrder } from "../group/planBook.js";
+import {
+    OrderOutcome,
+    type RankOrder,
+    type RankPlacement,
+    type RankPort,
+    type RankReport,
+} from "../group/rankTypes.js";
 import { lockRank } from "../group/round.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createSlotMetrics } from "../observe/servingMetrics.js";
@@ -48,6 +55,12 @@
     createRankPort: (address: Address) => RankPort;
 }
 
+/** What a slot answers to an order. */
+interface SlotOrderResult extends OrderResult {
+    /** Whether the slot does not remember the map that a prepare stands on. */
+    lacksBase?: boolean;
+}
+
 /** Settings that may change while the slot runs. */
 export type SlotChanges = Pick<SlotOptions, "seeds">;
 
@@ -65,6 +78,8 @@
 const entryMaxAgeMs = 4000;
 /** Time for an order through another slot, in milliseconds. */
 const orderTimeoutMs = 350;
+/** Time for which an idle connection to another slot is kept, in milliseconds; less than the other one keeps it. */
+const slotIdleMs = 3000;
 const handOverTimeoutMs = 600;
 /** Time between two looks at what a change of the map needs next, in milliseconds. */
 const changeTickMs = 50;
@@ -79,6 +94,8 @@
     const metrics = createSlotMetrics();
     const now = () => performance.now();
     const own = options.createRankPort(engine);
+    const plans = createPlanBook();
+    const slotAgent = new Agent({ keepAlive: true, timeout: slotIdleMs });
     const lead = createLead(internal.host, now());
     const entries = new Map<string, number>();
     let pool: ServingPool | undefined;
@@ -134,27 +151,32 @@
                     report: await rank.readReport().catch(() => undefined),
                 };
             }
-            const params = { order, epoch };
-            return await callPeer({
-                host,
-                port: internal.port,
-                method: orderMethod,
-                params,
-                timeoutMs: orderTimeoutMs,
-            });
+            const call = (packed: RankOrder | ShortPrepare) =>
+                callSlot<SlotOrderResult>(host, orderMethod, { order: packed, epoch });
+            if (order.kind === "prepare") {
+                rememberPlan(plans, order.version, order.plan);
+            }
+            const result = await call(packOrder(plans, order, report?.mapVersion));
+            return result.lacksBase === true ? await call(order) : result;
         },
-        read: host =>
-            host === internal.host ?
-                own.readReport() :
-                callPeer({ host, port: internal.port, method: readMethod, params: {}, timeoutMs: orderTimeoutMs }),
+        read: host => host === internal.host ? own.readReport() : callSlot<RankReport>(host, readMethod, {}),
         getOwner: () => ({ ownRank: report?.rank, lostRank }),
         fetchReport: host => createRemotePort(host).readReport(),
     });
+    const callSlot = <T>(host: string, method: string, params: unknown) =>
+        callPeer<T>({ host, port: internal.port, method, params, timeoutMs: orderTimeoutMs, agent: slotAgent });
     const createRemotePort = (host: string) => {
         const port = listUpstreams(feed.state).find(u => u.host === host && u.pool === pool?.name)?.port ?? engine.port;
         return options.createRankPort({ host, port });
     };
-    const orderOwn = async (order: RankOrder, epoch: number) => {
+    const orderOwn = async (packed: RankOrder | ShortPrepare, epoch: number): Promise<SlotOrderResult> => {
+        const order = unpackOrder(plans, packed);
+        if (order === undefined) {
+            return { outcome: OrderOutcome.refused, lacksBase: true };
+        }
+        if (order.kind === "prepare") {
+            rememberPlan(plans, order.version, order.plan);
+        }
         const outcome = await own.order(order, epoch);
         groupLogger.info("The rank was given an order.", { order: order.kind, epoch, outcome });
         report = await own.readReport().catch(() => undefined);
@@ -297,7 +319,8 @@
     const server = createServer(createPeerHandler({
         [handOverMethod]: (params: HandOverParams) => createHandOver(feed.state, params),
         [readMethod]: () => own.readReport(),
-        [orderMethod]: ({ order, epoch }: { order: RankOrder; epoch: number; }) => orderOwn(order, epoch),
+        [orderMethod]: ({ order, epoch }: { order: RankOrder | ShortPrepare; epoch: number; }) =>
+            orderOwn(order, epoch),
     }, (message, response) => void metrics.registry.metrics().then(text => response.end(text))));
     await listenOn(server, internal.host, internal.port);
     feed.start();
