Keep the order of bytes in the fault proxy

Cause: a chunk that came after a delay was taken back went out before the chunks that were still delayed, and the end of a connection cut what was delayed. The new tests fail on the proxy of before. Ruled out: the product, which checks the ids of events as they come.

--- a/src/standin/proxy.ts
+++ b/src/standin/proxy.ts
@@ -45,12 +45,16 @@
         bytes += chunk.length;
         return delayMs;
     };
-    const server = createServer(client => {
+    const server = createServer({ allowHalfOpen: true }, client => {
         if (isCut) {
             client.destroy();
             return;
         }
-        const link: Link = { client, server: connect(targetPort, hosts.targetHost), frozen: false };
+        const link: Link = {
+            client,
+            server: connect({ port: targetPort, host: hosts.targetHost, allowHalfOpen: true }),
+            frozen: false,
+        };
         links.add(link);
         forwardData(link, link.client, link.server, note, () => muted === "client");
         forwardData(link, link.server, link.client, note, () => muted === "server");
@@ -61,8 +65,8 @@
         };
         [link.client, link.server].forEach(socket => {
             socket.on("error", () => undefined);
-            socket.on("close", () => {
-                if (!link.frozen) {
+            socket.on("close", hasFailed => {
+                if (!link.frozen && (hasFailed || (client.destroyed && link.server.destroyed))) {
                     end();
                 }
             });
@@ -126,18 +130,33 @@
     note: (chunk: Buffer) => number,
     isMuted: () => boolean,
 ): void {
-    const write = (chunk: Buffer) => {
-        if (!link.frozen && !isMuted()) {
-            to.write(chunk);
-        }
-    };
-    from.on("data", chunk => {
-        const delayMs = note(chunk);
-        if (delayMs > 0) {
-            setTimeout(write, delayMs, chunk);
+    const later = createDelayLine();
+    from.on("data", chunk =>
+        later(note(chunk), () => {
+            if (!link.frozen && !isMuted()) {
+                to.write(chunk);
+            }
+        }));
+    from.on("end", () =>
+        later(0, () => {
+            if (!link.frozen) {
+                to.end();
+            }
+        }));
+}
+
+/** Runs steps after their delays, and never one before an earlier one: a connection keeps the order of its bytes. */
+function createDelayLine(): (delayMs: number, step: () => void) => void {
+    let lastDueAt = 0;
+    return (delayMs, step) => {
+        const now = performance.now();
+        const dueAt = Math.max(lastDueAt, now + delayMs);
+        lastDueAt = dueAt;
+        if (dueAt <= now) {
+            step();
         }
         else {
-            write(chunk);
+            setTimeout(step, dueAt - now);
         }
-    });
+    };
 }
--- /dev/null
+++ b/src/standin/tests/proxy.test.ts
@@ -0,0 +1,56 @@
+import { connect, createServer, type Server, type Socket } from "node:net";
+import { afterEach, expect, test } from "vitest";
+import { type FaultProxy, startFaultProxy } from "../proxy.js";
+
+const open: (Server | FaultProxy)[] = [];
+afterEach(() => open.splice(0).forEach(one => one.close()));
+
+/** Starts a server behind a proxy, and connects through it; resolves with both ends. */
+async function connectThrough(): Promise<{ client: Socket; server: Socket; proxy: FaultProxy; }> {
+    const target = createServer();
+    await new Promise<void>(resolve => target.listen(0, "127.0.0.1", resolve));
+    const accepted = new Promise<Socket>(resolve => target.once("connection", resolve));
+    const proxy = await startFaultProxy(0, (target.address() as { port: number; }).port);
+    open.push(target, proxy);
+    const client = connect(proxy.port, "127.0.0.1");
+    return { client, server: await accepted, proxy };
+}
+
+function readToEnd(socket: Socket): Promise<string> {
+    return new Promise(resolve => {
+        let text = "";
+        socket.setEncoding("utf8");
+        socket.on("data", (chunk: string) => text += chunk);
+        socket.on("close", () => resolve(text));
+    });
+}
+
+test("bytes keep their order and the end comes last when a delay ends in between", async () => {
+    const { client, server, proxy } = await connectThrough();
+    const received = readToEnd(client);
+    proxy.setDelay(80);
+    server.write("1 2 3 ");
+    await new Promise(resolve => setTimeout(resolve, 20));
+    proxy.setDelay(0);
+    server.write("4 5 6");
+    server.end();
+    client.end();
+    expect(await received).toBe("1 2 3 4 5 6");
+});
+
+test("a muted end is lost while the other one still arrives, also after it is healed", async () => {
+    const { client, server, proxy } = await connectThrough();
+    const atServer = new Promise<string>(resolve => server.once("data", chunk => resolve(String(chunk))));
+    let atClient = "";
+    client.on("data", chunk => atClient += String(chunk));
+    proxy.mute("server");
+    client.write("question");
+    expect(await atServer).toBe("question");
+    server.write("answer");
+    await new Promise(resolve => setTimeout(resolve, 30));
+    proxy.heal();
+    server.write("more");
+    await new Promise(resolve => setTimeout(resolve, 30));
+    expect(atClient).toBe("");
+    client.destroy();
+});
