Stand every decision on a change of the map on facts that last

Cause: a lead that saw another's hold for 300 ms armed, disarmed or let the group go on by reports of some ms ago; with two leads awake, or with orders carried out late on an idle group, the other one's orders came in between. Now: a rank that is not armed takes a fence, a version that nobody arms, and can then never be armed for an older one; only this lets a change be taken back, and only all ranks armed let it go on. A step is never held twice, since an earlier go may come late. Without the lost lead's rank nothing is decided that it could contradict.

--- a/src/direct/startSlot.ts
+++ b/src/direct/startSlot.ts
@@ -160,6 +160,7 @@
             return result.lacksBase === true ? await call(order) : result;
         },
         read: host => host === internal.host ? own.readReport() : callSlot<RankReport>(host, readMethod, {}),
+        findPlan: version => plans.plans.get(version),
         getOwner: () => ({ ownRank: report?.rank, lostRank }),
         fetchReport: host => createRemotePort(host).readReport(),
     });
--- a/src/group/driverChanges.ts
+++ b/src/group/driverChanges.ts
@@ -48,7 +48,9 @@
     order: (host: string, order: RankOrder, epoch: number, isDirect: boolean) => Promise<OrderResult>;
     /** Reads the report of the rank at `host` through its slot. */
     read: (host: string) => Promise<RankReport>;
-    getOwner: () => RoundOwner;
+    getOwner: () => Pick<RoundOwner, "ownRank" | "lostRank">;
+    /** Finds a plan that was prepared before. */
+    findPlan: (version: number) => ExpertPlan | undefined;
     /** Reads the report of the rank at `host` past its slot, which has a price. */
     fetchReport: (host: string) => Promise<RankReport>;
 }
@@ -99,6 +101,7 @@
     let popularity: PopularityState | undefined;
     const fetchedAt = new Map<string, number>();
     let plannedAt = -Infinity;
+    let figures: ExpertFigures | undefined;
 
     const listReports = () => {
         const known = [...ranks.values()].flatMap(({ report }) => report === undefined ? [] : [report]);
@@ -144,11 +147,21 @@
         const owner = options.getOwner();
         const reports = listReports().filter(({ rank, at }) => rank !== owner.lostRank || now() - at < lostMaxAgeMs);
         const hadPlan = round.plan;
-        decideRound(round, reports, owner, now()).forEach(giveOrder);
+        const terms = { ...owner, random: random(), knownPlan: findKnownPlan(reports) };
+        decideRound(round, reports, terms, now()).forEach(giveOrder);
         if (hadPlan !== undefined && round.plan === undefined) {
             logger.info("The map has changed.", { version: hadPlan.version, ms: Math.round(now() - plannedAt) });
         }
     };
+    /** Finds a map that all ranks have in memory: the one in force, or the one that a held change has prepared. */
+    const findKnownPlan = (reports: KnownReport[]): ExpertPlan | undefined => {
+        if (reports.every(({ heldStep }) => heldStep === undefined)) {
+            return undefined;
+        }
+        const { mapVersion, preparedVersion } = reports[0];
+        return options.findPlan(mapVersion) ?? (figures === undefined ? undefined : collectCurrent(figures, reports)) ??
+            options.findPlan(preparedVersion ?? mapVersion);
+    };
     /** Reads the reports of ranks whose slots are silent. */
     const fetchMissing = (hosts: string[]) => {
         const isDue = (host: string) => now() - (fetchedAt.get(host) ?? -Infinity) > fetchIntervalMs;
@@ -235,7 +248,8 @@
                 }))),
             };
         },
-        advance: (hosts, figures) => {
+        advance: (hosts, newFigures) => {
+            figures = newFigures;
             for (const [host, { heardAt }] of ranks) {
                 if (!hosts.includes(host) || now() - heardAt > stateMaxAgeMs) {
                     ranks.delete(host);
--- a/src/group/rankTypes.ts
+++ b/src/group/rankTypes.ts
@@ -50,6 +50,9 @@
 } as const;
 export type OrderOutcome = (typeof OrderOutcome)[keyof typeof OrderOutcome];
 
+/** Time for a rank's answer to an order, in milliseconds: many times the usual one; it is given again without harm. */
+export const orderAnswerMs = 250;
+
 /** How often requests of one rank chose each expert, by set, since the rank started. */
 export interface RankCounts {
     epoch: number;
--- a/src/group/round.ts
+++ b/src/group/round.ts
@@ -1,7 +1,10 @@
 /**
  * Changes the expert map of a group whose engines let any one rank hold all of them back. The first rank's hold is the
- * lock: with it, every rank is armed for the held step, and only then does the step begin. A change that was begun is
- * always finished, whoever began it, so that orders which are carried out late can do no harm in the same epoch.
+ * lock: with it, every rank is armed for the held step, and only then does the step begin. Nothing agrees on who leads,
+ * orders may be carried out late, and leads may stop at any point, so every decision stands on facts that last: a rank
+ * that is not armed and has prepared a newer version can never be armed for the older one. All ranks armed means that
+ * no rank has been fenced off so, and the step may begin; a change of another process is taken back by fencing off
+ * every rank that is not armed, then disarming the others, and only then does the step begin on the old map.
  */
 import { type ExpertPlan, OrderOutcome, type RankOrder, type RankReport } from "./rankTypes.js";
 
@@ -17,6 +20,17 @@
     at: number;
 }
 
+interface ForeignHold {
+    epoch: number;
+    step: number;
+    /** Time of the first sight, in milliseconds. */
+    since: number;
+    /** Version that takes the change back. */
+    fence: number;
+    /** Processes, by their ranks, whose versions the ranks had at the first sight. */
+    owners: Set<number>;
+}
+
 export interface RoundState {
     plan: RoundPlan | undefined;
     /** Times of the orders without a result yet, by rank and kind. */
@@ -25,8 +39,14 @@
     preparing: Set<number>;
     /** Step of the hold that this process asked for. */
     ownHold: number | undefined;
-    /** Time since which a hold of somebody else is seen, in milliseconds. */
-    foreignSince: number | undefined;
+    /** The last hold in which this process ordered ranks to be armed. */
+    lastArmed: { epoch: number; step: number; };
+    /** Hold of somebody else that is seen, or one whose change this process takes back. */
+    foreign: ForeignHold | undefined;
+    /** Step from which a hold may be asked for: a step is never held twice, since an earlier go may come late. */
+    floor: { epoch: number; step: number; };
+    /** Time of the last decision, in milliseconds. */
+    decidedAt: number;
     /** Newest step that was seen, and the time of the first sight of it, in milliseconds. */
     newestStep: { epoch: number; step: number; seenAt: number; };
 }
@@ -45,10 +65,18 @@
     ownRank: number | undefined;
     /** Rank beside the process that decided before and has fallen silent. */
     lostRank: number | undefined;
+    /** A random number in [0, 1). */
+    random: number;
+    /** The map in force, or one that all ranks have in memory; undefined while it is not known. */
+    knownPlan: ExpertPlan | undefined;
 }
 
-/** Passes between the newest known one and the held one; orders take less than these passes. */
+/**
+ * Passes between the newest known one and the held one, and ranks for which there is one more. An order that gets no
+ * answer is given again before the held pass is due, so that the group need not wait.
+ */
 const holdLead = 3;
+const ranksPerPass = Infinity;
 /**
  * Times after which an order whose effect is not reported is given again, in milliseconds: several reports, and for
  * experts to be copied over the ranks' links.
@@ -59,6 +87,8 @@
  * an order may take.
  */
 const maxPreparing = 8;
+/** Time without a decision after which others may have held steps that this process has not seen, in milliseconds. */
+const decisionGapMs = 500;
 /** Time for which another process is left to finish its own change, in milliseconds. */
 const foreignPatienceMs = 300;
 /** Age up to which reports count for the begin of a change, in milliseconds; about the interval of the slots' reports. */
@@ -73,7 +103,10 @@
         pending: new Map(),
         preparing: new Set(),
         ownHold: undefined,
-        foreignSince: undefined,
+        lastArmed: { epoch: -1, step: -1 },
+        foreign: undefined,
+        floor: { epoch: -1, step: 0 },
+        decidedAt: -Infinity,
         newestStep: { epoch: 0, step: 0, seenAt: 0 },
     };
 }
@@ -86,10 +119,23 @@
 
 /** Creates a version that no other process and no earlier life of this one uses; `random` is in [0, 1). */
 export function createVersion(reports: KnownReport[], rank: number, random: number): number {
+    return createNumber(reports, rank, random, 0);
+}
+
+/** Creates a version that no process ever arms: a rank that has prepared it takes no change of before. */
+function createFence(reports: KnownReport[], rank: number, random: number): number {
+    return createNumber(reports, rank, random, 1);
+}
+
+/** Whether a version is a fence, of whichever process. */
+function isFence(version: number | undefined): boolean {
+    return version !== undefined && Math.floor(version / versionRanks) % 2 === 1;
+}
+
+function createNumber(reports: KnownReport[], rank: number, random: number, parity: number): number {
     const known = reports.flatMap(r => [r.mapVersion, r.preparedVersion ?? 0, r.armed?.version ?? 0]);
-    const highest = Math.max(0, ...known);
-    const steps = 1 + Math.floor(random * versionSpread);
-    return (Math.floor(highest / versionRanks) + steps) * versionRanks + rank;
+    const count = Math.floor(Math.max(0, ...known) / versionRanks) + 1 + Math.floor(random * versionSpread);
+    return (count + Math.abs(count % 2 - parity)) * versionRanks + rank;
 }
 
 /** Ranks that a version tells apart. */
@@ -129,6 +175,7 @@
         abandonPlan(state);
     }
     const holder = reports.find(({ heldStep }) => heldStep !== undefined);
+    noteHeldSteps(state, reports, holder, now);
     const isWhole = reports.length === first.size;
     const wanted = isWhole ?
         holder === undefined ? decideUnheld(state, reports, now) : decideHeld(state, reports, holder, owner, now) :
@@ -138,43 +185,89 @@
     return wanted.filter(({ rank, order }) => admitOrder(state, rank, order.kind, now));
 }
 
+/** Takes in which steps are or may have been held, by this process or by those that decided while it did not. */
+function noteHeldSteps(state: RoundState, reports: KnownReport[], holder: KnownReport | undefined, now: number): void {
+    const { epoch } = reports[0];
+    const isNew = state.floor.epoch !== epoch || now - state.decidedAt > decisionGapMs;
+    const seen = isNew ? getNewestStep(reports) + countHoldLead(reports[0].size) : state.floor.step;
+    state.floor = { epoch, step: Math.max(seen, holder?.heldStep ?? 0) };
+    state.decidedAt = now;
+}
+
+function getNewestStep(reports: KnownReport[]): number {
+    return Math.max(...reports.map(({ step }) => step));
+}
+
 /**
- * Lets a held group go on without the report of the rank beside the lost lead. That rank is armed last, so it is not
- * armed as long as any other one is not; then the change is taken back everywhere.
+ * Lets a held group go on without the report of the rank beside the lost lead. The lead arms that rank last, so it is
+ * not armed for the lead's version as long as any other one is not; then the change is taken back everywhere else.
  */
 function decideWithout(
     state: RoundState,
     reports: KnownReport[],
     holder: KnownReport,
-    { lostRank }: RoundOwner,
+    owner: RoundOwner,
     now: number,
 ): AddressedOrder[] {
+    const { lostRank } = owner;
     const isOnlyLost = reports.length === holder.size - 1 && reports.every(({ rank }) => rank !== lostRank);
     if (lostRank === undefined || !isOnlyLost) {
         return [];
     }
-    const unsettled = listUnsettled(state, reports, now);
-    if (unsettled.length > 0 || reports.every(({ armed }) => armed !== undefined)) {
+    const unsettled = listUnsettled(state, reports, holder, owner, now);
+    const hasArmed = state.lastArmed.epoch === holder.epoch && state.lastArmed.step === holder.heldStep;
+    const isOthers = hasArmed || [...state.foreign!.owners].some(rank => rank !== lostRank && rank !== owner.ownRank);
+    if (unsettled.length > 0 || isOthers || reports.every(({ armed }) => armed !== undefined)) {
         return unsettled;
     }
-    const { epoch } = holder;
-    const armed = reports.filter(report => report.armed !== undefined);
-    if (armed.length > 0) {
-        return armed.map(report => createDisarm(report));
-    }
-    return [{ rank: holder.rank, epoch, order: { kind: "go", step: holder.heldStep! } }];
+    return takeBack(state, reports, holder, owner);
 }
 
-/**
- * Readings that are due before the change of another process may be finished: its last orders have to be carried out,
- * and every report has to be newer than these.
- */
-function listUnsettled(state: RoundState, reports: KnownReport[], now: number): AddressedOrder[] {
-    state.foreignSince ??= now;
-    const settledAt = state.foreignSince + foreignPatienceMs;
+/** Readings that are due before the change of another process may be finished: it is left some time to do so itself. */
+function listUnsettled(
+    state: RoundState,
+    reports: KnownReport[],
+    { epoch, heldStep }: KnownReport,
+    { ownRank, random }: RoundOwner,
+    now: number,
+): AddressedOrder[] {
+    if (state.foreign?.epoch !== epoch || state.foreign.step !== heldStep) {
+        const fence = createFence(reports, ownRank ?? 0, random);
+        const versions = reports.flatMap(r => [r.preparedVersion, r.armed?.version]).filter(v => v !== undefined);
+        const owners = new Set(versions.map(version => version % versionRanks));
+        state.foreign = { epoch, step: heldStep!, since: now, fence, owners };
+    }
+    const settledAt = state.foreign.since + foreignPatienceMs;
     return reports.filter(({ at }) => at < settledAt).map(createRead);
 }
 
+/** Takes a change back: no rank may be armed for the held step any more when it begins. */
+function takeBack(
+    state: RoundState,
+    reports: KnownReport[],
+    holder: KnownReport,
+    { knownPlan, ownRank, random }: RoundOwner,
+): AddressedOrder[] {
+    const foreign = state.foreign!;
+    const { epoch } = holder;
+    const isFencedOff = (version: number) =>
+        reports.some(({ armed, preparedVersion }) => armed === undefined && (preparedVersion ?? 0) > version);
+    const armed = reports.filter(report => report.armed !== undefined);
+    const open = reports.filter(report => report.armed === undefined && !isFence(report.preparedVersion));
+    if (armed.length === 0 && open.length === 0) {
+        return [{ rank: holder.rank, epoch, order: { kind: "go", step: holder.heldStep! } }];
+    }
+    if (open.some(({ preparedVersion }) => (preparedVersion ?? 0) > foreign.fence)) {
+        foreign.fence = createFence(reports, ownRank ?? 0, random);
+    }
+    const prepares = knownPlan === undefined ? [] : open.map(({ rank }): AddressedOrder => ({
+        rank,
+        epoch,
+        order: { kind: "prepare", version: foreign.fence, plan: knownPlan },
+    }));
+    return [...prepares, ...armed.filter(report => isFencedOff(report.armed!.version)).map(createDisarm)];
+}
+
 function createRead({ rank, epoch }: KnownReport): AddressedOrder {
     return { rank, epoch, order: { kind: "read" } };
 }
@@ -223,11 +316,21 @@
 /** Prepares the plan on every rank, then asks for the hold. */
 function decideUnheld(state: RoundState, reports: KnownReport[], now: number): AddressedOrder[] {
     const { plan } = state;
-    state.foreignSince = undefined;
-    if (plan === undefined || reports.some(({ armed }) => armed !== undefined)) {
+    state.foreign = undefined;
+    const armed = reports.find(report => report.armed !== undefined)?.armed;
+    if (armed !== undefined) {
+        // The hold was released by an order that came late; with it again, the ranks can be made alike.
+        const isMixed = reports.some(report => report.armed?.version !== armed.version);
+        const isDue = armed.step > getNewestStep(reports);
+        const hold: RankOrder = { kind: "hold", step: armed.step };
+        return isMixed && isDue ? [{ rank: lockRank, epoch: reports[0].epoch, order: hold }] : [];
+    }
+    if (plan === undefined) {
         return [];
     }
-    if (reports.every(({ mapVersion }) => mapVersion === plan.version)) {
+    const isDone = reports.every(({ mapVersion }) => mapVersion === plan.version);
+    const isOvertaken = reports.some(({ preparedVersion }) => (preparedVersion ?? 0) > plan.version);
+    if (isDone || isOvertaken) {
         abandonPlan(state);
         return [];
     }
@@ -240,63 +343,62 @@
     if (stale.length > 0) {
         return stale.map(createRead);
     }
-    const step = Math.max(...reports.map(report => report.step)) + holdLead;
+    if (getNewestStep(reports) < state.floor.step) {
+        return [];
+    }
+    const step = getNewestStep(reports) + countHoldLead(reports.length);
     state.ownHold = step;
+    state.floor = { epoch: plan.epoch, step };
     return [{ rank: lockRank, epoch: plan.epoch, order: { kind: "hold", step } }];
 }
 
+/** Counts the passes that are left for arming a group of so many ranks. */
+export function countHoldLead(ranks: number): number {
+    return holdLead + Math.floor(ranks / ranksPerPass);
+}
+
 /** Arms every rank for the held step, the own one last, then lets the group go on. */
 function decideHeld(
     state: RoundState,
     reports: KnownReport[],
     holder: KnownReport,
-    { ownRank }: RoundOwner,
+    owner: RoundOwner,
     now: number,
 ): AddressedOrder[] {
     const step = holder.heldStep!;
     const { epoch } = holder;
-    if (state.ownHold !== step) {
-        const unsettled = listUnsettled(state, reports, now);
-        if (unsettled.length > 0) {
-            return unsettled;
-        }
-    }
-    const stale = reports.filter(({ at }) => now - at > reportMaxAgeMs).map(createRead);
-    const go: AddressedOrder = { rank: holder.rank, epoch, order: { kind: "go", step } };
-    const version = chooseVersion(reports);
-    if (version === undefined) {
-        return stale.length > 0 ? stale : [go];
-    }
+    const isOwn = state.plan !== undefined && state.ownHold === step;
+    const version = isOwn ? state.plan!.version : reports.find(({ armed }) => armed !== undefined)?.armed?.version;
     const isReady = (report: KnownReport) => report.armed?.version === version || report.mapVersion === version;
-    if (reports.every(isReady)) {
-        return [go];
+    if (version !== undefined && reports.every(isReady)) {
+        return [{ rank: holder.rank, epoch, order: { kind: "go", step } }];
+    }
+    const isFencedOff = reports.some(report => !isReady(report) && report.preparedVersion !== version);
+    if (isOwn && !isFencedOff) {
+        state.lastArmed = { epoch, step };
+        return orderArms(reports, isReady, { version: version!, step }, owner, now);
     }
-    if (reports.some(report => !isReady(report) && report.preparedVersion !== version)) {
-        // Not every rank can take the version, so it is taken back everywhere.
-        return reports.filter(({ armed }) => armed !== undefined).map(createDisarm);
+    if (isOwn) {
+        abandonPlan(state);
     }
-    const strays = reports.filter(({ armed }) => armed !== undefined && armed.version !== version);
+    const unsettled = listUnsettled(state, reports, holder, owner, now);
+    return unsettled.length > 0 ? unsettled : takeBack(state, reports, holder, owner);
+}
+
+/** Arms the ranks that are not armed; the own one only while all others are known to be armed now. */
+function orderArms(
+    reports: KnownReport[],
+    isReady: (report: KnownReport) => boolean,
+    { version, step }: { version: number; step: number; },
+    { ownRank }: RoundOwner,
+    now: number,
+): AddressedOrder[] {
     const unarmed = reports.filter(report => !isReady(report) && report.armed === undefined);
     const others = unarmed.filter(({ rank }) => rank !== ownRank);
+    const stale = reports.filter(({ at }) => now - at > reportMaxAgeMs);
     if (others.length === 0 && stale.length > 0) {
-        // The own rank is armed only while all others are known to be armed now.
-        return stale;
+        return stale.map(createRead);
     }
     const next = others.length > 0 ? others : unarmed;
-    return [
-        ...strays.map(createDisarm),
-        ...next.map(({ rank }): AddressedOrder => ({ rank, epoch, order: { kind: "arm", version, step } })),
-    ];
-}
-
-/** The version that a held group changes to: an armed one, or one that every rank has prepared. */
-function chooseVersion(reports: KnownReport[]): number | undefined {
-    const armed = reports.flatMap(report => report.armed === undefined ? [] : [report.armed.version]);
-    if (armed.length > 0) {
-        return Math.max(...armed);
-    }
-    const { preparedVersion } = reports[0];
-    const isCommon = preparedVersion !== undefined && reports.every(r => r.preparedVersion === preparedVersion);
-    const isNew = reports.some(({ mapVersion }) => mapVersion !== preparedVersion);
-    return isCommon && isNew ? preparedVersion : undefined;
+    return next.map(({ rank, epoch }) => ({ rank, epoch, order: { kind: "arm", version, step } }));
 }
