Let slots read news of the log late and in few reads

Now: slots read within 2.5 s, entries within 0.5 s; entries that the store refuses ask the lead, which reads all the time, half of the times.

--- a/src/direct/start.ts
+++ b/src/direct/start.ts
@@ -86,6 +86,8 @@
 /** Silence after which the lead counts as gone, in milliseconds; five vectors. */
 const leadSilenceMs = 1000;
 const handOverTimeoutMs = 600;
+/** Part of the hand-overs that are asked of the lead, which reads the log all the time; it may be cut off, too. */
+const leadAskedShare = 0.5;
 
 /** Starts an entry; resolves once it listens. */
 export async function startDirectEntry(initial: DirectEntryOptions): Promise<RunningEntry> {
@@ -116,7 +118,10 @@
         logger: makeLogger(Prefix.config),
         askPeer: async (documentEnd, listEnd) => {
             const slots = listSlotHosts().map(host => ({ host, port: options.internal.port }));
-            const peer = pickPeer([...slots, ...options.seeds], random);
+            const isLeadAsked = hearsLead() && random() < leadAskedShare;
+            const peer = isLeadAsked ?
+                { host: lead!.host, port: options.internal.port } :
+                pickPeer([...slots, ...options.seeds], random);
             const params: HandOverParams = { documentEnd, listEnd };
             return peer === undefined ?
                 undefined :
@@ -136,6 +141,7 @@
         timing: entryFeedTiming,
         isReader: () => false,
     });
+    const hearsLead = () => lead !== undefined && now() - lead.heardAt < leadSilenceMs;
     const listSlotHosts = () => {
         const upstreams = [...board.views.values()].map(({ record }) => record);
         return upstreams.filter(({ pool }) => index?.pools.get(pool)?.engine?.experts !== undefined).map(({ host }) =>
@@ -255,7 +261,7 @@
         scheduler.noteVector(vector.pool, entryCount);
     };
     const tellPresence = () => {
-        const heardLead = lead !== undefined && now() - lead.heardAt < leadSilenceMs ? [lead.host] : undefined;
+        const heardLead = hearsLead() ? [lead!.host] : undefined;
         const hosts = listSlotHosts();
         const receivers = heardLead ?? Array.from({ length: presenceSpread }, () => pickPeer(hosts, random));
         const presence = encodeBeacon({
--- a/src/peers/cadence.ts
+++ b/src/peers/cadence.ts
@@ -44,6 +44,6 @@
 }
 
 /** When an entry that hears no lead reads the log itself: a document has to be in force 3 s after it was accepted. */
-export const entryFeedTiming: FeedTiming = { staleMs: 1200, spreadMs: 800 };
-/** When a slot does; it may be later, since callers' requests do not pass through it. */
-export const slotFeedTiming: FeedTiming = { staleMs: 1200, spreadMs: 2000 };
+export const entryFeedTiming: FeedTiming = { staleMs: 1200, spreadMs: 800, newsSpreadMs: 500 };
+/** When a slot does; it may be later, since callers' requests do not pass through it, and its link is narrow. */
+export const slotFeedTiming: FeedTiming = { staleMs: 1200, spreadMs: 2000, newsSpreadMs: 2500 };
--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -51,6 +51,8 @@
     staleMs: number;
     /** Time added to it at random, so that few processes read at once, in milliseconds. */
     spreadMs: number;
+    /** Longest time until news that a peer told of is read, in milliseconds; several records come in one read. */
+    newsSpreadMs: number;
 }
 
 /** What a peer hands over. */
@@ -77,8 +79,6 @@
 /** Delays after failed reads, in milliseconds; the letter wants news within two seconds of the log's return. */
 const minRetryMs = 150;
 const maxRetryMs = 1000;
-/** Time within which news that a peer told of is read, in milliseconds; several records come in one read. */
-const newsSpreadMs = 250;
 /** Time after which a read that has not brought known news counts as stuck, in milliseconds. */
 const overdueMs = 400;
 /** Time between two checks whether something is due, in milliseconds. */
@@ -228,8 +228,9 @@
         notePosition: (topic, end, ageMs) => {
             const place = topics[topic];
             if (end > place.heardEnd) {
+                const pendingAt = place.heardEnd > (place.end ?? 0) ? place.newsAt : Infinity;
                 place.heardEnd = end;
-                place.newsAt = now() + random() * newsSpreadMs;
+                place.newsAt = Math.min(pendingAt, now() + random() * timing.newsSpreadMs);
             }
             if (place.end !== undefined && end === place.end) {
                 freshAt[topic] = Math.max(freshAt[topic], now() - ageMs);
--- a/src/peers/tests/feed.test.ts
+++ b/src/peers/tests/feed.test.ts
@@ -66,7 +66,7 @@
         askPeer: async () => undefined,
         onDocument: ({ revision }) => revisions.push(revision),
         onList: () => undefined,
-        timing: { staleMs: 1000, spreadMs: 0 },
+        timing: { staleMs: 1000, spreadMs: 0, newsSpreadMs: 250 },
         isReader: () => false,
         ...more,
     });
@@ -104,6 +104,24 @@
         expect([readsWhileTold, revisions]).toEqual([0, [0, 2]]);
     });
 
+    test("reads a burst of news in few reads, the first of it in time", async () => {
+        const { log, source } = createLog();
+        const { feed, revisions } = startFeed(source, {
+            timing: { staleMs: 60_000, spreadMs: 0, newsSpreadMs: 2000 },
+        });
+        await vi.advanceTimersByTimeAsync(300);
+        const readsAtStart = log.reads;
+        // A new document each third of a second; the random part of the delay is a half.
+        for (let i = 0; i < 9; i++) {
+            log.end += 1;
+            feed.notePosition(FeedTopic.document, log.end, 0);
+            await vi.advanceTimersByTimeAsync(333);
+        }
+        await vi.advanceTimersByTimeAsync(1500);
+        feed.stop();
+        expect([log.reads - readsAtStart, revisions]).toEqual([3, [0, 4, 8, 9]]);
+    });
+
     test("asks a peer when the log fails, and takes up the log again", async () => {
         const { log, source } = createLog();
         const asked: number[] = [];
