--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from "node:http";
 import type { UpstreamBoard } from "../routing/upstreamBoard.js";
 import type { DirectDispatch } from "./dispatch.js";
-import type { DirectRequest, HeadCodec, LoadFigures } from "./types.js";
+import type { AttemptRecord, DirectRequest, HeadCodec, LoadFigures } from "./types.js";
 
 /** Finds upstreams for requests, at once or when there is a place. */
 export interface Scheduler {
@@ -35,5 +35,5 @@
     answerRefusal: (response: ServerResponse, retryAfterMs: number) => void;
     /** Answers that the request may have run. */
     answerFailure: (response: ServerResponse, status: number) => void;
-    logRequest: (request: DirectRequest, outcome: string, attempts: object[]) => void;
+    logRequest: (request: DirectRequest, outcome: string, attempts: AttemptRecord[]) => void;
 }
--- a/src/direct/dispatch.ts
+++ b/src/direct/dispatch.ts
@@ -12,7 +12,7 @@
 } from "./attempt.js";
 import type { DirectContext } from "./context.js";
 import { createEventSplitter } from "./events.js";
-import type { AnswerHead, DirectRequest } from "./types.js";
+import type { AnswerHead, AttemptRecord, DirectRequest } from "./types.js";
 import { callUpstream, type UpstreamCall } from "./upstreamCall.js";
 
 /** Silence after which a stream's connection counts as lost, in milliseconds; half of what callers bear. */
@@ -38,15 +38,6 @@
     [K in DirectAttemptAction["kind"]]: (action: Extract<DirectAttemptAction, { kind: K; }>) => void;
 };
 
-/** What the log line of a request says of one attempt. */
-interface AttemptRecord {
-    upstream: string;
-    /** Requests that were estimated there, and the age of the figures in milliseconds. */
-    estimated: number;
-    figuresAgeMs?: number;
-    end?: string;
-}
-
 export class DirectDispatch implements WaitingRequest {
     readonly number: number;
     readonly urgency: number;
--- a/src/direct/start.ts
+++ b/src/direct/start.ts
@@ -214,6 +214,7 @@
             const ms = Math.round(now() - request.receivedAt);
             metrics.requests.inc({ outcome: outcome.split(",")[0] });
             metrics.answerSeconds.observe(ms / 1000);
+            attempts.forEach(({ end }) => metrics.attempts.inc({ end: end?.split(":")[0] ?? "open" }));
             if (!lines.admit(now())) {
                 metrics.logLinesDropped.inc();
                 return;
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -73,3 +73,12 @@
     /** Time after which the caller no longer waits or the route's timeout has passed. */
     deadlineAt: number;
 }
+
+/** What the log line of a request says of one attempt. */
+export interface AttemptRecord {
+    upstream: string;
+    /** Requests that were estimated there, and the age of the figures in milliseconds. */
+    estimated: number;
+    figuresAgeMs?: number;
+    end?: string;
+}
--- a/src/observe/servingMetrics.ts
+++ b/src/observe/servingMetrics.ts
@@ -9,7 +9,6 @@
     repeatsRefused: Counter<string>;
     revision: Gauge<string>;
     upstreams: Gauge<string>;
-    waiting: Gauge<string>;
     answerSeconds: Histogram<string>;
     logLinesDropped: Counter<string>;
     sendFailures: Counter<"code">;
@@ -39,7 +38,6 @@
         repeatsRefused: count("beechdock_direct_repeats_refused_total", "Repeats that the retry budget did not admit."),
         revision: gauge("beechdock_direct_revision", "Revision of the document in force."),
         upstreams: gauge("beechdock_direct_upstreams", "Upstreams in the instance list."),
-        waiting: gauge("beechdock_direct_in_flight", "Requests that wait or run."),
         answerSeconds: new Histogram({
             name: "beechdock_direct_answer_seconds",
             help: "Time to the end of an answer.",
