--- a/src/group/tests/demandReplay.test.ts
+++ b/src/group/tests/demandReplay.test.ts
@@ -42,7 +42,7 @@
 }
 
 /** Shares of all experts, by set, for requests of these topics. */
-function mixTastes({ tastes }: World, weights: number[]): number[][] {
+function combineTastes({ tastes }: World, weights: number[]): number[][] {
     return Array.from(
         { length: figures.sets },
         (ignored, set) =>
@@ -94,7 +94,7 @@
                 const topic = world.fashion.findIndex(share => (left -= share) < 0);
                 counts[Math.max(0, topic)] += 1 / running;
             }
-            mix = mixTastes(world, counts);
+            mix = combineTastes(world, counts);
         }
         if (next !== undefined && next.at <= now) {
             current = next.plan;
