Mark planned versions with the process that made them

Cause: versions carried the rank of the first report, always 0, instead of the deciding process's rank. Ruled out: the reading past the slot (the whole machine is frozen). The new test fails on the code of before.

--- a/src/group/driverChanges.ts
+++ b/src/group/driverChanges.ts
@@ -196,7 +196,7 @@
             return;
         }
         plannedAt = now();
-        const version = createVersion(reports, reports[0].rank, random());
+        const version = createVersion(reports, options.getOwner().ownRank ?? reports[0].rank, random());
         round.plan = { version, epoch: reports[0].epoch, plan: planned.plan };
         metrics.plans.inc();
         metrics.moves.inc(planned.moves);
--- /dev/null
+++ b/src/group/tests/driverChanges.test.ts
@@ -0,0 +1,53 @@
+import { expect, test } from "vitest";
+import { createSlotMetrics } from "../../observe/servingMetrics.js";
+import { encodeChoices, type StateBeacon } from "../../peers/beacon.js";
+import { createMapChanges } from "../driverChanges.js";
+import type { RankOrder } from "../rankTypes.js";
+
+const figures = { sets: 1, experts: 4, placements: 3, spare: 1, formMs: 0 };
+
+const createState = (rank: number): StateBeacon => ({
+    kind: "state",
+    from: `host-${rank}`,
+    pool: "p",
+    report: {
+        epoch: 1,
+        rank,
+        size: 2,
+        isOpen: true,
+        step: 5,
+        mapVersion: 0,
+        running: 1,
+        queued: 0,
+        memoryShare: 0,
+        pace: 1,
+    },
+    experts: [[rank, rank + 2]],
+    // Almost all choices fall on the experts of rank 0.
+    choices: encodeChoices([[50_000, 10, 40_000, 10]]),
+    positions: { document: [0, 0], list: [0, 0] },
+});
+
+test("a planned version tells which process made it, so that its change can be taken back without that one", () => {
+    const orders: RankOrder[] = [];
+    const changes = createMapChanges({
+        now: () => 1000,
+        random: () => 0.5,
+        logger: { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined },
+        metrics: createSlotMetrics(),
+        order: (host, order) => {
+            orders.push(order);
+            return new Promise(() => undefined);
+        },
+        read: () => new Promise(() => undefined),
+        fetchReport: () => new Promise(() => undefined),
+        findPlan: () => undefined,
+        getOwner: () => ({ ownRank: 1, lostRank: undefined }),
+    });
+    const hosts = ["host-0", "host-1"];
+    changes.advance(hosts, figures);
+    [0, 1].forEach(rank => changes.noteState(createState(rank)));
+    changes.advance(hosts, figures);
+    const versions = orders.flatMap(order => order.kind === "prepare" ? [order.version % 1024] : []);
+    expect(versions).toEqual([1, 1]);
+});
