Send arms over new connections

Cause: on kept connections the arms that a lead has just sent come through although its machine freezes at that moment; then all ranks are armed but the lead's own, which nobody can read, and the group waits for the machine. Left: a lead that freezes in the few milliseconds between its own arm and its go holds the group until it is back.

--- a/src/direct/startSlot.ts
+++ b/src/direct/startSlot.ts
@@ -151,21 +151,24 @@
                     report: await rank.readReport().catch(() => undefined),
                 };
             }
+            // Arms that a freezing lead has just sent would come through on a kept connection; then its own rank alone
+            // is not known to be armed, and nobody can let the group go on.
+            const agent = order.kind === "arm" ? undefined : slotAgent;
             const call = (packed: RankOrder | ShortPrepare) =>
-                callSlot<SlotOrderResult>(host, orderMethod, { order: packed, epoch });
+                callSlot<SlotOrderResult>(host, orderMethod, { order: packed, epoch }, agent);
             if (order.kind === "prepare") {
                 rememberPlan(plans, order.version, order.plan);
             }
             const result = await call(packOrder(plans, order, report?.mapVersion));
             return result.lacksBase === true ? await call(order) : result;
         },
-        read: host => host === internal.host ? own.readReport() : callSlot<RankReport>(host, readMethod, {}),
+        read: host => host === internal.host ? own.readReport() : callSlot<RankReport>(host, readMethod, {}, slotAgent),
         findPlan: version => plans.plans.get(version),
         getOwner: () => ({ ownRank: report?.rank, lostRank }),
         fetchReport: host => createRemotePort(host).readReport(),
     });
-    const callSlot = <T>(host: string, method: string, params: unknown) =>
-        callPeer<T>({ host, port: internal.port, method, params, timeoutMs: orderTimeoutMs, agent: slotAgent });
+    const callSlot = <T>(host: string, method: string, params: unknown, agent?: Agent) =>
+        callPeer<T>({ host, port: internal.port, method, params, timeoutMs: orderTimeoutMs, agent });
     const createRemotePort = (host: string) => {
         const port = listUpstreams(feed.state).find(u => u.host === host && u.pool === pool?.name)?.port ?? engine.port;
         return options.createRankPort({ host, port });
