--- a/src/standin/proxy.ts
+++ b/src/standin/proxy.ts
@@ -147,16 +147,21 @@
 
 /** Runs steps after their delays, and never one before an earlier one: a connection keeps the order of its bytes. */
 function createDelayLine(): (delayMs: number, step: () => void) => void {
-    let lastDueAt = 0;
-    return (delayMs, step) => {
-        const now = performance.now();
-        const dueAt = Math.max(lastDueAt, now + delayMs);
-        lastDueAt = dueAt;
-        if (dueAt <= now) {
-            step();
+    const waiting: { dueAt: number; step: () => void; }[] = [];
+    let timer: NodeJS.Timeout | undefined;
+    const runDue = () => {
+        timer = undefined;
+        while (waiting.length > 0 && waiting[0].dueAt <= performance.now()) {
+            waiting.shift()!.step();
+        }
+        if (waiting.length > 0) {
+            timer = setTimeout(runDue, Math.max(1, waiting[0].dueAt - performance.now()));
         }
-        else {
-            setTimeout(step, dueAt - now);
+    };
+    return (delayMs, step) => {
+        waiting.push({ dueAt: performance.now() + delayMs, step });
+        if (timer === undefined) {
+            runDue();
         }
     };
 }
--- a/src/standin/tests/proxy.test.ts
+++ b/src/standin/tests/proxy.test.ts
@@ -38,6 +38,22 @@
     expect(await received).toBe("1 2 3 4 5 6");
 });
 
+test("bytes keep their order when many come while a delay lasts", async () => {
+    const { client, server, proxy } = await connectThrough();
+    const received = readToEnd(client);
+    const sent: string[] = [];
+    proxy.setDelay(30);
+    for (let i = 0; i < 60; i++) {
+        sent.push(`${i} `);
+        server.write(`${i} `);
+        await new Promise(resolve => setTimeout(resolve, i % 3));
+        proxy.setDelay(i % 5 === 4 ? 0 : 30);
+    }
+    server.end();
+    client.end();
+    expect(await received).toBe(sent.join(""));
+});
+
 test("a muted end is lost while the other one still arrives, also after it is healed", async () => {
     const { client, server, proxy } = await connectThrough();
     const atServer = new Promise<string>(resolve => server.once("data", chunk => resolve(String(chunk))));
