Share what entries and slots need to talk to each other

The wiring of datagrams, hand-overs, the internal address's handler and changed settings stood in start.ts and startSlot.ts alike, the address type in three files, the empty answer in two; a feed's mergePeerRecords had no caller outside. Now src/direct/peerLink.ts, Address in src/wire/listen.ts, answerEmpty in server.ts. A slot decides once in an interval whether it is its turn.

--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -64,7 +64,7 @@
     }
     if (body === undefined) {
         response.shouldKeepAlive = false;
-        answerPlainly(response, 413);
+        answerEmpty(response, 413);
         return;
     }
     const index = options.getIndex();
@@ -74,7 +74,7 @@
     }
     const request = resolveRequest(options, index, message, body, receivedAt);
     if (typeof request === "number") {
-        answerPlainly(response, request);
+        answerEmpty(response, request);
         return;
     }
     new DirectDispatch(context, request, response, number).begin();
@@ -120,7 +120,10 @@
     };
 }
 
-function answerPlainly(response: ServerResponse, status: number): void {
-    response.writeHead(status, ["Content-Length", "0"]);
-    response.end();
+/** Answers without a body; does nothing when the answer has begun or nobody waits for it. */
+export function answerEmpty(response: ServerResponse, status: number, headers: string[] = []): void {
+    if (!response.headersSent && !response.destroyed) {
+        response.writeHead(status, [...headers, "Content-Length", "0"]);
+        response.end();
+    }
 }
--- a/src/direct/start.ts
+++ b/src/direct/start.ts
@@ -1,14 +1,13 @@
 /** Wires an entry of the direct path: document and list from the log, the callers' server, readiness, metrics. */
-import { createServer, type ServerResponse } from "node:http";
+import { createServer } from "node:http";
 import { buildServingIndex, type ServingIndex } from "../config/serving.js";
 import type { ServingDocument } from "../config/serving.js";
 import { createLineLimit } from "../observe/lineLimit.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createServingMetrics } from "../observe/servingMetrics.js";
-import { decodeBeacon, encodeBeacon, unpackRanks, type VectorBeacon } from "../peers/beacon.js";
+import { encodeBeacon, unpackRanks, type VectorBeacon } from "../peers/beacon.js";
 import { entryFeedTiming } from "../peers/cadence.js";
-import { createFeed, type FeedSource, type PeerRecords } from "../peers/feed.js";
-import { createHandOver, handOverMethod, type HandOverParams } from "../peers/handOver.js";
+import { createFeed, type FeedSource } from "../peers/feed.js";
 import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
 import { estimateServiceMs } from "../routing/engineModel.js";
 import { createGroupBoard, isGroupOpen, noteGroup, noteGroupBroken } from "../routing/groupBoard.js";
@@ -20,30 +19,24 @@
     type RetryWindowSettings,
 } from "../routing/retryWindow.js";
 import { createUpstreamBoard, findRanks, noteFigures, setUpstreams } from "../routing/upstreamBoard.js";
-import { bindDatagrams } from "../wire/datagrams.js";
-import { listenOn } from "../wire/listen.js";
-import { callPeer, createPeerHandler } from "../wire/peerRpc.js";
+import { type Address, listenOn } from "../wire/listen.js";
 import type { DirectContext } from "./context.js";
-import { computePositions, notePositions, pickPeer } from "./positions.js";
+import { bindBeacons, createInternalHandler, createSettingsHandlers, fetchHandOver } from "./peerLink.js";
+import { computePositions, pickPeer } from "./positions.js";
 import { createScheduler } from "./scheduler.js";
-import { applyLimits, createDirectServer } from "./server.js";
+import { answerEmpty, applyLimits, createDirectServer } from "./server.js";
 import type { DirectRequest, HeadCodec } from "./types.js";
 
-interface Listen {
-    host: string;
-    port: number;
-}
-
 export interface DirectEntryOptions {
     instance: string;
     dataCentre: string;
-    callers: Listen;
-    readiness: Listen;
-    internal: Listen;
+    callers: Address;
+    readiness: Address;
+    internal: Address;
     /** Where processes that know nobody yet ask. */
-    control?: Listen;
+    control?: Address;
     /** Control addresses of other entries. */
-    seeds: Listen[];
+    seeds: Address[];
     /** Time between the order to stop and the kill, in milliseconds. */
     graceMs: number;
     retries: RetryWindowSettings;
@@ -85,7 +78,6 @@
 const presenceSpread = 3;
 /** Silence after which the lead counts as gone, in milliseconds; five vectors. */
 const leadSilenceMs = 1000;
-const handOverTimeoutMs = 600;
 /** Part of the hand-overs that are asked of the lead, which reads the log all the time; it may be cut off, too. */
 const leadAskedShare = 0.5;
 
@@ -122,10 +114,7 @@
             const peer = isLeadAsked ?
                 { host: lead!.host, port: options.internal.port } :
                 pickPeer([...slots, ...options.seeds], random);
-            const params: HandOverParams = { documentEnd, listEnd };
-            return peer === undefined ?
-                undefined :
-                await callPeer<PeerRecords>({ ...peer, method: handOverMethod, params, timeoutMs: handOverTimeoutMs });
+            return await fetchHandOver(peer, { documentEnd, listEnd });
         },
         onDocument: document => {
             index = buildServingIndex(document);
@@ -238,9 +227,7 @@
     });
     const isReady = () => !isStopping && index !== undefined && board.views.size > 0;
     const readiness = createServer((message, response) => answerEmpty(response, isReady() ? 200 : 503, []));
-    const handlePeer = createPeerHandler({
-        [handOverMethod]: (params: HandOverParams) => createHandOver(feed.state, params),
-    }, (message, response) => void metrics.registry.metrics().then(text => response.end(text)));
+    const handlePeer = createInternalHandler(feed, metrics.registry);
     const internal = createServer(handlePeer);
     const control = createServer(handlePeer);
     const noteVector = (vector: VectorBeacon) => {
@@ -272,15 +259,11 @@
         });
         receivers.forEach(host => host !== undefined && datagrams.send(presence, host, options.internal.port));
     };
-    const datagrams = await bindDatagrams(options.internal, bytes => {
-        const beacon = decodeBeacon(bytes);
-        if (beacon !== undefined) {
-            notePositions(feed, beacon.positions);
-        }
-        if (beacon?.kind === "vector") {
+    const datagrams = await bindBeacons(options.internal, feed, metrics.sendFailures, beacon => {
+        if (beacon.kind === "vector") {
             noteVector(beacon);
         }
-    }, error => metrics.sendFailures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" }));
+    });
     await listenOn(server, options.callers.host, options.callers.port);
     await listenOn(readiness, options.readiness.host, options.readiness.port);
     await listenOn(internal, options.internal.host, options.internal.port);
@@ -291,13 +274,13 @@
     setInterval(tellPresence, presenceIntervalMs);
     logger.info("The entry listens.", { port: options.callers.port });
 
+    const { applySettings, noteBadSettings } = createSettingsHandlers(options, logger);
     return {
         applySettings: changes => {
-            Object.assign(options, changes);
+            applySettings(changes);
             windows.forEach(window => window.settings = changes.retries);
-            logger.info("The settings have changed.", changes);
         },
-        noteBadSettings: error => logger.error("The changed settings are left out.", { error: error.message }),
+        noteBadSettings,
         stop: async () => {
             isStopping = true;
             const startedAt = now();
@@ -318,10 +301,3 @@
 function waitFor(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
-
-function answerEmpty(response: ServerResponse, status: number, headers: string[]): void {
-    if (!response.headersSent && !response.destroyed) {
-        response.writeHead(status, [...headers, "Content-Length", "0"]);
-        response.end();
-    }
-}
--- a/src/direct/startSlot.ts
+++ b/src/direct/startSlot.ts
@@ -13,14 +13,7 @@
 import { lockRank } from "../group/round.js";
 import { createLoggers, Prefix } from "../observe/logger.js";
 import { createSlotMetrics } from "../observe/servingMetrics.js";
-import {
-    type Beacon,
-    decodeBeacon,
-    encodeBeacon,
-    encodeChoices,
-    measureChoices,
-    type StateBeacon,
-} from "../peers/beacon.js";
+import { type Beacon, encodeBeacon, encodeChoices, measureChoices, type StateBeacon } from "../peers/beacon.js";
 import {
     countChoiceTurns,
     entriesEvery,
@@ -29,19 +22,14 @@
     splitIntoBursts,
     stateIntervalMs,
 } from "../peers/cadence.js";
-import { createFeed, type FeedSource, type PeerRecords } from "../peers/feed.js";
-import { createHandOver, handOverMethod, type HandOverParams } from "../peers/handOver.js";
+import { createFeed, type FeedSource } from "../peers/feed.js";
+import type { HandOverParams } from "../peers/handOver.js";
 import { advanceLead, createLead, findNextLead, noteVector, yieldLead } from "../peers/lead.js";
 import { listUpstreams, type MirrorDecoders, type UpstreamRecord } from "../peers/mirror.js";
-import { bindDatagrams } from "../wire/datagrams.js";
-import { listenOn } from "../wire/listen.js";
-import { callPeer, createPeerHandler } from "../wire/peerRpc.js";
-import { computePositions, notePositions, pickPeer } from "./positions.js";
-
-interface Address {
-    host: string;
-    port: number;
-}
+import { type Address, listenOn } from "../wire/listen.js";
+import { callPeer } from "../wire/peerRpc.js";
+import { bindBeacons, createInternalHandler, createSettingsHandlers, fetchHandOver } from "./peerLink.js";
+import { computePositions, pickPeer } from "./positions.js";
 
 export interface SlotOptions {
     instance: string;
@@ -80,7 +68,6 @@
 const orderTimeoutMs = 350;
 /** Time for which an idle connection to another slot is kept, in milliseconds; less than the other one keeps it. */
 const slotIdleMs = 3000;
-const handOverTimeoutMs = 600;
 /** Time between two looks at what a change of the map needs next, in milliseconds. */
 const changeTickMs = 50;
 
@@ -128,13 +115,11 @@
         pool = feed.state.document?.pools.find(({ name }) => name === (beside?.pool ?? pool?.name));
         hosts = orderSlots(upstreams.filter(u => u.pool === pool?.name));
     };
-    const askPeer = async (params: HandOverParams) => {
-        const others = hosts.filter(host => host !== internal.host).map(host => ({ host, port: internal.port }));
-        const peer = pickPeer([...others, ...options.seeds], Math.random);
-        return peer === undefined ?
-            undefined :
-            await callPeer<PeerRecords>({ ...peer, method: handOverMethod, params, timeoutMs: handOverTimeoutMs });
+    const askPeer = (params: HandOverParams) => {
+        const others = listOthers().map(host => ({ host, port: internal.port }));
+        return fetchHandOver(pickPeer([...others, ...options.seeds], Math.random), params);
     };
+    const listOthers = () => hosts.filter(host => host !== internal.host);
     const changes = createMapChanges({
         now,
         random: Math.random,
@@ -219,13 +204,15 @@
     const tellState = async () => {
         intervals += 1;
         let choices: string | undefined;
+        let isTurn = false;
         try {
             await readOwn();
+            isTurn = isOnTurn(intervals);
             const experts = pool?.engine?.experts;
             // Only the choices since the interval before are told; older ones would hide a change of the demand.
-            if (experts !== undefined && report?.isOpen === true && (isOnTurn(intervals) || isOnTurn(intervals + 1))) {
+            if (experts !== undefined && report?.isOpen === true && (isTurn || isOnTurn(intervals + 1))) {
                 const since = await readChoices(experts);
-                choices = isOnTurn(intervals) ? since : undefined;
+                choices = isTurn ? since : undefined;
             }
         }
         catch (error) {
@@ -239,7 +226,7 @@
         }
         const isPlaced = report !== undefined && placement?.version === report.mapVersion &&
             placement.epoch === report.epoch;
-        const isTold = isPlaced && (placement !== toldPlacement || isOnTurn(intervals));
+        const isTold = isPlaced && (placement !== toldPlacement || isTurn);
         toldPlacement = isPlaced ? placement : undefined;
         const state: StateBeacon = {
             kind: "state",
@@ -291,10 +278,9 @@
         const toSlots = vectors % entriesEvery === 0 ?
             encodeBeacon({ ...vector, ranks: "", entries: [...entries.keys()] }) :
             encodeBeacon({ ...vector, ranks: "" });
-        const others = hosts.filter(host => host !== internal.host);
         const bursts = splitIntoBursts([
             ...[...entries.keys()].map(host => ({ host, bytes })),
-            ...others.map(host => ({ host, bytes: toSlots })),
+            ...listOthers().map(host => ({ host, bytes: toSlots })),
         ]);
         for (const { delayMs, datagrams: list } of bursts) {
             setTimeout(() => list.forEach(({ host, bytes }) => datagrams.send(bytes, host, internal.port)), delayMs);
@@ -313,19 +299,17 @@
             }
         },
     };
-    const datagrams = await bindDatagrams(internal, bytes => {
-        const beacon = decodeBeacon(bytes);
-        if (beacon !== undefined) {
-            notePositions(feed, beacon.positions);
-            handlers[beacon.kind](beacon as never);
-        }
-    }, error => metrics.sendFailures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" }));
-    const server = createServer(createPeerHandler({
-        [handOverMethod]: (params: HandOverParams) => createHandOver(feed.state, params),
+    const datagrams = await bindBeacons(
+        internal,
+        feed,
+        metrics.sendFailures,
+        beacon => handlers[beacon.kind](beacon as never),
+    );
+    const server = createServer(createInternalHandler(feed, metrics.registry, {
         [readMethod]: () => own.readReport(),
         [orderMethod]: ({ order, epoch }: { order: RankOrder | ShortPrepare; epoch: number; }) =>
             orderOwn(order, epoch),
-    }, (message, response) => void metrics.registry.metrics().then(text => response.end(text))));
+    }));
     await listenOn(server, internal.host, internal.port);
     feed.start();
     logger.info("The slot listens.", { engine: `${engine.host}:${engine.port}` });
@@ -345,11 +329,7 @@
         }, changeTickMs),
     ];
     return {
-        applySettings: changes => {
-            Object.assign(options, changes);
-            logger.info("The settings have changed.", changes);
-        },
-        noteBadSettings: error => logger.error("The changed settings are left out.", { error: error.message }),
+        ...createSettingsHandlers(options, logger),
         stop: async () => {
             logger.info("The slot has stopped.");
             timers.forEach(clearInterval);
--- a/src/group/round.ts
+++ b/src/group/round.ts
@@ -82,10 +82,7 @@
  * experts to be copied over the ranks' links.
  */
 const repeatMs: Record<StepKind, number> = { prepare: 1200, arm: 300, disarm: 300, hold: 300, go: 300, read: 100 };
-/**
- * Prepares on their way at once: a whole map goes with each, and more than these fill the lead's link for longer than
- * an order may take.
- */
+/** Prepares on their way at once: with whole maps, more would fill the lead's link for longer than an order may take. */
 const maxPreparing = 8;
 /** Time without a decision after which others may have held steps that this process has not seen, in milliseconds. */
 const decisionGapMs = 500;
--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -71,7 +71,6 @@
     stop: () => void;
     /** Takes in how far a peer's mirror is, and the age of that knowledge in milliseconds. */
     notePosition: (topic: FeedTopic, end: number, ageMs: number) => void;
-    mergePeerRecords: (records: PeerRecords) => void;
 }
 
 /** Time for which a read waits for news, in milliseconds; a connection gone silent is noticed soon after. */
@@ -236,6 +235,5 @@
                 freshAt[topic] = Math.max(freshAt[topic], now() - ageMs);
             }
         },
-        mergePeerRecords,
     };
 }
