--- a/src/slot/upstream.ts
+++ b/src/slot/upstream.ts
@@ -1,20 +1,10 @@
 /** Calls the upstream beside a slot. */
 import { Agent, type Dispatcher, request } from "undici";
+import { hopHeaders } from "../wire/hopHeaders.js";
 import type { AnswerHeaders, RunParams } from "../wire/messages.js";
 
-/** Headers that belong to one connection and are not passed on. */
-const hopHeaders = new Set([
-    "connection",
-    "content-length",
-    "host",
-    "keep-alive",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-]);
+/** Headers that are not passed on; the client sets the last two itself. */
+const droppedHeaders = new Set<string>([...hopHeaders, "content-length", "host"]);
 
 export interface UpstreamAnswer {
     status: number;
@@ -98,7 +88,7 @@
 export function filterHeaders(headers: Record<string, string | string[] | undefined>): Record<string, string> {
     const kept: Record<string, string> = {};
     for (const [name, value] of Object.entries(headers)) {
-        if (value !== undefined && !hopHeaders.has(name)) {
+        if (value !== undefined && !droppedHeaders.has(name)) {
             kept[name] = Array.isArray(value) ? value.join(", ") : value;
         }
     }
