Bundle the programs in one place; let the soak's stand-ins use what there is

The soak had a second copy of the bundler's options; its stand-ins had their own listening, body reading, JSON answers and waiting for appends, which src/wire and src/standin have. Fewer lines, same behaviour.

--- /dev/null
+++ b/scripts/bundlePrograms.js
@@ -0,0 +1,25 @@
+/** Bundles the platform's programs into one file each: a process that is restarted reads and compiles less. */
+import { build } from "esbuild";
+
+/**
+ * Writes the programs into `folder`.
+ * @param {string} folder
+ * @param {import("esbuild").Plugin[]} plugins
+ */
+export async function bundlePrograms(folder, plugins = []) {
+    await build({
+        entryPoints: ["platform/bin/entry.ts", "platform/bin/slot.ts"],
+        outdir: folder,
+        outExtension: { ".js": ".mjs" },
+        bundle: true,
+        platform: "node",
+        target: "node20",
+        format: "esm",
+        // Optional parts of the logger, which are not used.
+        external: ["dtrace-provider", "mv", "source-map-support", "moment"],
+        banner: {
+            js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+        },
+        plugins,
+    });
+}
--- a/src/standin/http.ts
+++ b/src/standin/http.ts
@@ -1,5 +1,6 @@
 /** Helpers of the stand-ins' HTTP servers. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { listenOn } from "../wire/listen.js";
 
 export type Handler = (
     message: IncomingMessage,
@@ -30,12 +31,8 @@
         })().catch(() => response.destroy());
     });
     server.keepAliveTimeout = 30_000;
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, "127.0.0.1", resolve);
-    });
-    const address = server.address() as { port: number; };
-    return { server, url: `http://127.0.0.1:${address.port}` };
+    const bound = await listenOn(server, "127.0.0.1", port);
+    return { server, url: `http://127.0.0.1:${bound}` };
 }
 
 /** Sends a JSON answer. */
--- a/src/standin/log.ts
+++ b/src/standin/log.ts
@@ -105,7 +105,8 @@
     };
 }
 
-function waitForAppend(stream: StoredStream, waitMs: number): Promise<void> {
+/** Waits until somebody appends and wakes the waiters, for `waitMs` at most. */
+export function waitForAppend(stream: { waiters: Set<() => void>; }, waitMs: number): Promise<void> {
     return new Promise(resolve => {
         const wake = () => {
             clearTimeout(timer);
--- a/src/standin/proxy.ts
+++ b/src/standin/proxy.ts
@@ -1,5 +1,6 @@
 /** TCP proxy that injects faults between two processes. */
 import { connect, createServer, type Socket } from "node:net";
+import { listenOn } from "../wire/listen.js";
 
 export interface FaultProxy {
     port: number;
@@ -72,11 +73,7 @@
             });
         });
     });
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, hosts.host, resolve);
-    });
-    const bound = (server.address() as { port: number; }).port;
+    const bound = await listenOn(server, hosts.host, port);
     const freeze = () => {
         const open = [...links].filter(link => !link.frozen);
         open.forEach(link => {
