Log why a read of the log began and on whose word the mirror counted as up to date

The incident's logs could not tell late reads from slow ones: they said neither when a read began, nor why, nor which process had confirmed the mirror. A counter of reads by topic, reason and outcome stands beside the lines. No decision changes.

--- a/src/direct/logPositions.ts
+++ b/src/direct/logPositions.ts
@@ -17,10 +17,10 @@
     };
 }
 
-/** Records the log positions of a peer. */
-export function recordPeerPositions(feed: Feed, { document, list }: LogPositions): void {
-    feed.recordPeerPosition(FeedTopic.document, ...document);
-    feed.recordPeerPosition(FeedTopic.list, ...list);
+/** Records the log positions of `peer`, the host of another process. */
+export function recordPeerPositions(feed: Feed, { document, list }: LogPositions, peer: string): void {
+    feed.recordPeerPosition(FeedTopic.document, ...document, peer);
+    feed.recordPeerPosition(FeedTopic.list, ...list, peer);
 }
 
 /** Picks a random peer; undefined if there are none. `random` returns a number in [0, 1). */
--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -41,7 +41,8 @@
     return bindDatagramSocket(address, bytes => {
         const heartbeat = decodeHeartbeat(bytes);
         if (heartbeat !== undefined) {
-            recordPeerPositions(feed, heartbeat.positions);
+            const peer = heartbeat.kind === "presence" ? heartbeat.host : heartbeat.from;
+            recordPeerPositions(feed, heartbeat.positions, peer);
             onHeartbeat(heartbeat);
         }
     }, error => failures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" }));
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -144,6 +144,7 @@
         },
         timing: entryFeedTiming,
         isContinuousReader: () => false,
+        onRead: (topic, reason, outcome) => metrics.logReads.inc({ topic, reason, outcome }),
     });
     const hasRecentLeader = () => leader !== undefined && now() - leader.lastHeartbeatAt < leaderTimeoutMs;
     const listSlotHosts = () => {
--- a/src/direct/startDirectSlot.ts
+++ b/src/direct/startDirectSlot.ts
@@ -128,6 +128,7 @@
         onList: () => updateGroup(),
         timing: slotFeedTiming,
         isContinuousReader: () => leaderState.leader === internal.host,
+        onRead: (topic, reason, outcome) => metrics.logReads.inc({ topic, reason, outcome }),
     });
     const updateGroup = () => {
         const upstreams = listUpstreams(feed.state);
--- a/src/observe/directMetrics.ts
+++ b/src/observe/directMetrics.ts
@@ -14,6 +14,7 @@
     upstreams: Gauge<string>;
     responseSeconds: Histogram<string>;
     logLinesDropped: Counter<string>;
+    logReads: Counter<"topic" | "reason" | "outcome">;
     sendFailures: Counter<"code">;
 }
 
@@ -51,6 +52,7 @@
             registers,
         }),
         logLinesDropped: createCounter("beechdock_log_lines_dropped_total", "Log lines over the rate limit."),
+        logReads: createLogReadCounter(registry),
         sendFailures: createSendFailureCounter(registry),
     };
 }
@@ -60,6 +62,7 @@
     orders: Counter<"kind" | "outcome">;
     plans: Counter<string>;
     moves: Counter<string>;
+    logReads: Counter<"topic" | "reason" | "outcome">;
     sendFailures: Counter<"code">;
 }
 
@@ -77,10 +80,20 @@
         }),
         plans: new Counter({ name: "beechdock_map_plans_total", help: "Expert maps planned.", registers }),
         moves: new Counter({ name: "beechdock_map_moves_total", help: "Experts moved by planned maps.", registers }),
+        logReads: createLogReadCounter(registry),
         sendFailures: createSendFailureCounter(registry),
     };
 }
 
+function createLogReadCounter(registry: Registry): Counter<"topic" | "reason" | "outcome"> {
+    return new Counter({
+        name: "beechdock_log_reads_total",
+        help: "Reads of the log by topic, reason and outcome.",
+        labelNames: ["topic", "reason", "outcome"],
+        registers: [registry],
+    });
+}
+
 function createSendFailureCounter(registry: Registry): Counter<"code"> {
     return new Counter({
         name: "beechdock_datagram_failures_total",
--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -58,8 +58,27 @@
     timing: FeedTiming;
     /** Whether this process reads the log continuously, so that its peers do not have to. */
     isContinuousReader: () => boolean;
+    /** Called when a read of the log has ended. */
+    onRead?: (topic: FeedTopic, reason: ReadReason, outcome: ReadOutcome) => void;
 }
 
+/** Why a feed reads the log. */
+export const ReadReason = {
+    /** The mirror is empty. */
+    initial: "initial",
+    /** A peer has seen newer records. */
+    catchUp: "catch-up",
+    /** This process reads continuously. */
+    continuous: "continuous",
+    /** Nothing has confirmed lately that the mirror is up to date. */
+    stale: "stale",
+} as const;
+export type ReadReason = (typeof ReadReason)[keyof typeof ReadReason];
+
+/** How a read of the log ended. */
+export const ReadOutcome = { records: "records", empty: "empty", failed: "failed" } as const;
+export type ReadOutcome = (typeof ReadOutcome)[keyof typeof ReadOutcome];
+
 /** When a process that is not a continuous reader reads the log. */
 export interface FeedTiming {
     /** Time without confirmation that the mirror is up to date, after which the log is read, in milliseconds. */
@@ -85,8 +104,8 @@
     getVerifiedAt: (topic: FeedTopic) => number;
     start: () => void;
     stop: () => void;
-    /** Records the next offset that a peer would read, and the time since it was known to be the end of the topic. */
-    recordPeerPosition: (topic: FeedTopic, end: number, ageMs: number) => void;
+    /** Records the next offset that `peer` would read, and the time since it was known to be the end of the topic. */
+    recordPeerPosition: (topic: FeedTopic, end: number, ageMs: number, peer?: string) => void;
 }
 
 /** Time that a read waits for new records, in milliseconds; kept short to detect dead connections soon. */
@@ -115,6 +134,8 @@
     catchUpAt: number;
     /** Time at which the latest read began, in milliseconds. */
     readStartedAt: number;
+    /** Peer that last confirmed that the mirror is up to date; undefined if that was a read of the log. */
+    confirmedBy: string | undefined;
 }
 
 /** Creates a feed with an empty mirror; `start` begins to read. */
@@ -131,17 +152,20 @@
         peerEnd: 0,
         catchUpAt: 0,
         readStartedAt: 0,
+        confirmedBy: undefined,
     });
     const topics: Record<FeedTopic, TopicState> = { document: createTopicState(), list: createTopicState() };
     let timer: NodeJS.Timeout | undefined;
     let isFetchingFromPeer = false;
 
-    const applyBatch = (topic: FeedTopic, batch: FeedBatch) => {
+    const applyBatch = (topic: FeedTopic, batch: FeedBatch, origin: Record<string, unknown>) => {
         if (topic === FeedTopic.document) {
             if (applyDocumentRecords(state, batch.records, batch.end, decoders)) {
                 logger.info("A new document was applied.", {
                     revision: state.document!.revision,
                     offset: batch.end,
+                    records: batch.records.length,
+                    ...origin,
                 });
                 options.onDocument(state.document!);
             }
@@ -157,10 +181,12 @@
             options.onList();
         }
     };
-    const read = async (topic: FeedTopic) => {
+    const read = async (topic: FeedTopic, reason: ReadReason) => {
         const topicState = topics[topic];
         const isBehind = topicState.end !== undefined && topicState.peerEnd > topicState.end;
         const startedAt = now();
+        const { confirmedBy } = topicState;
+        const confirmedAgeMs = Math.round(startedAt - verifiedAt[topic]);
         const batch = topicState.end === undefined ?
             await source.readNewest(topic) :
             await source.read(topic, topicState.end, isBehind ? 0 : longPollMs);
@@ -170,30 +196,42 @@
                 from: topicState.end,
             });
             topicState.end = undefined;
-            return;
+            return ReadOutcome.empty;
         }
         const hasRecords = batch.records.length > 0;
         topicState.end = Math.max(topicState.end ?? 0, batch.end);
         verifiedAt[topic] = Math.max(verifiedAt[topic], hasRecords ? startedAt : now());
         topicState.jitter = random();
-        applyBatch(topic, batch);
+        topicState.confirmedBy = undefined;
+        applyBatch(topic, batch, { reason, readMs: Math.round(now() - startedAt), confirmedBy, confirmedAgeMs });
+        return hasRecords ? ReadOutcome.records : ReadOutcome.empty;
     };
-    const startRead = (topic: FeedTopic) => {
+    const startRead = (topic: FeedTopic, reason: ReadReason) => {
         const topicState = topics[topic];
+        const startedAt = now();
         topicState.isReading = true;
-        topicState.readStartedAt = now();
-        read(topic).then(() => {
+        topicState.readStartedAt = startedAt;
+        read(topic, reason).then(outcome => {
             if (topicState.failures > 0) {
                 logger.info("Reading the log works again.", { topic, failures: topicState.failures });
             }
             topicState.failures = 0;
+            options.onRead?.(topic, reason, outcome);
         }).catch((error: Error) => {
+            options.onRead?.(topic, reason, ReadOutcome.failed);
             topicState.failures += 1;
             topicState.retryAt = now() +
                 Math.min(maxRetryMs, minRetryMs * 2 ** topicState.failures) * (0.5 + random() / 2);
             recordLogFailure(state, now());
             if (topicState.failures === 1) {
-                logger.warn("Reading the log failed.", { topic, error: error.message });
+                logger.warn("Reading the log failed.", {
+                    topic,
+                    error: error.message,
+                    reason,
+                    readMs: Math.round(now() - startedAt),
+                    confirmedBy: topicState.confirmedBy,
+                    confirmedAgeMs: Math.round(now() - verifiedAt[topic]),
+                });
             }
             return fetchFromPeer();
         }).finally(() => {
@@ -215,11 +253,25 @@
         }
     };
     const applyPeerRecords = (records: PeerRecords) => {
-        applyBatch(FeedTopic.document, { records: records.documents, end: records.documentEnd, isComplete: false });
-        applyBatch(FeedTopic.list, { records: records.list, end: records.listEnd, isComplete: false });
+        const origin = { reason: "hand-over" };
+        applyBatch(
+            FeedTopic.document,
+            { records: records.documents, end: records.documentEnd, isComplete: false },
+            origin,
+        );
+        applyBatch(FeedTopic.list, { records: records.list, end: records.listEnd, isComplete: false }, origin);
         topics.document.end = Math.max(topics.document.end ?? 0, records.documentEnd);
         topics.list.end = Math.max(topics.list.end ?? 0, records.listEnd);
     };
+    const findReadReason = ({ end }: TopicState, isCatchUpDue: boolean): ReadReason => {
+        if (end === undefined) {
+            return ReadReason.initial;
+        }
+        if (isCatchUpDue) {
+            return ReadReason.catchUp;
+        }
+        return options.isContinuousReader() ? ReadReason.continuous : ReadReason.stale;
+    };
     const checkTopics = () => {
         const time = now();
         for (const topic of Object.values(FeedTopic)) {
@@ -231,7 +283,7 @@
                 time - Math.max(topicState.catchUpAt, topicState.readStartedAt) > stuckReadMs;
             const canRead = (!topicState.isReading && time >= topicState.retryAt) || isOverdue;
             if (canRead && (isStale || isCatchUpDue || topicState.end === undefined)) {
-                startRead(topic);
+                startRead(topic, findReadReason(topicState, isCatchUpDue));
             }
         }
         if (removeExpiredUpstreams(state, time)) {
@@ -252,15 +304,16 @@
             timer = setInterval(checkTopics, checkIntervalMs);
         },
         stop: () => clearInterval(timer),
-        recordPeerPosition: (topic, end, ageMs) => {
+        recordPeerPosition: (topic, end, ageMs, peer) => {
             const topicState = topics[topic];
             if (end > topicState.peerEnd) {
                 const plannedAt = topicState.peerEnd > (topicState.end ?? 0) ? topicState.catchUpAt : Infinity;
                 topicState.peerEnd = end;
                 topicState.catchUpAt = Math.min(plannedAt, now() + random() * timing.maxCatchUpDelayMs);
             }
-            if (topicState.end !== undefined && end === topicState.end) {
-                verifiedAt[topic] = Math.max(verifiedAt[topic], now() - ageMs);
+            if (topicState.end !== undefined && end === topicState.end && now() - ageMs > verifiedAt[topic]) {
+                verifiedAt[topic] = now() - ageMs;
+                topicState.confirmedBy = peer;
             }
         },
     };
