--- /dev/null
+++ b/src/direct/tests/logReaders.test.ts
@@ -0,0 +1,200 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import type { ServingDocument } from "../../config/serving.js";
+import { CallError } from "../../core/errors.js";
+import { createRandom } from "../../core/random.js";
+import { createFeed, type Feed, type FeedBatch, type FeedSource, FeedTopic } from "../../peers/feed.js";
+import type { MirrorDecoders, MirrorRecord } from "../../peers/mirror.js";
+import { entryFeedTiming, heartbeatIntervalMs, slotFeedTiming } from "../../peers/pacing.js";
+import { computeLogPositions, recordPeerPositions } from "../logPositions.js";
+
+beforeEach(() => {
+    vi.useFakeTimers();
+});
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+/** Time from the confirmation of a document until all entries must have it, in milliseconds. */
+const applyBoundMs = 3000;
+/** Timeout of a call to the log beyond the time that it waits for records, in milliseconds. */
+const responseMarginMs = 700;
+/** Interval at which a feed checks whether a read is due, in milliseconds. */
+const checkIntervalMs = 100;
+/** Interval between presence heartbeats of an entry, in milliseconds. */
+const presenceIntervalMs = 1000;
+/** Processes of each kind; a third of those of a group of 72 ranks. */
+const processCount = 24;
+/** Bytes per millisecond that the log sends to all readers together: a third of 80 MB/s. */
+const logBytesPerMs = 80_000 / 3;
+/** Bytes per millisecond of the narrowest link of an entry (19.6 Mbit/s) and of a slot (5.6 Mbit/s). */
+const entryLinkBytesPerMs = 2450;
+const slotLinkBytesPerMs = 700;
+
+const decoders: MirrorDecoders<ServingDocument> = {
+    decodeDocument: text => ({ revision: Number(text) }) as unknown as ServingDocument,
+    getRevision: ({ revision }) => revision,
+    decodeUpstream: () => undefined,
+};
+
+const logger = { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined };
+const now = () => performance.now();
+
+/** Creates a log that sends one response after the other, also those that their reader has given up. */
+function createSharedLog(documentBytes: number) {
+    const log = {
+        isSilent: false,
+        documents: [1],
+        /** Start times of the reads of the document's topic, by process. */
+        readTimes: new Map<string, number[]>(),
+        /** Time at which the responses asked for so far are sent, in milliseconds. */
+        sentAt: 0,
+    };
+    /** Time at which the responses sent to a process so far have arrived, in milliseconds. */
+    const arrivedAt = new Map<string, number>();
+    const waitFor = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+    const createBatch = (from: number, isComplete: boolean): FeedBatch => {
+        const all = log.documents.map((revision, offset): MirrorRecord => ({
+            key: "config",
+            offset,
+            value: String(revision),
+        }));
+        return { records: all.slice(from), end: all.length, isComplete };
+    };
+    /** Sends a response; it fails as a whole if it is not complete in time. */
+    const transmit = async (process: string, linkBytesPerMs: number, bytes: number, timeoutAt: number) => {
+        log.sentAt = Math.max(log.sentAt, now()) + bytes / logBytesPerMs;
+        const arrival = Math.max(log.sentAt, arrivedAt.get(process) ?? 0) + bytes / linkBytesPerMs;
+        arrivedAt.set(process, arrival);
+        await waitFor(Math.min(arrival, timeoutAt) - now());
+        if (arrival > timeoutAt) {
+            throw new CallError("timed out");
+        }
+    };
+    const createSource = (process: string, linkBytesPerMs: number): FeedSource => {
+        const readTimes: number[] = [];
+        log.readTimes.set(process, readTimes);
+        return {
+            readNewest: async topic =>
+                topic === FeedTopic.document ?
+                    createBatch(log.documents.length - 1, true) :
+                    { records: [], end: 1, isComplete: true },
+            read: async (topic, from, waitMs) => {
+                const timeoutAt = now() + waitMs + responseMarginMs;
+                if (topic === FeedTopic.document) {
+                    readTimes.push(now());
+                }
+                const isBehind = () => topic === FeedTopic.document && log.documents.length > from;
+                const isLost = log.isSilent;
+                for (let waited = 0; !isLost && !log.isSilent && !isBehind() && waited < waitMs; waited += 50) {
+                    await waitFor(50);
+                }
+                if (isLost || log.isSilent) {
+                    await waitFor(timeoutAt - now());
+                    throw new CallError("timed out");
+                }
+                if (topic === FeedTopic.list) {
+                    return { records: [], end: from, isComplete: false };
+                }
+                const batch = createBatch(from, false);
+                await transmit(process, linkBytesPerMs, batch.records.length * documentBytes, timeoutAt);
+                return batch;
+            },
+        };
+    };
+    return { log, createSource };
+}
+
+/** Starts the feeds of a group's processes: the slots, of which the first one leads, and the entries. */
+function startFleet(
+    seed: number,
+    createSource: (process: string, linkBytesPerMs: number) => FeedSource,
+) {
+    const { next: random } = createRandom(seed);
+    /** Times at which each process applied each revision. */
+    const applied = new Map<string, { revision: number; at: number; }[]>();
+    const createProcess = (name: string, isEntry: boolean) => {
+        const times: { revision: number; at: number; }[] = [];
+        applied.set(name, times);
+        const feed = createFeed({
+            source: createSource(name, isEntry ? entryLinkBytesPerMs : slotLinkBytesPerMs),
+            decoders,
+            now,
+            random,
+            logger,
+            fetchFromPeer: async () => undefined,
+            onDocument: ({ revision }) => times.push({ revision, at: now() }),
+            onList: () => undefined,
+            timing: isEntry ? entryFeedTiming : slotFeedTiming,
+            isContinuousReader: () => name === "slot-0",
+        });
+        return { name, feed };
+    };
+    const slotProcesses = Array.from(
+        { length: processCount },
+        (ignored, index) => createProcess(`slot-${index}`, false),
+    );
+    const entryProcesses = Array.from(
+        { length: processCount },
+        (ignored, index) => createProcess(`entry-${index}`, true),
+    );
+    const [leader, ...followers] = slotProcesses;
+    const send = (from: { name: string; feed: Feed; }, receivers: { feed: Feed; }[]) => {
+        const positions = computeLogPositions(from.feed, now());
+        receivers.forEach(({ feed }) => recordPeerPositions(feed, positions, from.name));
+    };
+    const scheduleRepeated = (callback: () => void, intervalMs: number) => {
+        const timer: { id?: NodeJS.Timeout; } = {};
+        setTimeout(() => timer.id = setInterval(callback, intervalMs), random() * intervalMs);
+        return timer;
+    };
+    const processes = [...slotProcesses, ...entryProcesses];
+    processes.forEach(({ feed }) => feed.start());
+    const timers = [
+        scheduleRepeated(() => send(leader, [...followers, ...entryProcesses]), heartbeatIntervalMs),
+        ...followers.map(slot => scheduleRepeated(() => send(slot, [leader]), heartbeatIntervalMs)),
+        ...entryProcesses.map(entry => scheduleRepeated(() => send(entry, [leader]), presenceIntervalMs)),
+    ];
+    return {
+        applied,
+        entries: entryProcesses.map(({ name }) => name),
+        stop: () => {
+            processes.forEach(({ feed }) => feed.stop());
+            timers.forEach(({ id }) => clearInterval(id));
+        },
+    };
+}
+
+/** Time after the last response to any process within which each entry reads the log by itself, in milliseconds. */
+const maxUnconfirmedMs = entryFeedTiming.staleAfterMs + entryFeedTiming.jitterMs + checkIntervalMs;
+
+test.each([1, 2, 3])("entries read the log by themselves while all reads wait at a silent log, seed %i", async seed => {
+    const { log, createSource } = createSharedLog(0);
+    const fleet = startFleet(seed, createSource);
+    await vi.advanceTimersByTimeAsync(5000);
+    log.isSilent = true;
+    const silentAt = now();
+    await vi.advanceTimersByTimeAsync(8000);
+    const waits = fleet.entries.map(name => (log.readTimes.get(name)!.find(at => at >= silentAt) ?? now()) - silentAt);
+    fleet.stop();
+    expect(Math.max(...waits)).toBeLessThanOrEqual(maxUnconfirmedMs);
+});
+
+test.each([1, 2, 3])("a large document is in force in time although two more follow it, seed %i", async seed => {
+    const { log, createSource } = createSharedLog(320_000);
+    const fleet = startFleet(seed, createSource);
+    await vi.advanceTimersByTimeAsync(5000);
+    const confirmedTimes = new Map<number, number>();
+    for (const revision of [2, 3, 4]) {
+        log.documents.push(revision);
+        confirmedTimes.set(revision, now());
+        await vi.advanceTimersByTimeAsync(1440);
+    }
+    await vi.advanceTimersByTimeAsync(5000);
+    fleet.stop();
+    const delays = fleet.entries.flatMap(name =>
+        [...confirmedTimes].map(([revision, at]) =>
+            (fleet.applied.get(name)!.find(applied => applied.revision >= revision)?.at ?? Infinity) - at
+        )
+    );
+    expect(Math.max(...delays)).toBeLessThanOrEqual(applyBoundMs);
+});
