Count only a response as confirmation that a mirror of the log is up to date

Callers were refused with 404, or served as an older document says, more than 3 s after a change had been confirmed. Cause: a process reported its position in the log as confirmed just now for as long as a long poll of its own was waiting, up to 1.5 s, whether the log would answer or not. Peers took that for evidence and passed it on with its age; with a few reads in turn waiting at a silent log, a whole group kept each entry from reading by itself. Now a position is as old as the last response. Polls of the reader that reads continuously wait 500 ms instead of 1.5 s, so that confirmations stay younger than the time after which an entry counts as stale. An empty response confirms up to the end of the wait that was asked for, not up to its arrival.

--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -108,8 +108,11 @@
     recordPeerPosition: (topic: FeedTopic, end: number, ageMs: number, peer?: string) => void;
 }
 
-/** Time that a read waits for new records, in milliseconds; kept short to detect dead connections soon. */
-const longPollMs = 1500;
+/**
+ * Time that a read waits for new records, in milliseconds. Only its response confirms that the mirror is up to date, so
+ * it must be short enough for peers to hear of a confirmation before they count as stale.
+ */
+const longPollMs = 500;
 /** Delays after failed reads, in milliseconds; new records must arrive within two seconds of the log's recovery. */
 const minRetryMs = 150;
 const maxRetryMs = 1000;
@@ -184,12 +187,13 @@
     const read = async (topic: FeedTopic, reason: ReadReason) => {
         const topicState = topics[topic];
         const isBehind = topicState.end !== undefined && topicState.peerEnd > topicState.end;
+        const waitMs = topicState.end === undefined || isBehind ? 0 : longPollMs;
         const startedAt = now();
         const { confirmedBy } = topicState;
         const confirmedAgeMs = Math.round(startedAt - verifiedAt[topic]);
         const batch = topicState.end === undefined ?
             await source.readNewest(topic) :
-            await source.read(topic, topicState.end, isBehind ? 0 : longPollMs);
+            await source.read(topic, topicState.end, waitMs);
         if (batch === undefined) {
             logger.warn("The log has dropped the next records; reading a snapshot.", {
                 topic,
@@ -200,7 +204,9 @@
         }
         const hasRecords = batch.records.length > 0;
         topicState.end = Math.max(topicState.end ?? 0, batch.end);
-        verifiedAt[topic] = Math.max(verifiedAt[topic], hasRecords ? startedAt : now());
+        // An empty response was sent when the wait was over; it may have been under way for some time.
+        const confirmedAt = hasRecords ? startedAt : Math.min(now(), startedAt + waitMs);
+        verifiedAt[topic] = Math.max(verifiedAt[topic], confirmedAt);
         topicState.jitter = random();
         topicState.confirmedBy = undefined;
         applyBatch(topic, batch, { reason, readMs: Math.round(now() - startedAt), confirmedBy, confirmedAgeMs });
@@ -293,12 +299,7 @@
     };
     return {
         state,
-        getVerifiedAt: topic => {
-            const { isReading, failures, readStartedAt, end } = topics[topic];
-            const isLongPolling = isReading && failures === 0 && end !== undefined &&
-                now() - readStartedAt < longPollMs;
-            return isLongPolling ? now() : verifiedAt[topic];
-        },
+        getVerifiedAt: topic => verifiedAt[topic],
         start: () => {
             checkTopics();
             timer = setInterval(checkTopics, checkIntervalMs);
