Do not begin a read of the log beside one that still makes progress

Callers were served as an older document says for seconds after three large documents in a row; some entries never got one. Cause: while peers told of newer records, a feed began another read every 400 ms beside the one in progress and without the backoff of failed reads. The reads of one process share its link, and those of all processes the log's bandwidth, so each became slower, more were begun and more given up: the more there was to read, the less arrived. Now one read of a topic is in progress at a time. One that waits on a silent connection while peers have newer records is aborted after 400 ms without data, fails like any other and is made again after the backoff. A peer is asked beside the next read, not before it.

--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -4,6 +4,7 @@
  * fails, they read from a peer.
  */
 import type { ServingDocument } from "../config/serving.js";
+import { CallError } from "../core/errors.js";
 import type { Logger } from "../observe/logger.js";
 import {
     applyDocumentRecords,
@@ -30,15 +31,23 @@
     isComplete: boolean;
 }
 
-/** Reads the log; both calls reject when the log cannot be read. */
+/** Connects a read with the feed that began it. */
+export interface ReadControl {
+    /** Aborts the read. */
+    signal: AbortSignal;
+    /** To be called whenever a part of the response has arrived. */
+    onData: () => void;
+}
+
+/** Reads the log; both calls reject when the log cannot be read or the read is aborted. */
 export interface FeedSource {
     /** Reads a snapshot. */
-    readNewest: (topic: FeedTopic) => Promise<FeedBatch>;
+    readNewest: (topic: FeedTopic, control?: ReadControl) => Promise<FeedBatch>;
     /**
      * Reads from an offset, waiting up to `waitMs` for a record. Resolves to undefined if records after the offset are
      * no longer in the log.
      */
-    read: (topic: FeedTopic, from: number, waitMs: number) => Promise<FeedBatch | undefined>;
+    read: (topic: FeedTopic, from: number, waitMs: number, control?: ReadControl) => Promise<FeedBatch | undefined>;
 }
 
 export interface FeedOptions {
@@ -116,7 +125,7 @@
 /** Delays after failed reads, in milliseconds; new records must arrive within two seconds of the log's recovery. */
 const minRetryMs = 150;
 const maxRetryMs = 1000;
-/** Time after which a read that has not returned records known to exist counts as stuck, in milliseconds. */
+/** Time without any data after which a read that waits for records known to exist is aborted, in milliseconds. */
 const stuckReadMs = 400;
 /** Interval between checks whether a read is due, in milliseconds. */
 const checkIntervalMs = 100;
@@ -124,7 +133,10 @@
 interface TopicState {
     /** Offset of the next read; undefined before the first one. */
     end: number | undefined;
-    isReading: boolean;
+    /** Aborts the read in progress; undefined if there is none. */
+    abortRead: (() => void) | undefined;
+    /** Whether the read in progress waits for new records. */
+    isWaiting: boolean;
     /** Consecutive failed reads. */
     failures: number;
     /** Earliest time of the next read after a failure, in milliseconds. */
@@ -135,8 +147,8 @@
     peerEnd: number;
     /** Time at which to read the records that a peer has reported, in milliseconds. */
     catchUpAt: number;
-    /** Time at which the latest read began, in milliseconds. */
-    readStartedAt: number;
+    /** Time at which the latest read began or last received data, in milliseconds. */
+    readProgressAt: number;
     /** Peer that last confirmed that the mirror is up to date; undefined if that was a read of the log. */
     confirmedBy: string | undefined;
 }
@@ -148,13 +160,14 @@
     const verifiedAt: Record<FeedTopic, number> = { document: -Infinity, list: -Infinity };
     const createTopicState = (): TopicState => ({
         end: undefined,
-        isReading: false,
+        abortRead: undefined,
+        isWaiting: false,
         failures: 0,
         retryAt: 0,
         jitter: random(),
         peerEnd: 0,
         catchUpAt: 0,
-        readStartedAt: 0,
+        readProgressAt: 0,
         confirmedBy: undefined,
     });
     const topics: Record<FeedTopic, TopicState> = { document: createTopicState(), list: createTopicState() };
@@ -184,16 +197,20 @@
             options.onList();
         }
     };
-    const read = async (topic: FeedTopic, reason: ReadReason) => {
+    const read = async (topic: FeedTopic, reason: ReadReason, control: ReadControl) => {
         const topicState = topics[topic];
         const isBehind = topicState.end !== undefined && topicState.peerEnd > topicState.end;
         const waitMs = topicState.end === undefined || isBehind ? 0 : longPollMs;
         const startedAt = now();
         const { confirmedBy } = topicState;
         const confirmedAgeMs = Math.round(startedAt - verifiedAt[topic]);
-        const batch = topicState.end === undefined ?
-            await source.readNewest(topic) :
-            await source.read(topic, topicState.end, waitMs);
+        topicState.isWaiting = waitMs > 0;
+        const batch = await withAbort(
+            topicState.end === undefined ?
+                source.readNewest(topic, control) :
+                source.read(topic, topicState.end, waitMs, control),
+            control.signal,
+        );
         if (batch === undefined) {
             logger.warn("The log has dropped the next records; reading a snapshot.", {
                 topic,
@@ -215,9 +232,11 @@
     const startRead = (topic: FeedTopic, reason: ReadReason) => {
         const topicState = topics[topic];
         const startedAt = now();
-        topicState.isReading = true;
-        topicState.readStartedAt = startedAt;
-        read(topic, reason).then(outcome => {
+        const controller = new AbortController();
+        const onData = () => topicState.readProgressAt = now();
+        topicState.abortRead = () => controller.abort();
+        topicState.readProgressAt = startedAt;
+        read(topic, reason, { signal: controller.signal, onData }).then(outcome => {
             if (topicState.failures > 0) {
                 logger.info("Reading the log works again.", { topic, failures: topicState.failures });
             }
@@ -239,9 +258,9 @@
                     confirmedAgeMs: Math.round(now() - verifiedAt[topic]),
                 });
             }
-            return fetchFromPeer();
+            void fetchFromPeer();
         }).finally(() => {
-            topicState.isReading = false;
+            topicState.abortRead = undefined;
         });
     };
     const fetchFromPeer = async () => {
@@ -285,9 +304,12 @@
             const isStale = options.isContinuousReader() ||
                 time - verifiedAt[topic] > timing.staleAfterMs + topicState.jitter * timing.jitterMs;
             const isCatchUpDue = topicState.peerEnd > (topicState.end ?? 0) && time >= topicState.catchUpAt;
-            const isOverdue = isCatchUpDue &&
-                time - Math.max(topicState.catchUpAt, topicState.readStartedAt) > stuckReadMs;
-            const canRead = (!topicState.isReading && time >= topicState.retryAt) || isOverdue;
+            const isStuck = topicState.isWaiting && isCatchUpDue &&
+                time - Math.max(topicState.catchUpAt, topicState.readProgressAt) > stuckReadMs;
+            if (isStuck) {
+                topicState.abortRead?.();
+            }
+            const canRead = topicState.abortRead === undefined && time >= topicState.retryAt;
             if (canRead && (isStale || isCatchUpDue || topicState.end === undefined)) {
                 startRead(topic, findReadReason(topicState, isCatchUpDue));
             }
@@ -319,3 +341,14 @@
         },
     };
 }
+
+/** Waits for a read, or rejects once `signal` aborts, also if the read itself does not end then. */
+async function withAbort<T>(read: Promise<T>, signal: AbortSignal): Promise<T> {
+    const aborted = new Promise<never>((resolve, reject) =>
+        signal.addEventListener(
+            "abort",
+            () => reject(new CallError("aborted: peers have newer records and no data arrived")),
+        )
+    );
+    return await Promise.race([read, aborted]);
+}
--- a/src/peers/tests/feed.test.ts
+++ b/src/peers/tests/feed.test.ts
@@ -174,4 +174,44 @@
         feed.stop();
         expect(revisions).toEqual([0, 1]);
     });
+
+    test("does not begin a read beside one that is still receiving a large document", async () => {
+        const { log, source } = createLog();
+        const read: FeedSource["read"] = async (topic, from, waitMs, control) => {
+            const batch = await source.read(topic, from, waitMs, control);
+            for (let waited = 0; batch!.records.length > 0 && waited < 1500; waited += 100) {
+                await new Promise(resolve => setTimeout(resolve, 100));
+                control?.onData();
+            }
+            return batch;
+        };
+        const { feed, revisions } = startFeed({ ...source, read }, { isContinuousReader: () => true });
+        await vi.advanceTimersByTimeAsync(1000);
+        log.end = 2;
+        const readsBefore = log.reads;
+        await vi.advanceTimersByTimeAsync(200);
+        feed.recordPeerPosition(FeedTopic.document, 2, 0);
+        feed.recordPeerPosition(FeedTopic.list, 2, 0);
+        await vi.advanceTimersByTimeAsync(1200);
+        const readsBeside = log.reads - readsBefore;
+        await vi.advanceTimersByTimeAsync(500);
+        feed.stop();
+        expect([readsBeside, revisions]).toEqual([0, [0, 1]]);
+    });
+
+    test("waits for its backoff before it reads again while peers tell of news that a silent log does not send", async () => {
+        const { source } = createLog();
+        let reads = 0;
+        const read: FeedSource["read"] = (topic, from, waitMs) => {
+            reads += 1;
+            return new Promise((resolve, reject) => setTimeout(() => reject(new Error("timed out")), waitMs + 700));
+        };
+        const { feed } = startFeed({ ...source, read });
+        await vi.advanceTimersByTimeAsync(300);
+        feed.recordPeerPosition(FeedTopic.document, 2, 0);
+        await vi.advanceTimersByTimeAsync(10_000);
+        feed.stop();
+        // A read fails after 700 ms and the backoff reaches 750 ms: seven reads of each topic and a few early ones.
+        expect(reads).toBeLessThanOrEqual(18);
+    });
 });
--- a/src/wire/httpCall.ts
+++ b/src/wire/httpCall.ts
@@ -20,6 +20,8 @@
     /** Agent that reuses connections; without it, each call opens its own. */
     agent?: Agent;
     signal?: AbortSignal;
+    /** Called whenever a part of the response has arrived. */
+    onData?: () => void;
 }
 
 export interface HttpResponse {
@@ -29,7 +31,7 @@
 
 /** Calls a server; rejects with a `CallError` if the response is not in time. Any status resolves. */
 export function callHttp(call: HttpCall): Promise<HttpResponse> {
-    const { host, port, method, path, timeoutMs, stallTimeoutMs, body, bodyEncoding, agent, signal } = call;
+    const { host, port, method, path, timeoutMs, stallTimeoutMs, body, bodyEncoding, agent, signal, onData } = call;
     return new Promise((resolve, reject) => {
         const headers = body === undefined ?
             undefined :
@@ -41,6 +43,7 @@
         const outgoing = request({ host, port, method, path, headers, agent: agent ?? false, signal });
         let timer = setTimeout(() => fail("timed out"), timeoutMs);
         const recordProgress = () => {
+            onData?.();
             if (stallTimeoutMs !== undefined) {
                 clearTimeout(timer);
                 timer = setTimeout(() => fail("timed out"), stallTimeoutMs);
