Wait for new records only in reads that follow a successful one

A read that waits is noticed as silent only when its wait and the response's time are over, up to 1.2 s (2.2 s before polls were shortened), and the backoff of up to 1 s follows. Now the first read after a failure, and reads that only confirm the mirror, ask for an immediate response. The test 'reads the log within 2 s of its return, whenever that is' failed before, for both kinds of readers, with 2.2 s; the platform gives two seconds.

--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -199,8 +199,7 @@
     };
     const read = async (topic: FeedTopic, reason: ReadReason, control: ReadControl) => {
         const topicState = topics[topic];
-        const isBehind = topicState.end !== undefined && topicState.peerEnd > topicState.end;
-        const waitMs = topicState.end === undefined || isBehind ? 0 : longPollMs;
+        const waitMs = reason === ReadReason.continuous && topicState.failures === 0 ? longPollMs : 0;
         const startedAt = now();
         const { confirmedBy } = topicState;
         const confirmedAgeMs = Math.round(startedAt - verifiedAt[topic]);
--- a/src/peers/tests/feed.test.ts
+++ b/src/peers/tests/feed.test.ts
@@ -214,4 +214,38 @@
         // A read fails after 700 ms and the backoff reaches 750 ms: seven reads of each topic and a few early ones.
         expect(reads).toBeLessThanOrEqual(18);
     });
+
+    test.each([true, false])(
+        "reads the log within 2 s of its return, whenever that is (continuously: %s)",
+        async on => {
+            const delays: number[] = [];
+            for (let silentMs = 4000; silentMs < 8000; silentMs += 100) {
+                const { log, source } = createLog();
+                let isSilent = false;
+                const read: FeedSource["read"] = async (topic, from, waitMs) => {
+                    if (!isSilent) {
+                        return await source.read(topic, from, waitMs);
+                    }
+                    await new Promise(resolve => setTimeout(resolve, waitMs + 700));
+                    throw new Error("timed out");
+                };
+                const inForceAt: number[] = [];
+                const { feed } = startFeed({ ...source, read }, {
+                    isContinuousReader: () => on,
+                    random: () => 0.999,
+                    onDocument: ({ revision }) => inForceAt[revision] = performance.now(),
+                });
+                await vi.advanceTimersByTimeAsync(1000);
+                isSilent = true;
+                await vi.advanceTimersByTimeAsync(silentMs);
+                isSilent = false;
+                log.end = 2;
+                const returnedAt = performance.now();
+                await vi.advanceTimersByTimeAsync(5000);
+                feed.stop();
+                delays.push((inForceAt[1] ?? Infinity) - returnedAt);
+            }
+            expect(Math.max(...delays)).toBeLessThanOrEqual(2000);
+        },
+    );
 });
