--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -12,7 +12,7 @@
 import { callPeer, createPeerHandler, type PeerMethods } from "../wire/peerRpc.js";
 import { recordPeerPositions } from "./logPositions.js";
 
-/** Timeout of a hand-over, in milliseconds; suffices for a document of several hundred kilobytes over a slow link. */
+/** Time until a hand-over must begin, and longest pause within it, in milliseconds. */
 const handOverTimeoutMs = 600;
 
 /**
@@ -25,7 +25,13 @@
 ): Promise<PeerRecords | undefined> {
     return peer === undefined ?
         undefined :
-        await callPeer<PeerRecords>({ ...peer, method: handOverMethod, params, timeoutMs: handOverTimeoutMs });
+        await callPeer<PeerRecords>({
+            ...peer,
+            method: handOverMethod,
+            params,
+            timeoutMs: handOverTimeoutMs,
+            stallTimeoutMs: handOverTimeoutMs,
+        });
 }
 
 /**
--- a/src/wire/peerRpc.ts
+++ b/src/wire/peerRpc.ts
@@ -24,20 +24,21 @@
     method: string;
     params: unknown;
     timeoutMs: number;
+    /** Longest pause within the response, in milliseconds; with it, `timeoutMs` is the time until the response begins. */
+    stallTimeoutMs?: number;
     agent?: Agent;
 }
 
-/**
- * Calls a method of another process; rejects with a `CallError` if there is no complete response in time or its status
- * is not 200.
- */
-export async function callPeer<T>({ host, port, method, params, timeoutMs, agent }: PeerCall): Promise<T> {
+/** Calls a method of another process; rejects with a `CallError` if the response is not in time or not status 200. */
+export async function callPeer<T>(call: PeerCall): Promise<T> {
+    const { host, port, method, params, timeoutMs, stallTimeoutMs, agent } = call;
     const client = new JSONRPCClient(async payload => {
         const text = JSON.stringify(payload);
         const body = text.length < minCompressedBytes ?
             { body: text } :
             { body: deflateSync(text), bodyEncoding: "deflate" as const };
-        const response = await callHttp({ host, port, method: "POST", path: rpcPath, timeoutMs, ...body, agent });
+        const timeouts = { timeoutMs, stallTimeoutMs };
+        const response = await callHttp({ host, port, method: "POST", path: rpcPath, ...timeouts, ...body, agent });
         if (response.status !== 200) {
             throw new CallError(`${host}:${port} responded with status ${response.status} to ${method}`);
         }
