Read only the newest of several documents that a peer has seen

The new test failed before: offsets 0 to 4 were received, now 0, 3 and 4. A process that does not know how far it is behind still reads every record.

--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -201,13 +201,13 @@
         const topicState = topics[topic];
         const waitMs = reason === ReadReason.continuous && topicState.failures === 0 ? longPollMs : 0;
         const startedAt = now();
-        const { confirmedBy } = topicState;
+        const { confirmedBy, end: from } = topicState;
         const confirmedAgeMs = Math.round(startedAt - verifiedAt[topic]);
         topicState.isWaiting = waitMs > 0;
         const batch = await withAbort(
-            topicState.end === undefined ?
+            from === undefined || isSnapshotSmaller(topic, topicState.peerEnd - from) ?
                 source.readNewest(topic, control) :
-                source.read(topic, topicState.end, waitMs, control),
+                source.read(topic, from, waitMs, control),
             control.signal,
         );
         if (batch === undefined) {
@@ -341,6 +341,14 @@
     };
 }
 
+/**
+ * Whether a snapshot of a topic is smaller than its newest `count` records. The document's topic has a single key, so
+ * that the newest record replaces all others; a snapshot of it is a third larger than the record.
+ */
+function isSnapshotSmaller(topic: FeedTopic, count: number): boolean {
+    return topic === FeedTopic.document && count > 1;
+}
+
 /** Waits for a read, or rejects once `signal` aborts, also if the read itself does not end then. */
 async function withAbort<T>(read: Promise<T>, signal: AbortSignal): Promise<T> {
     const aborted = new Promise<never>((resolve, reject) =>
--- a/src/peers/tests/feed.test.ts
+++ b/src/peers/tests/feed.test.ts
@@ -199,6 +199,36 @@
         expect([readsBeside, revisions]).toEqual([0, [0, 1]]);
     });
 
+    test("reads only the newest of several documents that a peer has seen", async () => {
+        const { log, source } = createLog();
+        const received: number[] = [];
+        const { feed, revisions } = startFeed({
+            readNewest: async (topic, control) => {
+                const batch = await source.readNewest(topic, control);
+                received.push(...(topic === FeedTopic.document ? batch.records.map(({ offset }) => offset) : []));
+                return batch;
+            },
+            read: async (topic, from) => {
+                const offsets = Array.from({ length: log.end - from }, (ignored, index) => from + index);
+                received.push(...(topic === FeedTopic.document ? offsets : []));
+                return {
+                    records: offsets.map(offset => ({ key: "config", offset, value: String(offset) })),
+                    end: log.end,
+                    isComplete: false,
+                };
+            },
+        });
+        await vi.advanceTimersByTimeAsync(300);
+        log.end = 4;
+        feed.recordPeerPosition(FeedTopic.document, 4, 0);
+        await vi.advanceTimersByTimeAsync(500);
+        log.end = 5;
+        feed.recordPeerPosition(FeedTopic.document, 5, 0);
+        await vi.advanceTimersByTimeAsync(500);
+        feed.stop();
+        expect([received, revisions]).toEqual([[0, 3, 4], [0, 3, 4]]);
+    });
+
     test("waits for its backoff before it reads again while peers tell of news that a silent log does not send", async () => {
         const { source } = createLog();
         let reads = 0;
