--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -220,6 +220,10 @@
         }
         const hasRecords = batch.records.length > 0;
         topicState.end = Math.max(topicState.end ?? 0, batch.end);
+        if (topicState.end === from) {
+            // A read may return an older state of the log than a peer has seen.
+            topicState.catchUpAt = now() + maxRetryMs * random();
+        }
         // An empty response was sent when the wait was over; it may have been under way for some time.
         const confirmedAt = hasRecords ? startedAt : Math.min(now(), startedAt + waitMs);
         verifiedAt[topic] = Math.max(verifiedAt[topic], confirmedAt);
--- a/src/peers/tests/feed.test.ts
+++ b/src/peers/tests/feed.test.ts
@@ -229,6 +229,18 @@
         expect([received, revisions]).toEqual([[0, 3, 4], [0, 3, 4]]);
     });
 
+    test("does not read at every check while the log returns an older state than a peer has seen", async () => {
+        const { log, source } = createLog();
+        const { feed } = startFeed(source);
+        await vi.advanceTimersByTimeAsync(300);
+        const readsAtStart = log.reads;
+        feed.recordPeerPosition(FeedTopic.document, 4, 0);
+        await vi.advanceTimersByTimeAsync(5000);
+        feed.stop();
+        // One read in 500 ms, and those that confirm the list.
+        expect(log.reads - readsAtStart).toBeLessThanOrEqual(15);
+    });
+
     test("waits for its backoff before it reads again while peers tell of news that a silent log does not send", async () => {
         const { source } = createLog();
         let reads = 0;
