--- a/src/direct/tests/logReaders.test.ts
+++ b/src/direct/tests/logReaders.test.ts
@@ -39,7 +39,10 @@
 const logger = { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined };
 const now = () => performance.now();
 
-/** Creates a log that sends one response after the other, also those that their reader has given up. */
+/**
+ * Creates a log that sends one response after the other, also those that their reader has given up. The platform does
+ * not say what its log does with such responses; this is the worse case.
+ */
 function createSharedLog(documentBytes: number) {
     const log = {
         isSilent: false,
