Log how the response of each attempt was framed and where its stream ended

Attempts now carry the framing of the response, the number of complete events and the bytes of an event that was not; a counter has the streams that ended inside an event, by framing. No decision changes.

--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -165,7 +165,10 @@
             body: request.body,
             listener: {
                 onConnected: () => this.applyEvent({ kind: "sent" }),
-                onHead: (status, raw) => this.handleHead(status, raw),
+                onHead: (status, raw, framing) => {
+                    this.attempts.at(-1)!.framing = framing;
+                    this.handleHead(status, raw);
+                },
                 onChunk: chunk => this.handleChunk(chunk),
                 onEnd: () => this.handleEnd(),
                 onFailure: (isConnected, reason) =>
@@ -259,6 +262,7 @@
     private relayEvents(chunk: Buffer): void {
         this.restartIdleTimer();
         this.context.recordStreamProgress(this.request.pool);
+        const attempt = this.attempts.at(-1)!;
         for (const event of this.splitter.push(chunk)) {
             if (!this.isNextEvent(event.id)) {
                 if (event.id !== undefined && Number(event.id) <= Number(this.lastEventId)) {
@@ -268,6 +272,7 @@
                 return;
             }
             this.lastEventId = event.id ?? this.lastEventId;
+            attempt.events = (attempt.events ?? 0) + 1;
             this.ensureStreamStarted();
             this.latestSendAt = this.computeLatestSendAt(this.context.now());
             this.write(event.bytes);
@@ -391,6 +396,11 @@
     /** Forgets the current call and records its end for the load estimate. */
     private clearCall(): void {
         clearTimeout(this.idleTimer);
+        const attempt = this.attempts.at(-1);
+        const unfinishedBytes = this.splitter.getRemainder().length;
+        if (attempt !== undefined && unfinishedBytes > 0) {
+            attempt.unfinishedBytes = unfinishedBytes;
+        }
         this.call = undefined;
         this.recordEnd?.(this.context.now());
         this.recordEnd = undefined;
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -220,7 +220,12 @@
             const ms = Math.round(now() - request.receivedAt);
             metrics.requests.inc({ outcome: outcome.split(",")[0] });
             metrics.responseSeconds.observe(ms / 1000);
-            attempts.forEach(({ end }) => metrics.attempts.inc({ end: end?.split(":")[0] ?? "open" }));
+            for (const { end, framing, unfinishedBytes } of attempts) {
+                metrics.attempts.inc({ end: end?.split(":")[0] ?? "open" });
+                if (unfinishedBytes !== undefined) {
+                    metrics.unfinishedStreams.inc({ framing });
+                }
+            }
             if (!logRateLimiter.admit(now())) {
                 metrics.logLinesDropped.inc();
                 return;
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -3,6 +3,7 @@
  * The types are independent of the header names on the wire.
  */
 import type { ServingRoute, ServingWorkspace } from "../config/serving.js";
+import type { ResponseFraming } from "../wire/responseFraming.js";
 
 /** Decoded head of a caller's request. */
 export interface RequestHead {
@@ -91,6 +92,12 @@
     estimated: number;
     /** Age of the reported load behind the estimate, in milliseconds; undefined if there was none. */
     figuresAgeMs?: number;
+    /** How the end of the response body is determined; undefined before the response. */
+    framing?: ResponseFraming;
+    /** Number of stream events that the upstream has completed. */
+    events?: number;
+    /** Bytes of an incomplete event at the end of a stream. */
+    unfinishedBytes?: number;
     /** How the attempt ended; undefined while it is open. */
     end?: string;
 }
--- a/src/direct/upstreamCall.ts
+++ b/src/direct/upstreamCall.ts
@@ -1,6 +1,7 @@
 /** Sends one request to one upstream on a new connection, so that no response to another request can arrive on it. */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { Socket } from "node:net";
+import { classifyFraming, type ResponseFraming } from "../wire/responseFraming.js";
 
 /** Timeout for connecting, in milliseconds; ten times the latency to the farthest data centre of a region. */
 const connectTimeoutMs = 300;
@@ -23,7 +24,7 @@
 /** Receives the events of one call: connection, head, chunks and end; a failure comes at most once and is the last. */
 export interface UpstreamListener {
     onConnected: () => void;
-    onHead: (status: number, rawHeaders: string[]) => void;
+    onHead: (status: number, rawHeaders: string[], framing: ResponseFraming) => void;
     onChunk: (chunk: Buffer) => void;
     onEnd: () => void;
     /** `isConnected` is false if no connection was made, so that nothing was sent. */
@@ -93,7 +94,8 @@
         message.on("error", error => fail(error.message));
         message.on("aborted", () => fail("the answer was cut"));
         if (!isSettled) {
-            listener.onHead(message.statusCode ?? 0, message.rawHeaders);
+            const status = message.statusCode ?? 0;
+            listener.onHead(status, message.rawHeaders, classifyFraming(method, status, message.headers));
         }
     });
     return {
--- a/src/observe/directMetrics.ts
+++ b/src/observe/directMetrics.ts
@@ -8,6 +8,7 @@
     registry: Registry;
     requests: Counter<"outcome">;
     attempts: Counter<"end">;
+    unfinishedStreams: Counter<"framing">;
     refusals: Counter<string>;
     retriesRefused: Counter<string>;
     revision: Gauge<string>;
@@ -38,6 +39,12 @@
             labelNames: ["end"],
             registers,
         }),
+        unfinishedStreams: new Counter({
+            name: "beechdock_direct_unfinished_streams_total",
+            help: "Streams of upstreams that ended inside an event, by framing of the response.",
+            labelNames: ["framing"],
+            registers,
+        }),
         refusals: createCounter("beechdock_direct_refusals_total", "Requests answered as not run."),
         retriesRefused: createCounter(
             "beechdock_direct_repeats_refused_total",
