Add failing tests for responses that were broken off and end as complete

ResetDetectingSocket moves out of the direct path unchanged, so that test callers tell a reset from an orderly close too.

--- a/src/direct/upstreamCall.ts
+++ b/src/direct/upstreamCall.ts
@@ -1,6 +1,6 @@
 /** Sends one request to one upstream on a new connection, so that no response to another request can arrive on it. */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
-import { Socket } from "node:net";
+import { ResetDetectingSocket } from "../wire/resetDetectingSocket.js";
 import { classifyFraming, type ResponseFraming } from "../wire/responseFraming.js";
 
 /** Timeout for connecting, in milliseconds; ten times the latency to the farthest data centre of a region. */
@@ -50,7 +50,7 @@
         method,
         path,
         headers,
-        createConnection: () => new UpstreamSocket().connect(target).setNoDelay(true),
+        createConnection: () => new ResetDetectingSocket().connect(target).setNoDelay(true),
     });
     const connectTimer = setTimeout(() => fail("no connection in time"), connectTimeoutMs);
     const settle = () => {
@@ -107,31 +107,3 @@
         resume: () => response?.resume(),
     };
 }
-
-/** Written to a connection that has ended to detect whether it was reset; an empty line, which servers ignore. */
-const closeProbe = "\r\n";
-
-/**
- * Socket that distinguishes a reset from an orderly close. Node.js reports a reset that arrives together with the last
- * bytes as the end of the stream, so a response without a length would look complete; a write fails only after a reset.
- */
-class UpstreamSocket extends Socket {
-    constructor() {
-        super({ allowHalfOpen: true });
-    }
-
-    override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-        if (chunk) {
-            return super.push(chunk, encoding);
-        }
-        this.write(closeProbe, error => {
-            if (error) {
-                this.destroy(error);
-            }
-            else {
-                super.push(chunk);
-            }
-        });
-        return false;
-    }
-}
--- a/src/entry/tests/answers.test.ts
+++ b/src/entry/tests/answers.test.ts
@@ -115,6 +115,19 @@
     expect([response.status, response.headers["beechdock-outcome"], response.isComplete]).toEqual([502, "run", true]);
 });
 
+// dprint-ignore
+it.each([
+    { name: "between events", sent: "data: a\n\n" },
+    { name: "inside an event", sent: "data: a\n\ndata: {\"a" },
+])("does not end a stream as complete to a caller of HTTP/1.0 after a failure $name", async ({ sent }) => {
+    fake = await startEntryWithFakeSlot(fakeCall => sendFrames(fakeCall, [accepted, head(200, events), data(sent)]));
+    const caller = openRawConnection(fake.url, call("POST /claims HTTP/1.0"));
+    await caller.waitForText(text => text.includes(sent));
+    fake.calls[0].sendFrame({ sequence: 3, ...failed });
+    const { body, isComplete } = await caller.closed;
+    expect([body.startsWith(sent), isComplete]).toEqual([true, false]);
+});
+
 it("answers with an error when the upstream's headers cannot be passed on", async () => {
     fake = await startEntryWithFakeSlot(fakeCall =>
         sendFrames(fakeCall, [accepted, head(200, { "bad name": "x" }), end(0)])
--- a/src/standin/rawConnection.ts
+++ b/src/standin/rawConnection.ts
@@ -1,5 +1,6 @@
 /** Client connection that sends arbitrary bytes and parses the response strictly as HTTP/1.1. */
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
+import { ResetDetectingSocket } from "../wire/resetDetectingSocket.js";
 
 export interface RawResponse {
     /** 0 when the headers are incomplete. */
@@ -26,7 +27,7 @@
 
 /** Opens a connection to the port of `url` on the loopback interface and writes `text`, a latin1 string. */
 export function openRawConnection(url: string, text: string): RawConnection {
-    const socket = connect(Number(new URL(url).port), "127.0.0.1");
+    const socket = new ResetDetectingSocket().connect(Number(new URL(url).port), "127.0.0.1");
     let received = "";
     let reset = false;
     let hasEnded = false;
@@ -36,6 +37,7 @@
         received += chunk.toString("latin1");
         notifyWaiters();
     });
+    socket.on("end", () => socket.end());
     socket.on("error", () => {
         reset = true;
     });
