Do not end a stream as complete whose connection was closed inside an event

Cause: a response without a length and chunks ends with its connection. When the upstream closed it in good order inside an event, the HTTP client reported the end of the response; the entry then relayed the incomplete event and ended the caller's response. A slot did the same, byte by byte. Class: the end of the transport taken for the end of the message.

Fix: one module decides for both paths whether a response that has ended is complete, from its framing and, for event streams, from a scanner of the events. A stream that ends inside an event was broken off, in every framing; one framed by its connection must also hold an event, since nothing else tells an empty one from a crash. The entry treats such an attempt as lost: the incomplete event is withheld and the stream is resumed elsewhere or visibly cut, or answered with 502 if nothing was sent. A slot fails the run. Lines may end with LF, CRLF or CR; the scanner keeps a CRLF apart from a cut one. Responses count as event streams by their content type; on a streaming route without one, as before, by the route.

--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -12,8 +12,16 @@
     recordSent,
     type TrackedUpstream,
 } from "../routing/upstreamTracker.js";
+import {
+    createEventScanner,
+    createEventSplitter,
+    type EventScanner,
+    type EventSplitter,
+    isEventStreamType,
+} from "../wire/eventStream.js";
+import { findTruncation } from "../wire/responseCompletion.js";
+import type { ResponseFraming } from "../wire/responseFraming.js";
 import type { DirectContext } from "./context.js";
-import { createEventSplitter } from "./events.js";
 import {
     advanceDirectRequest,
     AttemptEnd,
@@ -63,7 +71,8 @@
     private status = 0;
     private bufferedChunks: Buffer[] = [];
     private bufferedBytes = 0;
-    private splitter = createEventSplitter();
+    private scanner: EventScanner | undefined;
+    private splitter: EventSplitter | undefined;
     private lastEventId: string | undefined;
     private deadlineTimer: NodeJS.Timeout | undefined;
     private idleTimer: NodeJS.Timeout | undefined;
@@ -141,7 +150,8 @@
         this.responseHead = undefined;
         this.bufferedChunks = [];
         this.bufferedBytes = 0;
-        this.splitter = createEventSplitter();
+        this.scanner = undefined;
+        this.splitter = undefined;
         this.attempts.push({
             upstream: record.id,
             estimated,
@@ -165,10 +175,7 @@
             body: request.body,
             listener: {
                 onConnected: () => this.applyEvent({ kind: "sent" }),
-                onHead: (status, raw, framing) => {
-                    this.attempts.at(-1)!.framing = framing;
-                    this.handleHead(status, raw);
-                },
+                onHead: (status, raw, framing) => this.handleHead(status, raw, framing),
                 onChunk: chunk => this.handleChunk(chunk),
                 onEnd: () => this.handleEnd(),
                 onFailure: (isConnected, reason) =>
@@ -183,8 +190,9 @@
         }
     }
 
-    private handleHead(status: number, raw: string[]): void {
+    private handleHead(status: number, raw: string[], framing: ResponseFraming): void {
         const head = this.context.codec.decodeResponseHead(raw);
+        this.attempts.at(-1)!.framing = framing;
         this.responseHead = head;
         this.status = status;
         const { id } = this.upstream!.record;
@@ -196,7 +204,7 @@
             this.handleRefusal(status, head);
             return;
         }
-        if (status >= 200 && status < 300 && (!head.isSigned || head.isEncoded)) {
+        if (this.isSuccess() && (!head.isSigned || head.isEncoded)) {
             this.endAttempt(AttemptEnd.lost, "the answer is not the upstream's");
             return;
         }
@@ -204,8 +212,18 @@
         if (head.load !== undefined) {
             this.context.updateLoad(id, head.load);
         }
-        if (this.isEventStream()) {
-            this.restartIdleTimer();
+        this.prepareEvents(head.contentType);
+    }
+
+    /** Prepares to scan the body for events; on a streaming route, events are relayed as soon as they are complete. */
+    private prepareEvents(contentType: string | undefined): void {
+        const isStreamExpected = this.request.route.kind === RouteKind.streaming && this.isSuccess();
+        if (isEventStreamType(contentType) || (contentType === undefined && isStreamExpected)) {
+            this.scanner = createEventScanner();
+            if (isStreamExpected) {
+                this.splitter = createEventSplitter(this.scanner);
+                this.restartIdleTimer();
+            }
         }
     }
 
@@ -225,8 +243,8 @@
         }
     }
 
-    private isEventStream(): boolean {
-        return this.request.route.kind === RouteKind.streaming && this.status >= 200 && this.status < 300;
+    private isSuccess(): boolean {
+        return this.status >= 200 && this.status < 300;
     }
 
     private ensureStreamStarted(): void {
@@ -248,10 +266,11 @@
         if (this.responseHead === undefined) {
             return;
         }
-        if (this.isEventStream()) {
-            this.relayEvents(chunk);
+        if (this.splitter !== undefined) {
+            this.relayEvents(this.splitter, chunk);
             return;
         }
+        this.scanner?.push(chunk);
         this.bufferedChunks.push(chunk);
         this.bufferedBytes += chunk.length;
         if (this.state.hasSentHead || this.bufferedBytes > maxBufferedBytes) {
@@ -259,11 +278,11 @@
         }
     }
 
-    private relayEvents(chunk: Buffer): void {
+    private relayEvents(splitter: EventSplitter, chunk: Buffer): void {
         this.restartIdleTimer();
         this.context.recordStreamProgress(this.request.pool);
         const attempt = this.attempts.at(-1)!;
-        for (const event of this.splitter.push(chunk)) {
+        for (const event of splitter.push(chunk)) {
             if (!this.isNextEvent(event.id)) {
                 if (event.id !== undefined && Number(event.id) <= Number(this.lastEventId)) {
                     continue;
@@ -309,9 +328,15 @@
             this.endAttempt(AttemptEnd.failed, `status ${this.status}`);
             return;
         }
+        const attempt = this.attempts.at(-1)!;
+        const truncation = findTruncation(attempt.framing!, this.scanner);
+        if (truncation !== undefined) {
+            this.endAttempt(AttemptEnd.lost, truncation);
+            return;
+        }
         this.clearCall();
-        this.attempts.at(-1)!.end = `status ${this.status}`;
-        if (this.isEventStream()) {
+        attempt.end = `status ${this.status}`;
+        if (this.splitter !== undefined) {
             this.ensureStreamStarted();
             this.write(this.splitter.getRemainder());
             this.response.end();
@@ -396,10 +421,8 @@
     /** Forgets the current call and records its end for the load estimate. */
     private clearCall(): void {
         clearTimeout(this.idleTimer);
-        const attempt = this.attempts.at(-1);
-        const unfinishedBytes = this.splitter.getRemainder().length;
-        if (attempt !== undefined && unfinishedBytes > 0) {
-            attempt.unfinishedBytes = unfinishedBytes;
+        if (this.scanner?.isInsideEvent()) {
+            this.attempts.at(-1)!.unfinishedBytes = this.scanner.countTrailingBytes();
         }
         this.call = undefined;
         this.recordEnd?.(this.context.now());
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -55,6 +55,7 @@
     /** Whether the response has a content encoding. */
     isEncoded: boolean;
     contentLength?: number;
+    contentType?: string;
     load?: ReportedLoad;
     /** Server that keeps the upstream's group from running. */
     faultyServer?: string;
--- a/src/slot/execute.ts
+++ b/src/slot/execute.ts
@@ -1,7 +1,9 @@
 /** Runs one request at the upstream and records the response frame by frame. */
 import { CallError } from "../core/errors.js";
 import { type LoadReport, RunOutcome } from "../core/types.js";
+import { createEventScanner, isEventStreamType } from "../wire/eventStream.js";
 import type { FrameBody, RunParams } from "../wire/messages.js";
+import { findTruncation } from "../wire/responseCompletion.js";
 import { isBufferFull, type RunRecord, type RunStore } from "./runStore.js";
 import type { UpstreamClient } from "./upstream.js";
 
@@ -40,14 +42,21 @@
         idleTimer.start(upstream.timeouts.headersTimeoutMs);
         const response = await upstream.run(params, abortController.signal);
         emit(run, { kind: "head", status: response.status, headers: response.headers });
+        const contentType = [response.headers["content-type"]].flat()[0];
+        const scanner = isEventStreamType(contentType) ? createEventScanner() : undefined;
         idleTimer.start(upstream.timeouts.bodyTimeoutMs);
         for await (const chunk of response.body) {
             idleTimer.stop();
             length += chunk.length;
+            scanner?.push(chunk);
             emit(run, { kind: "data", data: chunk.toString("latin1") });
             await waitForBufferSpace(context, run);
             idleTimer.start(upstream.timeouts.bodyTimeoutMs);
         }
+        const truncation = findTruncation(response.framing, scanner);
+        if (truncation !== undefined) {
+            throw new CallError(truncation);
+        }
         emit(run, { kind: "end", length, load: report() });
     }
     catch (error) {
--- a/src/slot/upstream.ts
+++ b/src/slot/upstream.ts
@@ -2,6 +2,7 @@
 import { Agent, type Dispatcher, request } from "undici";
 import { hopByHopHeaders } from "../wire/hopByHopHeaders.js";
 import type { ResponseHeaders, RunParams } from "../wire/messages.js";
+import { classifyFraming, type ResponseFraming } from "../wire/responseFraming.js";
 
 /** Headers that are not forwarded; the client sets the last two itself. */
 const droppedHeaders = new Set<string>([...hopByHopHeaders, "content-length", "host"]);
@@ -10,6 +11,7 @@
 export interface UpstreamResponse {
     status: number;
     headers: ResponseHeaders;
+    framing: ResponseFraming;
     body: AsyncIterable<Buffer>;
 }
 
@@ -78,7 +80,9 @@
         dispatcher: agent,
         signal,
     });
-    return { status: response.statusCode, headers: filterResponseHeaders(response.headers), body: response.body };
+    const { statusCode: status, headers, body } = response;
+    const framing = classifyFraming(params.method, status, headers);
+    return { status, headers: filterResponseHeaders(headers), framing, body };
 }
 
 /** Removes connection headers of a response and joins repeated ones, except cookies, which cannot be joined. */
--- /dev/null
+++ b/src/wire/eventStream.ts
@@ -0,0 +1,127 @@
+/** Finds the events in a stream of server-sent events, whose lines may end with LF, CRLF or CR. */
+
+const LF = 0x0a;
+const CR = 0x0d;
+/** First byte of a comment line. */
+const colon = 0x3a;
+
+/** Tracks where events end in a stream that arrives in chunks. */
+export interface EventScanner {
+    /** Returns the offsets in `chunk` after each block of lines that it completes; comments may be such a block. */
+    push: (chunk: Buffer) => number[];
+    /** Returns the number of complete events. */
+    countEvents: () => number;
+    /** Whether the last event or the last line is incomplete. */
+    isInsideEvent: () => boolean;
+    /** Returns the number of bytes since the last offset. */
+    countTrailingBytes: () => number;
+}
+
+export interface StreamEvent {
+    /** Value of the event's `id` field. */
+    id?: string;
+    /** The whole event, including the blank line at its end. */
+    bytes: Buffer;
+}
+
+/** Splits a stream into events. */
+export interface EventSplitter {
+    /** Adds bytes of the stream and returns the events that they complete. */
+    push: (chunk: Buffer) => StreamEvent[];
+    /** Returns the bytes after the last complete event. */
+    getRemainder: () => Buffer;
+}
+
+/** Whether the value of a `Content-Type` header stands for a stream of events. */
+export function isEventStreamType(contentType: string | undefined): boolean {
+    return /^\s*text\/event-stream\s*(;|$)/i.test(contentType ?? "");
+}
+
+/** Creates a scanner at the start of a stream. */
+export function createEventScanner(): EventScanner {
+    let eventCount = 0;
+    let trailingBytes = 0;
+    let lineLength = 0;
+    /** Whether the current block has lines, and whether one of them is no comment. */
+    let hasLines = false;
+    let hasField = false;
+    /** Whether the last byte is a CR whose line end may include the next byte. */
+    let isAfterCr = false;
+    let lastLineEndsWithCr = false;
+
+    /** Ends the current line; returns whether that completes a block. */
+    const endLine = () => {
+        if (lineLength > 0) {
+            lineLength = 0;
+            hasLines = true;
+            return false;
+        }
+        const isBlockEnd = hasLines;
+        eventCount += hasField ? 1 : 0;
+        hasLines = false;
+        hasField = false;
+        return isBlockEnd;
+    };
+    return {
+        push: chunk => {
+            const offsets: number[] = [];
+            const endLineAt = (offset: number, endsWithCr: boolean) => {
+                isAfterCr = false;
+                lastLineEndsWithCr = endsWithCr;
+                if (endLine()) {
+                    offsets.push(offset);
+                }
+            };
+            for (let i = 0; i < chunk.length; i++) {
+                const byte = chunk[i];
+                if (isAfterCr && byte !== LF) {
+                    endLineAt(i, true);
+                }
+                if (byte === LF) {
+                    endLineAt(i + 1, false);
+                }
+                else if (byte !== CR) {
+                    hasField ||= lineLength === 0 && byte !== colon;
+                    lineLength += 1;
+                }
+                else if (lineLength === 0 && lastLineEndsWithCr) {
+                    endLineAt(i + 1, true);
+                }
+                else {
+                    isAfterCr = true;
+                }
+            }
+            const lastOffset = offsets.at(-1);
+            trailingBytes = lastOffset === undefined ? trailingBytes + chunk.length : chunk.length - lastOffset;
+            return offsets;
+        },
+        countEvents: () => eventCount,
+        isInsideEvent: () => lineLength > 0 || hasField || isAfterCr,
+        countTrailingBytes: () => trailingBytes,
+    };
+}
+
+/** Creates a splitter at the start of the stream that `scanner` scans. */
+export function createEventSplitter(scanner: EventScanner): EventSplitter {
+    let remainder: Buffer = Buffer.alloc(0);
+    return {
+        push: chunk => {
+            const bytes = remainder.length === 0 ? chunk : Buffer.concat([remainder, chunk]);
+            const chunkStart = remainder.length;
+            let eventStart = 0;
+            const events = scanner.push(chunk).map(offset => {
+                const event = parseEvent(bytes.subarray(eventStart, chunkStart + offset));
+                eventStart = chunkStart + offset;
+                return event;
+            });
+            remainder = bytes.subarray(eventStart);
+            return events;
+        },
+        getRemainder: () => remainder,
+    };
+}
+
+function parseEvent(bytes: Buffer): StreamEvent {
+    const match = /^id:[ ]?([^\r\n]*)/m.exec(bytes.toString("latin1"));
+    return match ? { id: match[1], bytes } : { bytes };
+}
