Reset the connection when a response to a caller of HTTP/1.0 is cut

What callers saw: on the direct path a caller of HTTP/1.0 got an orderly close where a stream or a long body was cut, in every framing of the upstream; on the path with slots the same after an error event. HTTP/1.0 has no chunks, so the close of the connection is the end of the response: it looked complete.

Cause: a response was interrupted by closing its connection, on the assumption that a missing last chunk shows the break. Class: a break that only one of the framings towards callers can show.

Fix: src/wire/interruptResponse.ts interrupts responses for both paths; only a chunked one is closed in good order, any other connection is reset.

--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -19,6 +19,7 @@
     type EventSplitter,
     isEventStreamType,
 } from "../wire/eventStream.js";
+import { interruptResponse } from "../wire/interruptResponse.js";
 import { findTruncation } from "../wire/responseCompletion.js";
 import type { ResponseFraming } from "../wire/responseFraming.js";
 import type { DirectContext } from "./context.js";
@@ -410,7 +411,7 @@
 
     private interruptResponse(): void {
         this.outcome = "cut";
-        this.response.destroy();
+        interruptResponse(this.response);
     }
 
     private cancel(): void {
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -15,11 +15,12 @@
     type UpstreamState,
     type UpstreamTable,
 } from "../routing/upstreamTable.js";
+import { resetConnection } from "../wire/interruptResponse.js";
 import type { Frame } from "../wire/messages.js";
 import { requestRpc, type RpcIdentity } from "../wire/rpc.js";
 import { advanceAttempt, type AttemptAction, type AttemptEvent, createAttemptState, RetryReason } from "./attempt.js";
 import { beginAttempt, beginRecord, endAttempt, endRecord, type Journal, type JournalRecord } from "./journal.js";
-import { relayFrame, resetConnection, sendProblem } from "./relay.js";
+import { relayFrame, sendProblem } from "./relay.js";
 import { admitRetry, countRequest, type RetryBudget } from "./retryBudget.js";
 import { isIdempotent } from "./route.js";
 import { createRunParams } from "./runParams.js";
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -3,6 +3,8 @@
 import { STATUS_CODES, validateHeaderName, validateHeaderValue } from "node:http";
 import type { RunOutcome } from "../core/types.js";
 import { filterResponseHeaders } from "../slot/upstream.js";
+import { isEventStreamType } from "../wire/eventStream.js";
+import { interruptResponse, resetConnection } from "../wire/interruptResponse.js";
 import type { Frame, ResponseHeaders } from "../wire/messages.js";
 
 /** An error response, sent as a problem document. */
@@ -50,7 +52,7 @@
         const headers: ResponseHeaders = { ...filterResponseHeaders(frame.headers), ...ownHeaders };
         validateResponseHeaders(headers);
         bufferedResponses.set(response, { status: frame.status, headers, chunks: [], length: 0 });
-        if (response.req.httpVersion !== "1.0" || isEventStream(headers["content-type"])) {
+        if (response.req.httpVersion !== "1.0" || isEventStreamType(String(headers["content-type"]))) {
             process.nextTick(startResponse, response);
         }
     }
@@ -96,7 +98,7 @@
     }
     bufferedResponses.delete(response);
     response.writeHead(buffered.status, buffered.headers);
-    if (isEventStream(buffered.headers["content-type"])) {
+    if (isEventStreamType(String(buffered.headers["content-type"]))) {
         eventStreamTails.set(response, "\n\n");
     }
     if (buffered.length === 0) {
@@ -119,13 +121,9 @@
     }
 }
 
-function isEventStream(contentType: unknown): boolean {
-    return String(contentType).startsWith("text/event-stream");
-}
-
 /**
  * Responds with a problem document. A response that has begun is interrupted so that the caller can tell it is
- * incomplete: an event stream between two events by an error event, any other by a connection reset.
+ * incomplete: an event stream between two events by an error event and an interruption, any other by a connection reset.
  */
 export function sendProblem(response: ServerResponse, requestId: string, problem: Problem): void {
     const body = createProblemBody(requestId, problem);
@@ -141,7 +139,7 @@
         return;
     }
     if (!response.writableNeedDrain && isBetweenEvents(response)) {
-        response.write(`event: error\ndata: ${body}\n\n`, () => response.destroy());
+        response.write(`event: error\ndata: ${body}\n\n`, () => interruptResponse(response));
         return;
     }
     resetConnection(response);
@@ -153,15 +151,6 @@
     return JSON.stringify({ type: "about:blank", status, title, detail: STATUS_CODES[status], outcome, requestId });
 }
 
-/** Resets the caller's connection unless the response was sent completely, so that no caller takes it for complete. */
-export function resetConnection(response: ServerResponse): void {
-    const { socket } = response;
-    if (socket && !response.writableFinished) {
-        socket.resetAndDestroy();
-    }
-    response.destroy();
-}
-
 /** Whether the response is an event stream and its last chunk ended an event. */
 function isBetweenEvents(response: ServerResponse): boolean {
     return /(\n\n|\r\r|\r\n\r\n)$/.test(eventStreamTails.get(response) ?? "");
