Take a reset behind the last bytes of a response for a break at slots too

Cause: undici takes an error with the code ECONNRESET for the end of a response that ends with its connection, and Node.js reports a reset that comes with the last bytes as the end of the stream.

Fix: the slot's client connects by ResetDetectingSocket, which no longer reports resets under the code that undici takes for an end.

--- a/src/slot/upstream.ts
+++ b/src/slot/upstream.ts
@@ -1,7 +1,8 @@
 /** HTTP client of the upstream that a slot serves. */
-import { Agent, type Dispatcher, request } from "undici";
+import { Agent, type buildConnector, type Dispatcher, errors, request } from "undici";
 import { hopByHopHeaders } from "../wire/hopByHopHeaders.js";
 import type { ResponseHeaders, RunParams } from "../wire/messages.js";
+import { ResetDetectingSocket } from "../wire/resetDetectingSocket.js";
 import { classifyFraming, type ResponseFraming } from "../wire/responseFraming.js";
 
 /** Headers that are not forwarded; the client sets the last two itself. */
@@ -56,8 +57,29 @@
     };
 }
 
+/** Timeout for connecting, in milliseconds. */
+const connectTimeoutMs = 10_000;
+
+/** Stands for the missing error or socket in undici's callbacks. */
+const noValue = null; // eslint-disable-line no-restricted-syntax -- required by undici
+
+/** Connects to an upstream by a socket that reports resets, which undici's own connector does not. */
+function connectUpstream({ hostname, port }: buildConnector.Options, callback: buildConnector.Callback): void {
+    const socket = new ResetDetectingSocket().setNoDelay(true);
+    const timer = setTimeout(() => socket.destroy(new errors.ConnectTimeoutError()), connectTimeoutMs);
+    const settle = (...result: Parameters<buildConnector.Callback>) => {
+        clearTimeout(timer);
+        socket.off("error", handleError);
+        callback(...result);
+    };
+    const handleError = (error: Error) => settle(error, noValue);
+    socket.on("error", handleError);
+    socket.connect({ host: hostname, port: Number(port) }, () => settle(noValue, socket));
+}
+
 function createAgent(idleMs: number): Agent {
     return new Agent({
+        connect: connectUpstream,
         connections: 256,
         keepAliveTimeout: idleMs,
         keepAliveMaxTimeout: idleMs,
