Interrupt the responses that are left when the grace period of an entry ends

What callers saw: a caller of HTTP/1.0 whose stream was still running when its entry's process ended got an orderly close, so the stream looked complete.

Cause: the process exited with the connections open; the operating system closes them in good order.

Fix: the entry interrupts the responses in flight before it exits.

--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { findServingRoute, pickPool, type ServingIndex } from "../config/serving.js";
 import { readBody } from "../wire/body.js";
+import { interruptResponse } from "../wire/interruptResponse.js";
 import type { DirectContext } from "./context.js";
 import { DirectDispatch } from "./directDispatch.js";
 import type { DirectRequest } from "./types.js";
@@ -29,22 +30,28 @@
     server: Server;
     /** Returns the number of requests whose response has not ended. */
     countInFlight: () => number;
+    /** Interrupts the responses that have begun and closes the other callers' connections. */
+    interruptResponses: () => void;
 }
 
 /** Creates the server without starting to listen. */
 export function createDirectServer(options: DirectServerOptions): DirectServer {
-    let inFlight = 0;
+    const inFlight = new Set<ServerResponse>();
     let arrivalCount = 0;
     const server = createServer({ maxHeaderSize: maxHeaderBytes, requireHostHeader: false, requestTimeout: 0 });
     server.on("request", (message: IncomingMessage, response: ServerResponse) => {
         arrivalCount += 1;
-        inFlight += 1;
+        inFlight.add(response);
         response.sendDate = false;
         response.shouldKeepAlive = response.shouldKeepAlive && !options.isStopping();
-        response.on("close", () => inFlight -= 1);
+        response.on("close", () => inFlight.delete(response));
         void handleRequest(options, message, response, arrivalCount);
     });
-    return { server, countInFlight: () => inFlight };
+    return {
+        server,
+        countInFlight: () => inFlight.size,
+        interruptResponses: () => [...inFlight].forEach(interruptResponse),
+    };
 }
 
 /** Applies the document's timeouts to the server. */
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -241,7 +241,7 @@
             });
         },
     };
-    const { server, countInFlight } = createDirectServer({
+    const { server, countInFlight, interruptResponses } = createDirectServer({
         context,
         getIndex: () => index,
         isStopping: () => isStopping,
@@ -324,6 +324,7 @@
                 server.closeIdleConnections();
             }
             logger.info("The entry has stopped.", { inFlight: countInFlight() });
+            interruptResponses();
         },
     };
 }
