--- a/src/standin/proxy.ts
+++ b/src/standin/proxy.ts
@@ -1,6 +1,7 @@
 /** TCP proxy that injects faults between two processes. */
-import { connect, createServer, type Socket } from "node:net";
+import { createServer, Socket } from "node:net";
 import { listenOn } from "../wire/listen.js";
+import { ResetDetectingSocket } from "../wire/resetDetectingSocket.js";
 
 export interface FaultProxy {
     port: number;
@@ -16,7 +17,7 @@
     heal: () => void;
     /** Drops the data from one end, on open and new connections, until `heal`. */
     dropDataFrom: (end: "client" | "server") => void;
-    /** Destroys both sockets of every open connection. */
+    /** Resets both sides of every open connection. */
     reset: () => void;
     /** Delays data in both directions by `ms` milliseconds. */
     setDelay: (ms: number) => void;
@@ -38,6 +39,13 @@
     targetHost: string;
 }
 
+/** Detects a reset of the server unless the client has ended its side, after which nothing can be written. */
+class ServerSideSocket extends ResetDetectingSocket {
+    override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+        return this.writableEnded ? Socket.prototype.push.call(this, chunk, encoding) : super.push(chunk, encoding);
+    }
+}
+
 const defaultHosts: ProxyHosts = { host: "127.0.0.1", targetHost: "127.0.0.1" };
 
 /** Starts a proxy from `port` to `targetPort`, by default on the loopback interface; port 0 picks a free port. */
@@ -58,7 +66,7 @@
         }
         const connection: ProxiedConnection = {
             client,
-            server: connect({ port: targetPort, host: hosts.targetHost, allowHalfOpen: true }),
+            server: new ServerSideSocket().connect({ port: targetPort, host: hosts.targetHost }),
             frozen: false,
         };
         connections.add(connection);
@@ -66,13 +74,15 @@
         forwardData(connection, connection.server, connection.client, recordChunk, () => droppedEnd === "server");
         const destroyBoth = () => {
             connections.delete(connection);
-            connection.client.destroy();
-            connection.server.destroy();
+            connection.client.resetAndDestroy();
+            connection.server.resetAndDestroy();
         };
         [connection.client, connection.server].forEach(socket => {
             socket.on("error", () => undefined);
             socket.on("close", hasFailed => {
-                if (!connection.frozen && (hasFailed || (client.destroyed && connection.server.destroyed))) {
+                // Bytes of a side that has ended in good order may still be on their way to the other side.
+                const isReset = hasFailed && !socket.readableEnded;
+                if (!connection.frozen && (isReset || (client.destroyed && connection.server.destroyed))) {
                     destroyBoth();
                 }
             });
@@ -88,8 +98,8 @@
     };
     const reset = () => {
         connections.forEach(connection => {
-            connection.client.destroy();
-            connection.server.destroy();
+            connection.client.resetAndDestroy();
+            connection.server.resetAndDestroy();
         });
         connections.clear();
     };
@@ -141,7 +151,7 @@
         }));
     from.on("end", () =>
         enqueue(0, () => {
-            if (!connection.frozen) {
+            if (!connection.frozen && !isDropping()) {
                 to.end();
             }
         }));
