Decode a character that is split over two chunks of a slot's response

What callers saw: on the path with slots, a response with a byte beyond ASCII could end with an error or break off, since its length no longer fitted.

Cause: frames carry bytes as Latin-1 text in JSON, sent as UTF-8; the decoder turned each chunk into text by itself, so that a character on the border of two chunks became two replacement characters.

Fix: a decoder of UTF-8 that keeps an incomplete character until the next chunk.

--- a/src/wire/frames.ts
+++ b/src/wire/frames.ts
@@ -1,4 +1,5 @@
 /** Encodes and decodes frames as newline-delimited JSON-RPC notifications. */
+import { StringDecoder } from "node:string_decoder";
 import type { Frame } from "./messages.js";
 import { FrameSchema } from "./messages.js";
 
@@ -17,10 +18,13 @@
 
 /** Creates a decoder for one stream of frames. */
 export function createFrameDecoder(): FrameDecoder {
+    // A character may be split over two chunks.
+    const utf8Decoder = new StringDecoder("utf8");
     let remainder = "";
     return {
         push: chunk => {
-            const lines = (remainder + chunk.toString()).split("\n");
+            const text = typeof chunk === "string" ? chunk : utf8Decoder.write(chunk);
+            const lines = (remainder + text).split("\n");
             remainder = lines.pop() ?? "";
             if (remainder.length > maxLineBytes) {
                 throw new SyntaxError("frame line exceeds the maximum length");
