--- a/src/log/appender.ts
+++ b/src/log/appender.ts
@@ -19,7 +19,7 @@
 
 /** Queue of records to append to one stream. */
 export interface Appender {
-    /** Queues a record; returns false if the queue is full and the record was dropped. */
+    /** Queues a record; returns false if the queue is full or the appender has stopped, and the record was dropped. */
     push: (record: AppendRecord) => boolean;
     /** Returns the number of records dropped so far. */
     dropped: () => number;
@@ -82,7 +82,7 @@
     };
     return {
         push: record => {
-            if (queue.records.length >= options.maxWaiting) {
+            if (queue.stopped || queue.records.length >= options.maxWaiting) {
                 queue.dropped += 1;
                 return false;
             }
--- a/src/log/tests/log.test.ts
+++ b/src/log/tests/log.test.ts
@@ -70,6 +70,20 @@
     });
 });
 
+describe("a stopped appender", () => {
+    it("counts the records that come after its stop as dropped", async () => {
+        const log = { append: async () => 0 } as unknown as LogClient;
+        const limits = { maxWaiting: 5, maxBatch: 3, delayMs: 1, jitterMs: 0 };
+        const appender = createAppender(log, "s", { ...limits, onError: () => undefined, getRandom: () => 0.5 });
+        await appender.stop(100);
+        expect([appender.push({ id: "late", data: {} }), appender.dropped(), appender.waiting()]).toEqual([
+            false,
+            1,
+            0,
+        ]);
+    });
+});
+
 describe("tail", () => {
     it("backs off with growing, bounded and spread delays", () => {
         const ceilings = [1, 2, 3, 4, 5, 6, 100].map(failures => computeBackoffMs(failures, 1));
