Tell that nothing is known when explain asks for an unknown request

What operators saw: 'Invalid time value'. The entry answers with an empty object for a request that it does not know, which the command rendered.

--- a/src/command/status.ts
+++ b/src/command/status.ts
@@ -95,7 +95,7 @@
         () => callInstances<unknown>(settings, instance => instance.role === role, method, params),
     );
     const found = responses.flatMap(response =>
-        "result" in response && response.result ?
+        "result" in response && isKnown(response.result) ?
             [{ instance: response.instance.instance, result: response.result }] :
             []
     );
@@ -109,6 +109,11 @@
     return CommandExitCode.ok;
 };
 
+/** Instances respond with an empty object to a question about what they do not know. */
+function isKnown(result: unknown): boolean {
+    return typeof result === "object" && Object.keys(result ?? {}).length > 0;
+}
+
 function renderRequests(instance: string, result: unknown): string {
     const { requestId, workspace, route, receivedAt, outcome, attempts } = result as ExplainResult;
     const title = `${requestId}: ${outcome}; workspace ${workspace}, route ${route}, received by ${instance} at ` +
--- a/tests/integration/explain.test.ts
+++ b/tests/integration/explain.test.ts
@@ -16,14 +16,16 @@
 
 afterAll(() => cluster.stop());
 
-async function explain(...args: string[]): Promise<{ code: number; text: string; }> {
+async function explain(...args: string[]): Promise<{ code: number; text: string; errors: string; }> {
     const platform = { log: cluster.log.url, list: cluster.list.url };
     const file = cluster.writeFile("operator.yaml", { environment, platform, internalKeys });
     const output = vi.spyOn(process.stdout, "write").mockReturnValue(true);
+    const errorOutput = vi.spyOn(process.stderr, "write").mockReturnValue(true);
     const code = await runCommand(["explain", ...args, "--json", "--settings", file]);
-    const text = output.mock.calls.map(call => String(call[0])).join("");
+    const [text, errors] = [output, errorOutput].map(spy => spy.mock.calls.map(call => String(call[0])).join(""));
     output.mockRestore();
-    return { code, text };
+    errorOutput.mockRestore();
+    return { code, text, errors };
 }
 
 it("explains a request from the journal of the entry that took it", async () => {
@@ -36,5 +38,7 @@
 });
 
 it("says that nothing is known of another request", async () => {
-    expect((await explain("no-such-request")).code).toBe(1);
+    const { code, text, errors } = await explain("no-such-request");
+    expect([code, text]).toEqual([1, ""]);
+    expect(errors).toContain("No entry knows of it; 0 of 1 gave no answer");
 });
