Give up a response of the log or the instance list only when it makes no progress

What processes on the project's own log saw: a read or a list whose response takes longer than 5 s or 2 s never arrived; each try began with the first byte again.

The limit is now the time without data; a read that stops midway still ends within it (test).

--- a/src/log/client.ts
+++ b/src/log/client.ts
@@ -2,8 +2,10 @@
 import { Agent, request } from "undici";
 import { z } from "zod";
 import { CallError } from "../core/errors.js";
+import { readBodyWithProgress, startProgressTimeout } from "../core/progressTimeout.js";
 import type { AppendRecord, LogClient, ReadResult } from "./types.js";
 
+/** Maximum time without data beyond the time that a read waits for records, in milliseconds. */
 const timeoutMs = 5000;
 const keepAliveMs = 10_000;
 const maxConnections = 4;
@@ -27,7 +29,7 @@
 
 /**
  * Creates a client for the log service at `url`. Calls reject with a `CallError` on any status but 200, and with a
- * network, time-out or parse error otherwise. After a network error, a time-out or malformed JSON, the next calls use
+ * network, time-out or parse error otherwise. A response that makes progress does not time out. After a network error, a time-out or malformed JSON, the next calls use
  * new connections, because the old ones may never respond again.
  */
 export function createLogClient(url: string, countBytes: CountBytes = () => undefined): LogClient {
@@ -71,6 +73,7 @@
 ): Promise<unknown> {
     const requestBody = body === undefined ? undefined : JSON.stringify(body);
     const { agent } = connection;
+    const timeout = startProgressTimeout(timeoutMs + waitMs);
     connection.countBytes("sent", path.length + Buffer.byteLength(requestBody ?? ""));
     try {
         const response = await request(`${connection.url}${path}`, {
@@ -78,9 +81,9 @@
             headers: { "content-type": "application/json" },
             body: requestBody,
             dispatcher: agent,
-            signal: AbortSignal.timeout(timeoutMs + waitMs),
+            signal: timeout.signal,
         });
-        const responseBody = await response.body.text();
+        const responseBody = await readBodyWithProgress(response.body, timeout);
         connection.countBytes("received", Buffer.byteLength(responseBody));
         if (response.statusCode !== 200) {
             throw new CallError(
@@ -95,6 +98,9 @@
         }
         throw error;
     }
+    finally {
+        timeout.clear();
+    }
 }
 
 function replaceAgent(connection: Connection, failed: Agent): void {
--- a/src/log/tests/log.test.ts
+++ b/src/log/tests/log.test.ts
@@ -144,6 +144,42 @@
         standin.close();
     });
 
+    /** Serves `body` in pieces, one a second, of which only the first `count` are sent. */
+    async function startSlowLog(body: string, pieces: number, count = pieces): Promise<string> {
+        const size = Math.ceil(body.length / pieces);
+        server = createServer((message, response) => {
+            let sent = 0;
+            response.flushHeaders();
+            const timer = setInterval(() => {
+                response.write(body.slice(sent * size, (sent + 1) * size));
+                sent += 1;
+                if (sent === count) {
+                    clearInterval(timer);
+                }
+                if (sent === pieces) {
+                    response.end();
+                }
+            }, 1000);
+            response.on("close", () => clearInterval(timer));
+        }).listen(0, "127.0.0.1");
+        await new Promise(resolve => server!.once("listening", resolve));
+        return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    }
+    const records = [{ offset: 0, id: "a", time: 0, data: "x".repeat(1000) }];
+    const slowBody = JSON.stringify({ records, next: 1, oldest: 0 });
+
+    it("does not give up a read that makes progress for longer than its time limit", async () => {
+        const log = createLogClient(await startSlowLog(slowBody, 7));
+        expect((await log.read("s", 0, 0)).records).toEqual(records);
+    }, 20_000);
+
+    it("gives up a read that makes no progress", async () => {
+        const log = createLogClient(await startSlowLog(slowBody, 7, 1));
+        const startedAt = performance.now();
+        await expect(log.read("s", 0, 0)).rejects.toThrow();
+        expect(performance.now() - startedAt).toBeLessThan(8000);
+    }, 20_000);
+
     it.each([
         ["throttling", 429, "{}"],
         ["an outage", 503, "{}"],
--- a/src/peers/loadInstances.ts
+++ b/src/peers/loadInstances.ts
@@ -3,10 +3,12 @@
 import { request } from "undici";
 import { z } from "zod";
 import { CallError } from "../core/errors.js";
+import { readBodyWithProgress, startProgressTimeout } from "../core/progressTimeout.js";
 import { pollEvery } from "../core/streams.js";
 import { type InstanceRecord, InstanceState, Role } from "../core/types.js";
 
 const minIntervalMs = 2000;
+/** Maximum time without data, in milliseconds. */
 const timeoutMs = 2000;
 /** Bandwidth limit: longer lists are polled less often, and gossip spreads changes in the meantime. */
 const maxListBytesPerSecond = 512;
@@ -43,11 +45,17 @@
 
 /** Fetches the list once; throws a `CallError`, a network error, or a parse error if the response is not valid. */
 export async function fetchInstances(url: string): Promise<FetchedList> {
-    const response = await request(`${url}/instances`, { signal: AbortSignal.timeout(timeoutMs) });
-    if (response.statusCode !== 200) {
-        await response.body.dump();
-        throw new CallError(`the instance list request failed with status ${response.statusCode}`);
+    const timeout = startProgressTimeout(timeoutMs);
+    try {
+        const response = await request(`${url}/instances`, { signal: timeout.signal });
+        if (response.statusCode !== 200) {
+            await response.body.dump();
+            throw new CallError(`the instance list request failed with status ${response.statusCode}`);
+        }
+        const text = await readBodyWithProgress(response.body, timeout);
+        return { instances: ListSchema.parse(JSON.parse(text)).instances, bytes: Buffer.byteLength(text) };
+    }
+    finally {
+        timeout.clear();
     }
-    const text = await response.body.text();
-    return { instances: ListSchema.parse(JSON.parse(text)).instances, bytes: Buffer.byteLength(text) };
 }
