Count a failure that a slot reports once, and do not take the slot for lost

What operators saw: an upstream that failed one request counted as failed twice towards its ejection, and its slot, which had reported it, as unreachable. A failure of an attempt that the slot has reported is no lost slot.

--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -66,6 +66,8 @@
     private retryReason: RetryReason | undefined;
     private sentAt = 0;
     private isStreamPaused = false;
+    /** Whether the slot of the current attempt has reported that its upstream failed. */
+    private hasSlotReportedFailure = false;
     private ended = false;
 
     private readonly handlers: ActionHandlers = {
@@ -199,6 +201,7 @@
     /** Status 502 is attributed to the upstream, so it counts towards its ejection. */
     private recordFailedFrame({ status, title, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
         if (status === 502 && this.upstream !== undefined) {
+            this.hasSlotReportedFailure = true;
             this.recordAttemptOutcome({ failed: true }, title);
         }
         this.handleSlotRestart(incarnation);
@@ -266,7 +269,8 @@
     }
 
     private fail(action: Extract<AttemptAction, { kind: "fail"; }>): void {
-        if (action.outcome !== "run" && this.upstream !== undefined && action.status === 502) {
+        const isSlotAtFault = action.outcome !== "run" && action.status === 502 && !this.hasSlotReportedFailure;
+        if (isSlotAtFault && this.upstream !== undefined) {
             this.recordLostSlot(action.title);
         }
         sendProblem(this.exchange.response, this.exchange.requestId, action);
@@ -295,6 +299,7 @@
         this.stream?.abandon();
         this.stream = undefined;
         this.upstream = undefined;
+        this.hasSlotReportedFailure = false;
     }
 
     private finish(outcome: string, verdict: string): void {
--- a/src/entry/tests/answers.test.ts
+++ b/src/entry/tests/answers.test.ts
@@ -128,6 +128,14 @@
     expect([body.startsWith(sent), isComplete]).toEqual([true, false]);
 });
 
+it("counts the failure of an upstream that its slot reports once, and not as a lost slot", async () => {
+    fake = await startEntryWithFakeSlot(fakeCall => sendFrames(fakeCall, [accepted, failed]));
+    const { status } = await openRawConnection(fake.url, call("POST /claims HTTP/1.1")).closed;
+    const [upstream] = [...fake.context.table.upstreams.values()];
+    const { requests, failures } = upstream.health;
+    expect([status, requests, failures, upstream.unreachableSince]).toEqual([502, 1, 1, 0]);
+});
+
 it("answers with an error when the upstream's headers cannot be passed on", async () => {
     fake = await startEntryWithFakeSlot(fakeCall =>
         sendFrames(fakeCall, [accepted, head(200, { "bad name": "x" }), end(0)])
