--- a/src/standin/tests/proxy.test.ts
+++ b/src/standin/tests/proxy.test.ts
@@ -13,7 +13,10 @@
     const proxy = await startFaultProxy(0, (target.address() as { port: number; }).port);
     openResources.push(target, proxy);
     const client = connect(proxy.port, "127.0.0.1");
-    return { client, server: await accepted, proxy };
+    const server = await accepted;
+    // The proxy resets the connections that are left when it is closed after the test.
+    [client, server].forEach(socket => socket.on("error", () => undefined));
+    return { client, server, proxy };
 }
 
 function readToEnd(socket: Socket): Promise<string> {
