--- a/src/direct/tests/peerLink.test.ts
+++ b/src/direct/tests/peerLink.test.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import { afterEach, expect, test } from "vitest";
+import { sendInPieces } from "../../standin/slowResponse.js";
 import { listenOn } from "../../wire/listen.js";
 import { fetchHandOver } from "../peerLink.js";
 
@@ -20,16 +21,8 @@
         message.on("end", () => {
             const { id } = JSON.parse(Buffer.concat(chunks).toString()) as { id: number; };
             const result = { documents, documentEnd: 4, list: [], listEnd: 0 };
-            let rest = JSON.stringify({ jsonrpc: "2.0", id, result });
-            const timer = setInterval(() => {
-                response.write(rest.slice(0, pieceBytes));
-                rest = rest.slice(pieceBytes);
-                if (rest === "") {
-                    clearInterval(timer);
-                    response.end();
-                }
-            }, pieceIntervalMs);
-            closers.push(() => clearInterval(timer));
+            const body = JSON.stringify({ jsonrpc: "2.0", id, result });
+            sendInPieces(response, body, { pieceBytes, intervalMs: pieceIntervalMs });
         });
     });
     closers.push(() => server.close(), () => server.closeAllConnections());
--- a/src/log/client.ts
+++ b/src/log/client.ts
@@ -29,8 +29,8 @@
 
 /**
  * Creates a client for the log service at `url`. Calls reject with a `CallError` on any status but 200, and with a
- * network, time-out or parse error otherwise. A response that makes progress does not time out. After a network error, a time-out or malformed JSON, the next calls use
- * new connections, because the old ones may never respond again.
+ * network, time-out or parse error otherwise. A response that makes progress does not time out. After a network error,
+ * a time-out or malformed JSON, the next calls use new connections, because the old ones may never respond again.
  */
 export function createLogClient(url: string, countBytes: CountBytes = () => undefined): LogClient {
     const connection: Connection = { url, agent: createAgent(), countBytes };
--- a/src/log/tests/log.test.ts
+++ b/src/log/tests/log.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { startFakeLog } from "../../standin/log.js";
+import { sendInPieces } from "../../standin/slowResponse.js";
 import { type Appender, createAppender } from "../appender.js";
 import { computeBackoffMs } from "../backoff.js";
 import { createLogClient } from "../client.js";
@@ -146,22 +147,9 @@
 
     /** Serves `body` in pieces, one a second, of which only the first `count` are sent. */
     async function startSlowLog(body: string, pieces: number, count = pieces): Promise<string> {
-        const size = Math.ceil(body.length / pieces);
-        server = createServer((message, response) => {
-            let sent = 0;
-            response.flushHeaders();
-            const timer = setInterval(() => {
-                response.write(body.slice(sent * size, (sent + 1) * size));
-                sent += 1;
-                if (sent === count) {
-                    clearInterval(timer);
-                }
-                if (sent === pieces) {
-                    response.end();
-                }
-            }, 1000);
-            response.on("close", () => clearInterval(timer));
-        }).listen(0, "127.0.0.1");
+        const pieceBytes = Math.ceil(body.length / pieces);
+        const link = { pieceBytes, intervalMs: 1000, limitBytes: count * pieceBytes };
+        server = createServer((message, response) => sendInPieces(response, body, link)).listen(0, "127.0.0.1");
         await new Promise(resolve => server!.once("listening", resolve));
         return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
     }
--- a/src/peers/tests/instances.test.ts
+++ b/src/peers/tests/instances.test.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import { afterEach, expect, it } from "vitest";
+import { sendInPieces } from "../../standin/slowResponse.js";
 import { listenOn } from "../../wire/listen.js";
 import { fetchInstances } from "../loadInstances.js";
 
@@ -14,19 +15,9 @@
         url: "http://127.0.0.1:1",
         state: "live",
     }));
-    let rest = JSON.stringify({ instances });
-    const pieceBytes = Math.ceil(rest.length / 5);
-    const server = createServer((message, response) => {
-        const timer = setInterval(() => {
-            response.write(rest.slice(0, pieceBytes));
-            rest = rest.slice(pieceBytes);
-            if (rest === "") {
-                clearInterval(timer);
-                response.end();
-            }
-        }, 600);
-        closers.push(() => clearInterval(timer));
-    });
+    const body = JSON.stringify({ instances });
+    const link = { pieceBytes: Math.ceil(body.length / 5), intervalMs: 600 };
+    const server = createServer((message, response) => sendInPieces(response, body, link));
     closers.push(() => server.close(), () => server.closeAllConnections());
     const port = await listenOn(server, "127.0.0.1", 0);
     expect((await fetchInstances(`http://127.0.0.1:${port}`)).instances).toEqual(instances);
--- a/src/standin/brokenUpstream.ts
+++ b/src/standin/brokenUpstream.ts
@@ -24,8 +24,6 @@
 export interface BrokenUpstream {
     host: string;
     port: number;
-    /** Heads of the requests received, in order. */
-    requestHeads: string[];
     close: () => void;
 }
 
@@ -46,7 +44,8 @@
     connection: { header: () => [], encode: part => part },
 };
 
-const endings: Record<ConnectionEnding, (socket: Socket) => void> = {
+/** Ends a connection in each way. */
+export const endConnection: Record<ConnectionEnding, (socket: Socket) => void> = {
     close: socket => socket.end(),
     reset: socket => socket.resetAndDestroy(),
 };
@@ -57,14 +56,13 @@
     const { header, encode } = framingWriters[framing];
     const head = ["HTTP/1.1 200 OK", ...headers, ...header(body)].join("\r\n");
     const part = sentBytes === undefined ? body : body.slice(0, sentBytes);
-    socket.write(`${head}\r\n\r\n${encode(part, sentBytes === undefined)}`, () => endings[ending](socket));
+    socket.write(`${head}\r\n\r\n${encode(part, sentBytes === undefined)}`, () => endConnection[ending](socket));
 }
 
 /** Starts an upstream on a free port; `respond` is called with the head of each request. */
 export async function startBrokenUpstream(
     respond: (socket: Socket, requestHead: string) => void,
 ): Promise<BrokenUpstream> {
-    const requestHeads: string[] = [];
     const sockets = new Set<Socket>();
     const server = createServer(socket => {
         let received = "";
@@ -76,7 +74,6 @@
             received += chunk.toString("latin1");
             if (!hadHead && received.includes("\r\n\r\n")) {
                 const requestHead = received.slice(0, received.indexOf("\r\n\r\n"));
-                requestHeads.push(requestHead);
                 respond(socket, requestHead);
             }
         });
@@ -86,7 +83,6 @@
     return {
         host,
         port,
-        requestHeads,
         close: () => {
             server.close();
             sockets.forEach(socket => socket.destroy());
