--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -26,9 +26,10 @@
 import type { DirectContext } from "./context.js";
 import { computeLogPositions, pickPeer } from "./logPositions.js";
 import { bindHeartbeatSocket, createInternalHandler, createSettingsHandlers, fetchHandOver } from "./peerLink.js";
+import { AttemptEnd } from "./requestState.js";
 import { createScheduler } from "./scheduler.js";
 import { applyLimits, createDirectServer, sendEmptyResponse } from "./server.js";
-import type { DirectRequest, HeadCodec } from "./types.js";
+import type { AttemptRecord, DirectRequest, HeadCodec } from "./types.js";
 
 export interface DirectEntryOptions {
     instance: string;
@@ -238,6 +239,7 @@
                 outcome,
                 ms,
                 attempts,
+                promptParts: isAnyLost(attempts) ? request.head.sharedPromptParts : undefined,
             });
         },
     };
@@ -329,6 +331,11 @@
     };
 }
 
+/** Whether an upstream broke the connection of an attempt, which may have ended with it. */
+function isAnyLost(attempts: AttemptRecord[]): boolean {
+    return attempts.some(({ end }) => end?.startsWith(AttemptEnd.lost));
+}
+
 function waitFor(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -16,6 +16,10 @@
     /** Id of the last event that the caller received, if it resumes a stream. */
     lastEventId?: string;
     promptTokens?: number;
+    /** Ids of the parts of the prompt that other requests may share, in order. */
+    sharedPromptParts?: string[];
+    /** Id of the last part of the prompt, which belongs to the request or its session. */
+    ownPromptPart?: string;
     maxOutputTokens?: number;
     /** The caller's estimate of the number of output tokens. */
     expectedOutputTokens?: number;
