Quarantine prompt parts under which upstreams crash, at all entries together

Cause: failures were counted per request, per upstream and per retry budget, but not by what requests share, and no entry knew what the others had seen.

Fix: an entry that loses a request as its upstream begins to respond checks whether the upstream refuses connections, and reports the crash with the lost requests' shared parts. Reports are records of a log topic, or go to peers while the log cannot be reached; hand-overs and heartbeats spread them like the document. Every entry derives the same quarantine from the same reports: a part is condemned after three crashes under three different requests without any response (five, if it was ever answered), is cleared by a response that begins after the crashes, and where two parts always come together only requests with both are rejected. A rejected request gets 503 with the part and the reason, is never sent (again), and needs no I/O to decide. Entries send requests with shared parts only once they have read the quarantine.

--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -3,8 +3,10 @@
  * state.
  */
 import type { ServerResponse } from "node:http";
+import type { QuarantinedParts } from "../routing/quarantine.js";
 import type { UpstreamTracker } from "../routing/upstreamTracker.js";
 import type { DirectDispatch } from "./directDispatch.js";
+import type { RequestQuarantine } from "./requestQuarantine.js";
 import type { AttemptRecord, DirectRequest, HeadCodec, ReportedLoad } from "./types.js";
 
 /** Sends requests to upstreams, at once or when capacity becomes free. */
@@ -22,6 +24,9 @@
     codec: HeadCodec;
     upstreamTracker: UpstreamTracker;
     scheduler: Scheduler;
+    quarantine: Pick<RequestQuarantine, "find" | "getLatestCrashes" | "recordAnswer" | "recordLoss">;
+    /** Whether the quarantine has been read, without which requests with shared prompt parts must not be sent. */
+    isQuarantineKnown: () => boolean;
     /** Monotonic clock, in milliseconds. */
     now: () => number;
     /** Records the first attempt of a request, which adds to the retry budget of its pool. */
@@ -44,6 +49,8 @@
     computeRetryAfterMs: (request: DirectRequest) => number;
     /** Responds that the request has not run, and when to retry. */
     sendRefusal: (response: ServerResponse, retryAfterMs: number) => void;
+    /** Responds that the request has not run because of the given parts of its prompt. */
+    sendRejection: (response: ServerResponse, quarantined: QuarantinedParts) => void;
     /** Responds with `status` that the request failed and may have run. */
     sendFailure: (response: ServerResponse, status: number) => void;
     /** Counts and logs a finished request. */
--- /dev/null
+++ b/src/direct/crashMonitor.ts
@@ -0,0 +1,81 @@
+/**
+ * Finds out whether an upstream that broke connections has crashed: a connection to it is refused then. Broken responses,
+ * resets and cut links leave it listening.
+ */
+import { connect } from "node:net";
+import type { UpstreamRecord } from "../peers/mirror.js";
+import { formatIncarnation, type LostRequest, maxReportedRequests } from "../routing/quarantine.js";
+import type { Address } from "../wire/listen.js";
+
+/** Delays of the checks after the first lost request, in milliseconds; a crashing process may still accept at first. */
+const checkDelaysMs = [20, 150, 500];
+/** Timeout of one check, in milliseconds. */
+const checkTimeoutMs = 300;
+/** Time for which requests lost with one upstream are collected, in milliseconds. */
+const collectMs = 5000;
+
+export interface CrashMonitor {
+    /** Records a request that was lost as its upstream broke the connection. */
+    recordLoss: (upstream: UpstreamRecord, request: LostRequest) => void;
+}
+
+export interface CrashMonitorOptions {
+    /** Called when an upstream has crashed, and again when more of its lost requests are known. */
+    onCrash: (incarnation: string, requests: LostRequest[]) => void;
+    /** Returns whether a connection is refused; replaced in tests. */
+    checkRefused?: (address: Address) => Promise<boolean>;
+}
+
+interface Suspect {
+    requests: LostRequest[];
+    hasCrashed: boolean;
+}
+
+/** Creates a monitor without suspects. */
+export function createCrashMonitor({ onCrash, checkRefused = isRefused }: CrashMonitorOptions): CrashMonitor {
+    const suspects = new Map<string, Suspect>();
+    const check = async (upstream: UpstreamRecord, incarnation: string, suspect: Suspect) => {
+        for (const [index, delayMs] of checkDelaysMs.entries()) {
+            await new Promise(resolve => setTimeout(resolve, delayMs - (checkDelaysMs[index - 1] ?? 0)));
+            if (await checkRefused(upstream)) {
+                suspect.hasCrashed = true;
+                onCrash(incarnation, suspect.requests);
+                return;
+            }
+        }
+    };
+    return {
+        recordLoss: (upstream, request) => {
+            const incarnation = formatIncarnation(upstream);
+            const known = suspects.get(incarnation);
+            const suspect = known ?? { requests: [], hasCrashed: false };
+            if (suspect.requests.length >= maxReportedRequests) {
+                return;
+            }
+            suspect.requests.push(request);
+            if (known === undefined) {
+                suspects.set(incarnation, suspect);
+                setTimeout(() => suspects.delete(incarnation), collectMs);
+                void check(upstream, incarnation, suspect);
+            }
+            else if (suspect.hasCrashed) {
+                onCrash(incarnation, suspect.requests);
+            }
+        },
+    };
+}
+
+/** Whether a connection is refused; false if it is accepted or not in time. */
+function isRefused({ host, port }: Address): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = connect({ host, port });
+        const settle = (isClosed: boolean) => {
+            clearTimeout(timer);
+            socket.destroy();
+            resolve(isClosed);
+        };
+        const timer = setTimeout(() => settle(false), checkTimeoutMs);
+        socket.on("connect", () => settle(false));
+        socket.on("error", error => settle((error as NodeJS.ErrnoException).code === "ECONNREFUSED"));
+    });
+}
--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -5,6 +5,7 @@
 import type { ServerResponse } from "node:http";
 import { isRepeatable, RouteKind } from "../config/serving.js";
 import type { PendingRequest } from "../routing/pendingQueue.js";
+import type { QuarantinedParts } from "../routing/quarantine.js";
 import {
     markReplaced,
     recordFailure,
@@ -22,7 +23,9 @@
 import { interruptResponse } from "../wire/interruptResponse.js";
 import { findTruncation } from "../wire/responseCompletion.js";
 import type { ResponseFraming } from "../wire/responseFraming.js";
+import { type AttemptObserver, observeAttempt } from "./attemptObserver.js";
 import type { DirectContext } from "./context.js";
+import { isNextEvent } from "./eventOrder.js";
 import {
     advanceDirectRequest,
     AttemptEnd,
@@ -39,9 +42,6 @@
 const firstEventLatencyMs = 250;
 /** Maximum size of a response that is buffered until it is complete, in bytes; longer ones are relayed in chunks. */
 const maxBufferedBytes = 256 * 1024;
-/** Event ids that count up by one, so that gaps and duplicates can be detected; other ids are relayed unchecked. */
-const sequentialIdPattern = /^\d{1,15}$/;
-
 /** Ends that count as a failure of the upstream, which is then avoided for some time. */
 const upstreamFailureEnds = new Set<AttemptEnd>([AttemptEnd.lost, AttemptEnd.unconnected]);
 /** Ends after which a retry uses the retry budget, as it adds load to the pool. */
@@ -68,6 +68,8 @@
     private call: UpstreamCall | undefined;
     private recordEnd: ((endedAt: number) => void) | undefined;
     private upstream: TrackedUpstream | undefined;
+    private observer: AttemptObserver | undefined;
+    private quarantined: QuarantinedParts | undefined;
     private responseHead: ResponseHead | undefined;
     private status = 0;
     private bufferedChunks: Buffer[] = [];
@@ -84,6 +86,7 @@
         "wait-for-group": () => this.context.scheduler.enqueue(this),
         "relay-failure": () => this.relayUpstreamFailure(),
         refuse: () => this.refuse(),
+        reject: () => this.reject(),
         fail: action => this.fail(action.status),
         cut: () => this.interruptResponse(),
         cancel: () => this.cancel(),
@@ -126,6 +129,15 @@
         this.applyEvent({ kind: "expired" });
     }
 
+    /** Ends the request if its prompt contains quarantined parts; returns whether it did. */
+    endIfQuarantined(): boolean {
+        this.quarantined = this.context.quarantine.find(this.request);
+        if (this.quarantined !== undefined) {
+            this.applyEvent({ kind: "quarantined" });
+        }
+        return this.quarantined !== undefined;
+    }
+
     /** Computes the latest time to send the request if the caller received its last output at `lastOutputAt`. */
     private computeLatestSendAt(lastOutputAt: number): number {
         const { request, context } = this;
@@ -148,6 +160,7 @@
         const now = context.now();
         this.triedUpstreams.add(record.id);
         this.upstream = upstream;
+        this.observer = observeAttempt(context, request, record);
         this.responseHead = undefined;
         this.bufferedChunks = [];
         this.bufferedBytes = 0;
@@ -179,8 +192,12 @@
                 onHead: (status, raw, framing) => this.handleHead(status, raw, framing),
                 onChunk: chunk => this.handleChunk(chunk),
                 onEnd: () => this.handleEnd(),
-                onFailure: (isConnected, reason) =>
-                    this.endAttempt(isConnected ? AttemptEnd.lost : AttemptEnd.unconnected, reason),
+                onFailure: (isConnected, reason) => {
+                    if (isConnected) {
+                        this.observer!.recordBreak();
+                    }
+                    this.endAttempt(isConnected ? AttemptEnd.lost : AttemptEnd.unconnected, reason);
+                },
             },
         });
     }
@@ -282,9 +299,10 @@
     private relayEvents(splitter: EventSplitter, chunk: Buffer): void {
         this.restartIdleTimer();
         this.context.recordStreamProgress(this.request.pool);
+        this.observer!.recordData();
         const attempt = this.attempts.at(-1)!;
         for (const event of splitter.push(chunk)) {
-            if (!this.isNextEvent(event.id)) {
+            if (!isNextEvent(event.id, this.lastEventId)) {
                 if (event.id !== undefined && Number(event.id) <= Number(this.lastEventId)) {
                     continue;
                 }
@@ -299,17 +317,6 @@
         }
     }
 
-    /** Whether an event directly follows the last one; true if it cannot be determined from the ids. */
-    private isNextEvent(id: string | undefined): boolean {
-        if (
-            id === undefined || this.lastEventId === undefined || !sequentialIdPattern.test(id) ||
-            !sequentialIdPattern.test(this.lastEventId)
-        ) {
-            return true;
-        }
-        return Number(id) === Number(this.lastEventId) + 1;
-    }
-
     private relayBuffered(): void {
         if (!this.state.hasSentHead) {
             this.response.writeHead(this.status, this.responseHead!.relayedHeaders);
@@ -332,9 +339,13 @@
         const attempt = this.attempts.at(-1)!;
         const truncation = findTruncation(attempt.framing!, this.scanner);
         if (truncation !== undefined) {
+            this.observer!.recordBreak();
             this.endAttempt(AttemptEnd.lost, truncation);
             return;
         }
+        if (this.isSuccess()) {
+            this.observer!.recordCompletion();
+        }
         this.clearCall();
         attempt.end = `status ${this.status}`;
         if (this.splitter !== undefined) {
@@ -404,6 +415,11 @@
         this.context.sendRefusal(this.response, retryAfterMs);
     }
 
+    private reject(): void {
+        this.outcome = `rejected, quarantined prompt parts: ${this.quarantined!.parts.join(" ")}`;
+        this.context.sendRejection(this.response, this.quarantined!);
+    }
+
     private fail(status: number): void {
         this.outcome = `failed with ${status}`;
         this.context.sendFailure(this.response, status);
--- a/src/direct/logPositions.ts
+++ b/src/direct/logPositions.ts
@@ -11,16 +11,21 @@
 /** Computes the log positions of this process; `now` is in milliseconds. */
 export function computeLogPositions({ state, getVerifiedAt }: Feed, now: number): LogPositions {
     const computeAge = (topic: FeedTopic) => Math.min(maxPositionAgeMs, Math.round(now - getVerifiedAt(topic)));
+    const { documentEnd, listEnd, quarantineEnd } = state;
     return {
-        document: [state.documentEnd, computeAge(FeedTopic.document)],
-        list: [state.listEnd, computeAge(FeedTopic.list)],
+        document: [documentEnd, computeAge(FeedTopic.document)],
+        list: [listEnd, computeAge(FeedTopic.list)],
+        quarantine: quarantineEnd === undefined ? undefined : [quarantineEnd, computeAge(FeedTopic.quarantine)],
     };
 }
 
 /** Records the log positions of `peer`, the host of another process. */
-export function recordPeerPositions(feed: Feed, { document, list }: LogPositions, peer: string): void {
+export function recordPeerPositions(feed: Feed, { document, list, quarantine }: LogPositions, peer: string): void {
     feed.recordPeerPosition(FeedTopic.document, ...document, peer);
     feed.recordPeerPosition(FeedTopic.list, ...list, peer);
+    if (quarantine !== undefined) {
+        feed.recordPeerPosition(FeedTopic.quarantine, ...quarantine, peer);
+    }
 }
 
 /** Picks a random peer; undefined if there are none. `random` returns a number in [0, 1). */
--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -11,10 +11,27 @@
 import type { Address } from "../wire/listen.js";
 import { callPeer, createPeerHandler, type PeerMethods } from "../wire/peerRpc.js";
 import { recordPeerPositions } from "./logPositions.js";
+import type { PendingRecord } from "./quarantineSharing.js";
 
 /** Time until a hand-over must begin, and longest pause within it, in milliseconds. */
 const handOverTimeoutMs = 600;
 
+/** Records that a peer has, and quarantine records that the log has not accepted yet. */
+export type HandOver = PeerRecords & { pendingQuarantine?: PendingRecord[]; };
+
+/** RPC method that passes quarantine records to a process that may reach the log. */
+export const quarantineMethod = "quarantine";
+/** Timeout of a call that passes quarantine records, in milliseconds. */
+const quarantineTimeoutMs = 600;
+
+/** Passes quarantine records to peers; failures are ignored, as the sender keeps trying to append the records. */
+export function relayQuarantine(peers: Address[], records: PendingRecord[]): void {
+    for (const peer of peers) {
+        callPeer({ ...peer, method: quarantineMethod, params: { records }, timeoutMs: quarantineTimeoutMs })
+            .catch(() => undefined);
+    }
+}
+
 /**
  * Fetches the log records that `peer` has after the offsets in `params`. Resolves with undefined if `peer` is undefined;
  * rejects if the call fails.
@@ -22,10 +39,10 @@
 export async function fetchHandOver(
     peer: Address | undefined,
     params: HandOverParams,
-): Promise<PeerRecords | undefined> {
+): Promise<HandOver | undefined> {
     return peer === undefined ?
         undefined :
-        await callPeer<PeerRecords>({
+        await callPeer<HandOver>({
             ...peer,
             method: handOverMethod,
             params,
@@ -54,14 +71,21 @@
     }, error => failures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" }));
 }
 
-/** Creates the handler of the internal address: serves hand-overs and `methods`, and metrics on any other request. */
+/**
+ * Creates the handler of the internal address: serves hand-overs and `methods`, and metrics on any other request.
+ * `listPending` returns the quarantine records that the log has not accepted yet.
+ */
 export function createInternalHandler(
     feed: Feed,
     registry: { metrics: () => Promise<string>; },
     methods: PeerMethods = {},
+    listPending: () => PendingRecord[] = () => [],
 ): ReturnType<typeof createPeerHandler> {
     return createPeerHandler({
-        [handOverMethod]: (params: HandOverParams) => createHandOver(feed.state, params),
+        [handOverMethod]: (params: HandOverParams): HandOver => ({
+            ...createHandOver(feed.state, params),
+            pendingQuarantine: listPending(),
+        }),
         ...methods,
     }, (message, response) => void registry.metrics().then(text => response.end(text)));
 }
--- a/src/direct/requestState.ts
+++ b/src/direct/requestState.ts
@@ -48,6 +48,8 @@
     | { kind: "ended"; end: AttemptEnd; hasRetryBudget: boolean; }
     /** No upstream can serve the request before its deadline. */
     | { kind: "expired"; }
+    /** The prompt contains quarantined parts, so that the request must not be sent (again). */
+    | { kind: "quarantined"; }
     /** The deadline has passed. */
     | { kind: "timeout"; }
     /** The caller has disconnected. */
@@ -62,6 +64,8 @@
     | { kind: "relay-failure"; }
     /** Responds that the request has not run. */
     | { kind: "refuse"; }
+    /** Responds that the request has not run, because its prompt contains quarantined parts. */
+    | { kind: "reject"; }
     /** Responds that the request failed and may have run. */
     | { kind: "fail"; status: 502 | 504; }
     /** Closes the connection in the middle of the response, so that the caller notices that it is incomplete. */
@@ -109,6 +113,7 @@
     },
     ended: (state, event) => endHandlers[event.end](state, event.hasRetryBudget),
     expired: state => abandon(state),
+    quarantined: state => abandon(state).map(action => action.kind === "refuse" ? { kind: "reject" } : action),
     timeout: state => [{ kind: "cancel" }, ...abandon(state, 504)],
     "caller-gone": state => {
         state.isFinished = true;
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -63,6 +63,9 @@
     const trySend = (dispatch: DirectDispatch): boolean => {
         const { upstreamTracker, dataCentre, random, findPool, groupTracker } = options;
         const { request } = dispatch;
+        if (dispatch.endIfQuarantined()) {
+            return true;
+        }
         const now = options.now();
         const engine = findPool(request.pool)?.engine;
         if (engine !== undefined && !isGroupOpen(groupTracker, request.pool, now)) {
--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -14,8 +14,8 @@
 const maxHeaderBytes = 64 * 1024;
 /** Time beyond the callers' idle and header timeouts after which the server closes a connection, in milliseconds. */
 const idleMarginMs = 1000;
-/** Retry-After of responses while there is no active document, in milliseconds. */
-const noDocumentRetryAfterMs = 500;
+/** Retry-After of responses while there is no active document or the quarantine is not known, in milliseconds. */
+const startupRetryAfterMs = 500;
 
 export interface DirectServerOptions {
     context: DirectContext;
@@ -81,7 +81,7 @@
     }
     const index = options.getIndex();
     if (index === undefined) {
-        context.sendRefusal(response, noDocumentRetryAfterMs);
+        context.sendRefusal(response, startupRetryAfterMs);
         return;
     }
     const request = resolveRequest(options, index, message, body, receivedAt);
@@ -89,6 +89,10 @@
         sendEmptyResponse(response, request);
         return;
     }
+    if (!context.isQuarantineKnown() && (request.head.sharedPromptParts?.length ?? 0) > 0) {
+        context.sendRefusal(response, startupRetryAfterMs);
+        return;
+    }
     new DirectDispatch(context, request, response, arrivalNumber).begin();
 }
 
@@ -139,3 +143,12 @@
         response.end();
     }
 }
+
+/** Sends a JSON response; does nothing if a response has been started or the connection is closed. */
+export function sendJsonResponse(response: ServerResponse, status: number, contentType: string, body: object): void {
+    if (!response.headersSent && !response.destroyed) {
+        const text = JSON.stringify(body);
+        response.writeHead(status, ["Content-Type", contentType, "Content-Length", String(Buffer.byteLength(text))]);
+        response.end(text);
+    }
+}
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -8,7 +8,7 @@
 import { createDirectEntryMetrics } from "../observe/directMetrics.js";
 import { createLoggerFactory, LogPrefix } from "../observe/logger.js";
 import { createLogRateLimiter } from "../observe/logRateLimiter.js";
-import { createFeed, type FeedSource } from "../peers/feed.js";
+import { createFeed, type FeedSource, FeedTopic } from "../peers/feed.js";
 import { encodeHeartbeat, type LeaderHeartbeat, unpackRankLoads } from "../peers/heartbeat.js";
 import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
 import { entryFeedTiming } from "../peers/pacing.js";
@@ -25,10 +25,19 @@
 import { type Address, listenOn } from "../wire/listen.js";
 import type { DirectContext } from "./context.js";
 import { computeLogPositions, pickPeer } from "./logPositions.js";
-import { bindHeartbeatSocket, createInternalHandler, createSettingsHandlers, fetchHandOver } from "./peerLink.js";
+import {
+    bindHeartbeatSocket,
+    createInternalHandler,
+    createSettingsHandlers,
+    fetchHandOver,
+    quarantineMethod,
+    relayQuarantine,
+} from "./peerLink.js";
+import type { PendingRecord } from "./quarantineSharing.js";
+import { createRequestQuarantine } from "./requestQuarantine.js";
 import { AttemptEnd } from "./requestState.js";
 import { createScheduler } from "./scheduler.js";
-import { applyLimits, createDirectServer, sendEmptyResponse } from "./server.js";
+import { applyLimits, createDirectServer, sendEmptyResponse, sendJsonResponse } from "./server.js";
 import type { AttemptRecord, DirectRequest, HeadCodec } from "./types.js";
 
 export interface DirectEntryOptions {
@@ -47,7 +56,7 @@
     /** Time from the signal to stop until the process is killed, in milliseconds. */
     graceMs: number;
     retries: WindowedRetryBudgetSettings;
-    source: FeedSource;
+    source: FeedSource & { appendQuarantine: (records: PendingRecord[]) => Promise<number>; };
     codec: HeadCodec;
     decoders: MirrorDecoders<ServingDocument>;
 }
@@ -97,6 +106,12 @@
  */
 const leaderFetchShare = 0.5;
 
+/**
+ * Time after the start for which requests with shared prompt parts wait for the quarantine, in milliseconds; longer than a
+ * read of the log with retries and hand-overs takes.
+ */
+const maxQuarantineWaitMs = 5000;
+
 /** Starts an entry; resolves once it listens on all its addresses. */
 export async function startDirectEntry(initial: DirectEntryOptions): Promise<RunningEntry> {
     const options = { ...initial };
@@ -106,6 +121,7 @@
     const metrics = createDirectEntryMetrics();
     const logRateLimiter = createLogRateLimiter();
     const now = () => performance.now();
+    const startedAt = now();
     const random = Math.random;
     const upstreamTracker = createUpstreamTracker();
     const groupTracker = createGroupTracker();
@@ -124,13 +140,15 @@
         now,
         random,
         logger: createLogger(LogPrefix.config),
-        fetchFromPeer: async (documentEnd, listEnd) => {
+        fetchFromPeer: async (documentEnd, listEnd, quarantineEnd) => {
             const slots = listSlotHosts().map(host => ({ host, port: options.internal.port }));
             const isLeaderChosen = hasRecentLeader() && random() < leaderFetchShare;
             const peer = isLeaderChosen ?
                 { host: leader!.host, port: options.internal.port } :
                 pickPeer([...slots, ...options.seeds], random);
-            return await fetchHandOver(peer, { documentEnd, listEnd });
+            const handOver = await fetchHandOver(peer, { documentEnd, listEnd, quarantineEnd });
+            quarantine.acceptRecords(handOver?.pendingQuarantine ?? []);
+            return handOver;
         },
         onDocument: document => {
             index = buildServingIndex(document);
@@ -143,10 +161,25 @@
             metrics.upstreams.set(upstreams.length);
             scheduler.dispatchPending();
         },
+        onQuarantine: records => quarantine.applyRecords(records),
         timing: entryFeedTiming,
-        isContinuousReader: () => false,
+        // Without a leader no heartbeat tells of new reports, and reading late lets more upstreams crash.
+        isContinuousReader: topic => topic === FeedTopic.quarantine && quarantine.isAlert() && !hasRecentLeader(),
         onRead: (topic, reason, outcome) => metrics.logReads.inc({ topic, reason, outcome }),
     });
+    const quarantine = createRequestQuarantine({
+        instance: options.instance,
+        now,
+        random,
+        logger,
+        append: records => options.source.appendQuarantine(records),
+        relay: records => relayQuarantine(options.seeds, records),
+        onCrash: () => metrics.upstreamCrashes.inc(),
+        onChange: quarantined => {
+            metrics.quarantinedParts.set(quarantined.length);
+            scheduler.dispatchPending();
+        },
+    });
     const hasRecentLeader = () => leader !== undefined && now() - leader.lastHeartbeatAt < leaderTimeoutMs;
     const listSlotHosts = () => {
         const upstreams = [...upstreamTracker.upstreams.values()].map(({ record }) => record);
@@ -172,6 +205,8 @@
         codec: options.codec,
         upstreamTracker,
         scheduler,
+        quarantine,
+        isQuarantineKnown: () => feed.state.quarantineEnd !== undefined || now() - startedAt > maxQuarantineWaitMs,
         now,
         recordFirstAttempt: request => recordRequest(getRetryBudget(request.pool), now()),
         acquireRetry: (request, at) => {
@@ -216,6 +251,17 @@
             metrics.refusals.inc();
             sendEmptyResponse(response, 503, ["Retry-After", (retryAfterMs / 1000).toFixed(3)]);
         },
+        sendRejection: (response, { parts, upstreams }) => {
+            metrics.quarantineRejections.inc();
+            sendJsonResponse(response, 503, "application/problem+json", {
+                title: "The prompt contains quarantined parts",
+                status: 503,
+                detail: `The request has not run: ${upstreams.length} upstreams crashed under its prompt's ${
+                    parts.length === 1 ? "part" : "parts"
+                } ${parts.join(", ")}.`,
+                parts,
+            });
+        },
         sendFailure: (response, status) => sendEmptyResponse(response, status, []),
         logRequest: (request, outcome, attempts) => {
             const ms = Math.round(now() - request.receivedAt);
@@ -251,7 +297,12 @@
     });
     const isReady = () => !isStopping && index !== undefined && upstreamTracker.upstreams.size > 0;
     const readiness = createServer((message, response) => sendEmptyResponse(response, isReady() ? 200 : 503, []));
-    const handleInternalRequest = createInternalHandler(feed, metrics.registry);
+    const handleInternalRequest = createInternalHandler(feed, metrics.registry, {
+        [quarantineMethod]: ({ records }: { records: PendingRecord[]; }) => {
+            quarantine.acceptRecords(records);
+            return true;
+        },
+    }, quarantine.listPending);
     const internal = createServer(handleInternalRequest);
     const control = createServer(handleInternalRequest);
     const applyLeaderHeartbeat = (heartbeat: LeaderHeartbeat) => {
--- a/src/direct/startDirectSlot.ts
+++ b/src/direct/startDirectSlot.ts
@@ -123,9 +123,12 @@
         now,
         random: Math.random,
         logger: createLogger(LogPrefix.config),
-        fetchFromPeer: (documentEnd, listEnd) => fetchFromRandomPeer({ documentEnd, listEnd }),
+        fetchFromPeer: (documentEnd, listEnd, quarantineEnd) =>
+            fetchFromRandomPeer({ documentEnd, listEnd, quarantineEnd }),
         onDocument: () => updateGroup(),
         onList: () => updateGroup(),
+        // A slot keeps the quarantine only to tell entries its end and to hand it over to them.
+        onQuarantine: () => undefined,
         timing: slotFeedTiming,
         isContinuousReader: () => leaderState.leader === internal.host,
         onRead: (topic, reason, outcome) => metrics.logReads.inc({ topic, reason, outcome }),
--- a/src/observe/directMetrics.ts
+++ b/src/observe/directMetrics.ts
@@ -10,6 +10,9 @@
     attempts: Counter<"end">;
     unfinishedStreams: Counter<"framing">;
     refusals: Counter<string>;
+    quarantineRejections: Counter<string>;
+    upstreamCrashes: Counter<string>;
+    quarantinedParts: Gauge<string>;
     retriesRefused: Counter<string>;
     revision: Gauge<string>;
     upstreams: Gauge<string>;
@@ -46,6 +49,15 @@
             registers,
         }),
         refusals: createCounter("beechdock_direct_refusals_total", "Requests answered as not run."),
+        quarantineRejections: createCounter(
+            "beechdock_direct_quarantine_rejections_total",
+            "Requests answered as not run because their prompt contains quarantined parts.",
+        ),
+        upstreamCrashes: createCounter(
+            "beechdock_direct_upstream_crashes_total",
+            "Crashes of upstreams with requests of this entry, counted anew for each further lost request.",
+        ),
+        quarantinedParts: createGauge("beechdock_quarantined_prompt_parts", "Sets of prompt parts in quarantine."),
         retriesRefused: createCounter(
             "beechdock_direct_repeats_refused_total",
             "Repeats that the retry budget did not admit.",
--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -1,5 +1,6 @@
 /**
- * A feed keeps a local mirror of the operators' document (the configuration document) and the instance list up to date.
+ * A feed keeps a local mirror of the operators' document (the configuration document), the instance list and, where it
+ * is followed, the quarantine of prompt parts up to date.
  * Most processes learn from peers whether they are up to date and read the log only when they are not; when the log
  * fails, they read from a peer.
  */
@@ -9,6 +10,7 @@
 import {
     applyDocumentRecords,
     applyListRecords,
+    applyQuarantineBatch,
     createMirror,
     type MirrorDecoders,
     type MirrorRecord,
@@ -19,7 +21,7 @@
 } from "./mirror.js";
 
 /** Topics of the log that a feed follows. */
-export const FeedTopic = { document: "document", list: "list" } as const;
+export const FeedTopic = { document: "document", list: "list", quarantine: "quarantine" } as const;
 export type FeedTopic = (typeof FeedTopic)[keyof typeof FeedTopic];
 
 /** Records read from a topic. */
@@ -59,14 +61,16 @@
     random: () => number;
     logger: Logger;
     /** Fetches records from the given offsets on from a peer; resolves to undefined if no peer responds. */
-    fetchFromPeer: (documentEnd: number, listEnd: number) => Promise<PeerRecords | undefined>;
+    fetchFromPeer: (documentEnd: number, listEnd: number, quarantineEnd: number) => Promise<PeerRecords | undefined>;
     /** Called when a new document has been applied. */
     onDocument: (document: ServingDocument) => void;
     /** Called when the instance list has changed. */
     onList: () => void;
+    /** Called with the changed records of the quarantine, which is followed only with this option. */
+    onQuarantine?: (records: MirrorRecord[]) => void;
     timing: FeedTiming;
-    /** Whether this process reads the log continuously, so that its peers do not have to. */
-    isContinuousReader: () => boolean;
+    /** Whether this process reads a topic of the log continuously, for example so that its peers do not have to. */
+    isContinuousReader: (topic: FeedTopic) => boolean;
     /** Called when a read of the log has ended. */
     onRead?: (topic: FeedTopic, reason: ReadReason, outcome: ReadOutcome) => void;
 }
@@ -104,6 +108,9 @@
     documentEnd: number;
     list: MirrorRecord[];
     listEnd: number;
+    /** Missing from peers that do not follow the quarantine or have not read it. */
+    quarantine?: MirrorRecord[];
+    quarantineEnd?: number;
 }
 
 /** Mirror of the log that updates itself between `start` and `stop`. */
@@ -157,7 +164,10 @@
 export function createFeed(options: FeedOptions): Feed {
     const { source, decoders, now, random, logger, timing } = options;
     const state = createMirror<ServingDocument>();
-    const verifiedAt: Record<FeedTopic, number> = { document: -Infinity, list: -Infinity };
+    const verifiedAt: Record<FeedTopic, number> = { document: -Infinity, list: -Infinity, quarantine: -Infinity };
+    const followedTopics = Object.values(FeedTopic).filter(topic =>
+        topic !== FeedTopic.quarantine || options.onQuarantine !== undefined
+    );
     const createTopicState = (): TopicState => ({
         end: undefined,
         abortRead: undefined,
@@ -170,23 +180,26 @@
         readProgressAt: 0,
         confirmedBy: undefined,
     });
-    const topics: Record<FeedTopic, TopicState> = { document: createTopicState(), list: createTopicState() };
+    const topics: Record<FeedTopic, TopicState> = {
+        document: createTopicState(),
+        list: createTopicState(),
+        quarantine: createTopicState(),
+    };
     let timer: NodeJS.Timeout | undefined;
     let isFetchingFromPeer = false;
 
-    const applyBatch = (topic: FeedTopic, batch: FeedBatch, origin: Record<string, unknown>) => {
-        if (topic === FeedTopic.document) {
-            if (applyDocumentRecords(state, batch.records, batch.end, decoders)) {
-                logger.info("A new document was applied.", {
-                    revision: state.document!.revision,
-                    offset: batch.end,
-                    records: batch.records.length,
-                    ...origin,
-                });
-                options.onDocument(state.document!);
-            }
-            return;
+    const applyDocumentBatch = (batch: FeedBatch, origin: Record<string, unknown>) => {
+        if (applyDocumentRecords(state, batch.records, batch.end, decoders)) {
+            logger.info("A new document was applied.", {
+                revision: state.document!.revision,
+                offset: batch.end,
+                records: batch.records.length,
+                ...origin,
+            });
+            options.onDocument(state.document!);
         }
+    };
+    const applyListBatch = (batch: FeedBatch) => {
         const apply = batch.isComplete ? replaceList : applyListRecords;
         if (apply(state, batch.records, batch.end, decoders, now())) {
             const changed = batch.records.slice(0, 8).map(({ key, value }) => ({
@@ -197,6 +210,16 @@
             options.onList();
         }
     };
+    const batchAppliers: Record<FeedTopic, (batch: FeedBatch, origin: Record<string, unknown>) => void> = {
+        document: applyDocumentBatch,
+        list: applyListBatch,
+        quarantine: ({ records, end, isComplete }) => {
+            const changes = applyQuarantineBatch(state, records, end, isComplete);
+            if (changes.length > 0) {
+                options.onQuarantine?.(changes);
+            }
+        },
+    };
     const read = async (topic: FeedTopic, reason: ReadReason, control: ReadControl) => {
         const topicState = topics[topic];
         const waitMs = reason === ReadReason.continuous && topicState.failures === 0 ? longPollMs : 0;
@@ -229,7 +252,12 @@
         verifiedAt[topic] = Math.max(verifiedAt[topic], confirmedAt);
         topicState.jitter = random();
         topicState.confirmedBy = undefined;
-        applyBatch(topic, batch, { reason, readMs: Math.round(now() - startedAt), confirmedBy, confirmedAgeMs });
+        batchAppliers[topic](batch, {
+            reason,
+            readMs: Math.round(now() - startedAt),
+            confirmedBy,
+            confirmedAgeMs,
+        });
         return hasRecords ? ReadOutcome.records : ReadOutcome.empty;
     };
     const startRead = (topic: FeedTopic, reason: ReadReason) => {
@@ -250,7 +278,9 @@
             topicState.failures += 1;
             topicState.retryAt = now() +
                 Math.min(maxRetryMs, minRetryMs * 2 ** topicState.failures) * (0.5 + random() / 2);
-            recordLogFailure(state, now());
+            if (topic !== FeedTopic.quarantine) {
+                recordLogFailure(state, now());
+            }
             if (topicState.failures === 1) {
                 logger.warn("Reading the log failed.", {
                     topic,
@@ -271,7 +301,8 @@
             return;
         }
         isFetchingFromPeer = true;
-        const records = await options.fetchFromPeer(state.documentEnd, state.listEnd).catch((error: Error) => {
+        const { documentEnd, listEnd, quarantineEnd = 0 } = state;
+        const records = await options.fetchFromPeer(documentEnd, listEnd, quarantineEnd).catch((error: Error) => {
             logger.warn("Fetching records from a peer failed.", { error: error.message });
             return undefined;
         });
@@ -281,30 +312,32 @@
         }
     };
     const applyPeerRecords = (records: PeerRecords) => {
-        const origin = { reason: "hand-over" };
-        applyBatch(
-            FeedTopic.document,
-            { records: records.documents, end: records.documentEnd, isComplete: false },
-            origin,
-        );
-        applyBatch(FeedTopic.list, { records: records.list, end: records.listEnd, isComplete: false }, origin);
-        topics.document.end = Math.max(topics.document.end ?? 0, records.documentEnd);
-        topics.list.end = Math.max(topics.list.end ?? 0, records.listEnd);
+        const { documents, documentEnd, list, listEnd, quarantine = [], quarantineEnd } = records;
+        const apply = (topic: FeedTopic, topicRecords: MirrorRecord[], end: number) => {
+            const batch = { records: topicRecords, end, isComplete: false };
+            batchAppliers[topic](batch, { reason: "hand-over" });
+            topics[topic].end = Math.max(topics[topic].end ?? 0, end);
+        };
+        apply(FeedTopic.document, documents, documentEnd);
+        apply(FeedTopic.list, list, listEnd);
+        if (quarantineEnd !== undefined) {
+            apply(FeedTopic.quarantine, quarantine, quarantineEnd);
+        }
     };
-    const findReadReason = ({ end }: TopicState, isCatchUpDue: boolean): ReadReason => {
+    const findReadReason = (topic: FeedTopic, { end }: TopicState, isCatchUpDue: boolean): ReadReason => {
         if (end === undefined) {
             return ReadReason.initial;
         }
         if (isCatchUpDue) {
             return ReadReason.catchUp;
         }
-        return options.isContinuousReader() ? ReadReason.continuous : ReadReason.stale;
+        return options.isContinuousReader(topic) ? ReadReason.continuous : ReadReason.stale;
     };
     const checkTopics = () => {
         const time = now();
-        for (const topic of Object.values(FeedTopic)) {
+        for (const topic of followedTopics) {
             const topicState = topics[topic];
-            const isStale = options.isContinuousReader() ||
+            const isStale = options.isContinuousReader(topic) ||
                 time - verifiedAt[topic] > timing.staleAfterMs + topicState.jitter * timing.jitterMs;
             const isCatchUpDue = topicState.peerEnd > (topicState.end ?? 0) && time >= topicState.catchUpAt;
             const isStuck = topicState.isWaiting && isCatchUpDue &&
@@ -314,7 +347,7 @@
             }
             const canRead = topicState.abortRead === undefined && time >= topicState.retryAt;
             if (canRead && (isStale || isCatchUpDue || topicState.end === undefined)) {
-                startRead(topic, findReadReason(topicState, isCatchUpDue));
+                startRead(topic, findReadReason(topic, topicState, isCatchUpDue));
             }
         }
         if (removeExpiredUpstreams(state, time)) {
--- a/src/peers/handOver.ts
+++ b/src/peers/handOver.ts
@@ -9,6 +9,8 @@
 export interface HandOverParams {
     documentEnd: number;
     listEnd: number;
+    /** Missing from peers that do not follow the quarantine. */
+    quarantineEnd?: number;
 }
 
 /** RPC method name. */
@@ -17,5 +19,11 @@
 /** Creates the response: records from the peer's offsets on, and the end offsets of this mirror. */
 export function createHandOver<Document>(state: MirrorState<Document>, params: HandOverParams): PeerRecords {
     const { documents, list } = listRecordsSince(state, params.documentEnd, params.listEnd);
-    return { documents, documentEnd: state.documentEnd, list, listEnd: state.listEnd };
+    const records = { documents, documentEnd: state.documentEnd, list, listEnd: state.listEnd };
+    const { quarantineEnd, quarantineRecords } = state;
+    if (params.quarantineEnd === undefined || quarantineEnd === undefined) {
+        return records;
+    }
+    const quarantine = [...quarantineRecords.values()].filter(({ offset }) => offset >= params.quarantineEnd!);
+    return { ...records, quarantine, quarantineEnd };
 }
--- a/src/peers/heartbeat.ts
+++ b/src/peers/heartbeat.ts
@@ -8,7 +8,12 @@
 /** Next offset of a topic that a process would read, and milliseconds since it was known to be the end of the topic. */
 const LogPositionSchema = z.tuple([z.number(), z.number()]);
 
-const LogPositionsSchema = z.object({ document: LogPositionSchema, list: LogPositionSchema });
+const LogPositionsSchema = z.object({
+    document: LogPositionSchema,
+    list: LogPositionSchema,
+    /** Missing while the process has not read the topic. */
+    quarantine: z.optional(LogPositionSchema),
+});
 /** Read positions of a process in the log, by topic. */
 export type LogPositions = z.infer<typeof LogPositionsSchema>;
 
--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -1,6 +1,6 @@
 /**
- * Local mirror of the newest records of the operators' document (the configuration document) and of the instance list,
- * whose instances are upstreams. Records may come from the log or from peers, in any order and more than once; the
+ * Local mirror of the newest records of the operators' document (the configuration document), of the instance list, whose
+ * instances are upstreams, and of the quarantine of prompt parts. Records may come from the log or from peers, in any order and more than once; the
  * record with the highest offset of each key wins.
  */
 
@@ -45,6 +45,10 @@
     entries: Map<string, ListEntry>;
     /** Time of the last failed read of the log, in milliseconds. */
     logFailedAt: number;
+    /** Offset after the newest processed record of the quarantine's topic; undefined before the first one. */
+    quarantineEnd: number | undefined;
+    /** Newest records of the quarantine, by key. */
+    quarantineRecords: Map<string, MirrorRecord>;
 }
 
 /** Decoders of records' values; they return undefined for values that are not valid. */
@@ -69,9 +73,47 @@
         listEnd: 0,
         entries: new Map(),
         logFailedAt: -Infinity,
+        quarantineEnd: undefined,
+        quarantineRecords: new Map(),
     };
 }
 
+/** Maximum number of records of the quarantine that are kept; those with the highest offsets. */
+const maxQuarantineRecords = 1024;
+
+/**
+ * Applies records of the quarantine's topic; `end` is the offset after the last of them. Records that a complete snapshot
+ * lacks are deleted. Returns the records that changed the mirror, tombstones included.
+ */
+export function applyQuarantineBatch<Document>(
+    state: MirrorState<Document>,
+    records: MirrorRecord[],
+    end: number,
+    isComplete: boolean,
+): MirrorRecord[] {
+    const { quarantineRecords } = state;
+    const present = new Set(records.map(({ key }) => key));
+    const absent = [...quarantineRecords.values()].filter(({ key, offset }) =>
+        isComplete && !present.has(key) && offset < end
+    );
+    const tombstones = absent.map(({ key, offset }): MirrorRecord => ({ key, offset: offset + 0.5 }));
+    const changes = [...tombstones, ...records].filter(record => {
+        const known = quarantineRecords.get(record.key);
+        if (known !== undefined && known.offset >= record.offset) {
+            return false;
+        }
+        quarantineRecords.set(record.key, record);
+        return true;
+    });
+    const excess = quarantineRecords.size - maxQuarantineRecords;
+    if (excess > 0) {
+        const oldest = [...quarantineRecords.values()].sort((a, b) => a.offset - b.offset).slice(0, excess);
+        oldest.forEach(({ key }) => quarantineRecords.delete(key));
+    }
+    state.quarantineEnd = Math.max(state.quarantineEnd ?? 0, end);
+    return changes;
+}
+
 /**
  * Applies records of the document's topic; `end` is the offset after the last of them. Ignores a document that is not
  * valid or has a lower revision. Returns whether the document changed.
--- /dev/null
+++ b/src/routing/quarantine.ts
@@ -0,0 +1,324 @@
+/**
+ * Quarantine of prompt parts that crash upstreams. Entries share reports of crashes, each with the requests that were
+ * lost with the upstream, and derive the quarantine from them: the same reports give the same result everywhere, and no
+ * entry has to see several crashes itself.
+ */
+import { z } from "zod/mini";
+
+const LostRequestSchema = z.object({
+    id: z.string(),
+    /** Parts of the prompt that other requests may share. */
+    parts: z.array(z.string()),
+    /** Last part of the prompt, which belongs to the request or its session. */
+    ownPart: z.string(),
+    /** Latest crashes that the reporter knew of when it sent the request; incarnations of upstreams. */
+    knownCrashes: z.array(z.string()),
+});
+/** Request that was lost with its upstream before its response had shown the prompt to be harmless. */
+export type LostRequest = z.infer<typeof LostRequestSchema>;
+
+const CrashReportSchema = z.object({
+    kind: z.literal("crash"),
+    /** Incarnation of the upstream that crashed; see `formatIncarnation`. */
+    upstream: z.string(),
+    requests: z.array(LostRequestSchema),
+    /** Parts of these requests that the reporter has seen answered before. */
+    answeredParts: z.array(z.string()),
+    /** Whether the reporter has seen so many responses that a part missing in `answeredParts` is unusual. */
+    isExperienced: z.boolean(),
+});
+/** Crash of an upstream as one entry saw it. */
+export type CrashReport = z.infer<typeof CrashReportSchema>;
+
+const RecordSchema = z.discriminatedUnion("kind", [
+    CrashReportSchema,
+    /** An upstream responded to a request with this part after the crashes in earlier records. */
+    z.object({ kind: z.literal("answered"), part: z.string(), request: z.string() }),
+    /** The incarnation responded although it was reported as crashed. */
+    z.object({ kind: z.literal("alive"), upstream: z.string(), request: z.string() }),
+]);
+export type QuarantineRecord = z.infer<typeof RecordSchema>;
+
+/** Record of the shared log; a record without a value deletes its key. */
+export interface KeyedRecord {
+    key: string;
+    offset: number;
+    value?: string;
+}
+
+interface KnownRecord {
+    content: QuarantineRecord;
+    /** Infinity until the log has accepted the record. */
+    offset: number;
+    /** Time at which this process learned of the first record of its key, in milliseconds. */
+    learnedAt: number;
+}
+
+/** Parts that together crash upstreams: requests that contain all of them are rejected. */
+export interface QuarantinedParts {
+    parts: string[];
+    /** Incarnations that crashed. */
+    upstreams: string[];
+    /** Requests that were lost with them. */
+    requests: string[];
+}
+
+export interface QuarantineState {
+    records: Map<string, KnownRecord>;
+    /** Incarnations that crashed last, at most `maxKnownCrashes`. */
+    latestCrashes: string[];
+    quarantined: QuarantinedParts[];
+}
+
+/** Evidence required for a part that no reporter has seen answered, and for one that has been answered before. */
+const requiredEvidence = {
+    unanswered: { crashes: 3, requests: 3 },
+    answered: { crashes: 5, requests: 5 },
+};
+/** Maximum number of records that are kept, by kind. */
+const maxRecords: Record<QuarantineRecord["kind"], number> = { crash: 256, answered: 256, alive: 64 };
+/** Maximum number of requests in one report, and of quarantined sets of parts. */
+export const maxReportedRequests = 16;
+const maxQuarantined = 32;
+/** Maximum number of latest crashes that a report names as known. */
+const maxKnownCrashes = 8;
+/** Number of crashes with a part from which it is worth telling the other entries that the part was answered. */
+const minSuspectCrashes = 2;
+
+/** Creates a state without records. */
+export function createQuarantine(): QuarantineState {
+    return { records: new Map(), latestCrashes: [], quarantined: [] };
+}
+
+/** Formats an incarnation of an upstream: its id and, as it may restart under the same id, its start time. */
+export function formatIncarnation({ id, startedAt }: { id: string; startedAt?: number; }): string {
+    return `${id}@${startedAt ?? 0}`;
+}
+
+/** Returns the key of a record; a later record of the same key replaces it. */
+export function getRecordKey(record: QuarantineRecord, reporter: string): string {
+    const keys: Record<QuarantineRecord["kind"], () => string> = {
+        crash: () => `crash/${(record as CrashReport).upstream}/${reporter}`,
+        answered: () => `answered/${(record as { part: string; }).part}`,
+        alive: () => `alive/${(record as { upstream: string; }).upstream}`,
+    };
+    return keys[record.kind]();
+}
+
+/** Decodes the value of a record; undefined if it is not valid. */
+export function decodeQuarantineRecord(value: string): QuarantineRecord | undefined {
+    try {
+        const result = RecordSchema.safeParse(JSON.parse(value));
+        return result.success ? result.data : undefined;
+    }
+    catch {
+        // Other writers may use the topic; what is not JSON is ignored.
+        return undefined;
+    }
+}
+
+/**
+ * Applies records of the log, or records that it has not accepted yet (offset Infinity). Returns the keys of old records
+ * that are no longer needed.
+ */
+export function applyQuarantineRecords(state: QuarantineState, records: KeyedRecord[], now: number): string[] {
+    for (const { key, offset, value } of records) {
+        const known = state.records.get(key);
+        const isOutdated = known !== undefined && Number.isFinite(known.offset) && known.offset >= offset;
+        const content = value === undefined ? undefined : decodeQuarantineRecord(value);
+        if (isOutdated || (known !== undefined && offset === Infinity && Number.isFinite(known.offset))) {
+            continue;
+        }
+        if (content === undefined) {
+            state.records.delete(key);
+        }
+        else {
+            state.records.set(key, { content, offset, learnedAt: known?.learnedAt ?? now });
+        }
+    }
+    state.latestCrashes = collectCrashes(state).slice(-maxKnownCrashes).map(({ upstream }) => upstream);
+    state.quarantined = findQuarantined(state);
+    return dropOldRecords(state);
+}
+
+/** Finds the quarantined parts that a prompt contains; undefined if the request may be sent. */
+export function findQuarantinedParts({ quarantined }: QuarantineState, parts: string[]): QuarantinedParts | undefined {
+    return quarantined.find(entry => entry.parts.every(part => parts.includes(part)));
+}
+
+/**
+ * Whether the other entries should be told that a part was answered: it is suspected, and the response began at `beganAt`,
+ * after this process had learned of the last crash.
+ */
+export function isAnswerTelling(state: QuarantineState, part: string, beganAt: number): boolean {
+    const crashes = collectCrashes(state).filter(crash => crash.requests.some(({ parts }) => parts.includes(part)));
+    const suspicious = crashes.filter(({ offset }) => offset > getAnsweredOffset(state, part));
+    return suspicious.length >= minSuspectCrashes && suspicious.every(({ learnedAt }) => learnedAt < beganAt);
+}
+
+/**
+ * Whether an incarnation is reported as crashed although a response to a request sent at `sentAt`, before the report,
+ * still arrives at `now`.
+ */
+export function isWronglyReported(state: QuarantineState, upstream: string, sentAt: number, now: number): boolean {
+    const crash = collectCrashes(state).find(known => known.upstream === upstream);
+    return crash !== undefined && sentAt < crash.learnedAt && crash.learnedAt < now;
+}
+
+interface Crash {
+    upstream: string;
+    requests: (LostRequest & { isReporterExperienced: boolean; })[];
+    /** Offset of the first report. */
+    offset: number;
+    /** Time at which this process learned of the first report, in milliseconds. */
+    learnedAt: number;
+}
+
+/** Merges the reports of each crash, in the order of the log. */
+function collectCrashes({ records }: QuarantineState): Crash[] {
+    const crashes = new Map<string, Crash>();
+    for (const { content, offset, learnedAt } of records.values()) {
+        if (content.kind === "crash" && !records.has(`alive/${content.upstream}`)) {
+            const known = crashes.get(content.upstream);
+            const { isExperienced: isReporterExperienced } = content;
+            crashes.set(content.upstream, {
+                upstream: content.upstream,
+                requests: [
+                    ...known?.requests ?? [],
+                    ...content.requests.map(request => ({ ...request, isReporterExperienced })),
+                ],
+                offset: Math.min(known?.offset ?? Infinity, offset),
+                learnedAt: Math.min(known?.learnedAt ?? Infinity, learnedAt),
+            });
+        }
+    }
+    return [...crashes.values()].sort((a, b) => a.offset - b.offset);
+}
+
+function getAnsweredOffset({ records }: QuarantineState, part: string): number {
+    return records.get(`answered/${part}`)?.offset ?? -1;
+}
+
+/** Collects the parts that any reporter has seen answered. */
+function collectAnsweredParts({ records }: QuarantineState): Set<string> {
+    const parts = new Set<string>();
+    for (const { content } of records.values()) {
+        if (content.kind === "crash") {
+            content.answeredParts.forEach(part => parts.add(part));
+        }
+        else if (content.kind === "answered") {
+            parts.add(content.part);
+        }
+    }
+    return parts;
+}
+
+interface Evidence {
+    part: string;
+    crashes: Crash[];
+    requests: Crash["requests"];
+    wasAnswered: boolean;
+}
+
+function findQuarantined(state: QuarantineState): QuarantinedParts[] {
+    const answeredParts = collectAnsweredParts(state);
+    const quarantined: QuarantinedParts[] = [];
+    let unexplained = collectCrashes(state);
+    while (quarantined.length < maxQuarantined) {
+        const evidence = collectEvidence(state, unexplained, answeredParts).filter(isConclusive);
+        const strongest = findStrongest(evidence);
+        if (strongest === undefined) {
+            break;
+        }
+        const { crashes, requests, wasAnswered } = strongest;
+        const parts = strongest.requests[0].parts.filter(part =>
+            requests.every(request => request.parts.includes(part)) && (wasAnswered || !answeredParts.has(part)) &&
+            crashes.every(({ offset }) => offset > getAnsweredOffset(state, part))
+        );
+        quarantined.push({
+            parts: [...new Set(parts)].sort(),
+            upstreams: crashes.map(({ upstream }) => upstream),
+            requests: requests.map(({ id }) => id),
+        });
+        unexplained = unexplained.filter(crash => !crashes.includes(crash));
+    }
+    return quarantined;
+}
+
+/** Collects the evidence against each part: the crashes since it was last answered, and the requests lost in them. */
+function collectEvidence(state: QuarantineState, crashes: Crash[], answeredParts: Set<string>): Evidence[] {
+    const evidence = new Map<string, Evidence>();
+    for (const crash of crashes) {
+        for (const request of crash.requests) {
+            for (const part of new Set(request.parts)) {
+                const known = evidence.get(part) ??
+                    { part, crashes: [], requests: [], wasAnswered: answeredParts.has(part) };
+                evidence.set(part, known);
+                if (crash.offset > getAnsweredOffset(state, part)) {
+                    known.requests.push(request);
+                    if (known.crashes.at(-1) !== crash) {
+                        known.crashes.push(crash);
+                    }
+                }
+            }
+        }
+    }
+    return [...evidence.values()];
+}
+
+/** Counts the different requests; a caller's retry has the same own part. */
+function countDistinctRequests({ requests }: Evidence): number {
+    return new Set(requests.map(({ ownPart }) => ownPart)).size;
+}
+
+/**
+ * Whether the evidence against one part suffices. Upstreams that crash at once may have a common cause, so that either
+ * the part is unknown to reporters that know all usual ones, or a later request with it must have crashed an upstream too.
+ */
+function isConclusive(evidence: Evidence): boolean {
+    const { crashes, wasAnswered } = evidence;
+    const required = wasAnswered ? requiredEvidence.answered : requiredEvidence.unanswered;
+    return crashes.length >= required.crashes && countDistinctRequests(evidence) >= required.requests &&
+        ((!wasAnswered && isUnusual(evidence, required.crashes)) || isRepeated(evidence));
+}
+
+/** Whether experienced reporters lost requests with the part in at least `minCrashes` crashes. */
+function isUnusual({ crashes, part }: Evidence, minCrashes: number): boolean {
+    const unusual = crashes.filter(({ requests }) =>
+        requests.some(({ parts, isReporterExperienced }) => isReporterExperienced && parts.includes(part))
+    );
+    return unusual.length >= minCrashes;
+}
+
+/** Whether an upstream crashed under a request that was sent when an earlier crash with the part was known. */
+function isRepeated({ crashes, requests }: Evidence): boolean {
+    return requests.some(({ knownCrashes }) => crashes.some(({ upstream }) => knownCrashes.includes(upstream)));
+}
+
+/** Finds the part with the strongest evidence; undefined if there is none or several parts in different requests tie. */
+function findStrongest(evidence: Evidence[]): Evidence | undefined {
+    const compare = (a: Evidence, b: Evidence) =>
+        Number(a.wasAnswered) - Number(b.wasAnswered) || b.crashes.length - a.crashes.length ||
+        countDistinctRequests(b) - countDistinctRequests(a);
+    const [first, ...others] = [...evidence].sort(compare);
+    const isTied = others.some(other => compare(first, other) === 0 && !isAlwaysTogether(first, other));
+    return first === undefined || isTied ? undefined : first;
+}
+
+function isAlwaysTogether(a: Evidence, b: Evidence): boolean {
+    return a.requests.length === b.requests.length && a.requests.every(({ parts }) => parts.includes(b.part));
+}
+
+/** Drops the oldest records beyond the limits, except the evidence of the quarantine; returns their keys. */
+function dropOldRecords({ records, quarantined }: QuarantineState): string[] {
+    const kept = new Set(quarantined.flatMap(({ upstreams }) => upstreams.slice(-requiredEvidence.answered.crashes)));
+    const isDroppable = (content: QuarantineRecord) => content.kind !== "crash" || !kept.has(content.upstream);
+    return (Object.keys(maxRecords) as QuarantineRecord["kind"][]).flatMap(kind => {
+        const ofKind = [...records].filter(([, { content }]) => content.kind === kind);
+        const excess = Math.max(0, ofKind.length - maxRecords[kind]);
+        const droppable = ofKind.filter(([, { content }]) => isDroppable(content));
+        const dropped = droppable.sort(([, a], [, b]) => a.offset - b.offset).slice(0, excess).map(([key]) => key);
+        dropped.forEach(key => records.delete(key));
+        return dropped;
+    });
+}
