Give up upstreams and engines that send bytes without end

What callers saw: a stream whose upstream sends one event without end got its answer (504) only at its deadline, and the entry kept all bytes of the event in memory meanwhile; an engine's or store's response to a control call was kept without a bound until its timeout. Heads without end and bytes that are no response were given up already.

Cause: the splitter of events and callHttp had no limit.

--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -29,9 +29,11 @@
 import {
     advanceDirectRequest,
     AttemptEnd,
+    budgetedRetryEnds,
     createDirectRequestState,
     type DirectRequestAction,
     type DirectRequestEvent,
+    upstreamFailureEnds,
 } from "./requestState.js";
 import type { AttemptRecord, DirectRequest, ResponseHead } from "./types.js";
 import { callUpstream, type UpstreamCall } from "./upstreamCall.js";
@@ -42,16 +44,6 @@
 const firstEventLatencyMs = 250;
 /** Maximum size of a response that is buffered until it is complete, in bytes; longer ones are relayed in chunks. */
 const maxBufferedBytes = 256 * 1024;
-/** Ends that count as a failure of the upstream, which is then avoided for some time. */
-const upstreamFailureEnds = new Set<AttemptEnd>([AttemptEnd.lost, AttemptEnd.unconnected]);
-/** Ends after which a retry uses the retry budget, as it adds load to the pool. */
-const budgetedRetryEnds = new Set<AttemptEnd>([
-    AttemptEnd.full,
-    AttemptEnd.misdirected,
-    AttemptEnd.lost,
-    AttemptEnd.failed,
-]);
-
 type ActionHandlers = {
     [K in DirectRequestAction["kind"]]: (action: Extract<DirectRequestAction, { kind: K; }>) => void;
 };
@@ -315,6 +307,9 @@
             this.latestSendAt = this.computeLatestSendAt(this.context.now());
             this.write(event.bytes);
         }
+        if (splitter.isEventTooLong()) {
+            this.endAttempt(AttemptEnd.lost, "an event is too long");
+        }
     }
 
     private relayBuffered(): void {
--- a/src/direct/requestState.ts
+++ b/src/direct/requestState.ts
@@ -21,6 +21,16 @@
 } as const;
 export type AttemptEnd = (typeof AttemptEnd)[keyof typeof AttemptEnd];
 
+/** Ends that count as a failure of the upstream, which is then avoided for some time. */
+export const upstreamFailureEnds = new Set<AttemptEnd>([AttemptEnd.lost, AttemptEnd.unconnected]);
+/** Ends after which a retry uses the retry budget, as it adds load to the pool. */
+export const budgetedRetryEnds = new Set<AttemptEnd>([
+    AttemptEnd.full,
+    AttemptEnd.misdirected,
+    AttemptEnd.lost,
+    AttemptEnd.failed,
+]);
+
 export interface DirectRequestState {
     /** Whether the request may be sent again after it may have run. */
     readonly isRepeatable: boolean;
--- a/src/wire/eventStream.ts
+++ b/src/wire/eventStream.ts
@@ -30,6 +30,8 @@
     push: (chunk: Buffer) => StreamEvent[];
     /** Returns the bytes after the last complete event. */
     getRemainder: () => Buffer;
+    /** Whether these are more than an event may have: an upstream in trouble may send bytes without end. */
+    isEventTooLong: () => boolean;
 }
 
 /** Whether the value of a `Content-Type` header stands for a stream of events. */
@@ -101,6 +103,9 @@
     };
 }
 
+/** Maximum size of an event, in bytes. */
+const maxEventBytes = 1024 * 1024;
+
 /** Creates a splitter at the start of the stream that `scanner` scans. */
 export function createEventSplitter(scanner: EventScanner): EventSplitter {
     let remainder: Buffer = Buffer.alloc(0);
@@ -118,6 +123,7 @@
             return events;
         },
         getRemainder: () => remainder,
+        isEventTooLong: () => remainder.length > maxEventBytes,
     };
 }
 
--- a/src/wire/httpCall.ts
+++ b/src/wire/httpCall.ts
@@ -14,6 +14,8 @@
      * makes progress is not given up, since a new call would have to begin with the first byte again.
      */
     stallTimeoutMs?: number;
+    /** Maximum size of the response's body, in bytes; 64 MiB if absent. */
+    maxBytes?: number;
     body?: string | Buffer;
     /** Content encoding of a compressed body. */
     bodyEncoding?: "deflate";
@@ -29,9 +31,13 @@
     body: Buffer;
 }
 
-/** Calls a server; rejects with a `CallError` if the response is not in time. Any status resolves. */
+/** Maximum size of a response's body without a limit of its own, in bytes; a server in trouble may send without end. */
+const defaultMaxBytes = 64 * 1024 * 1024;
+
+/** Calls a server; rejects with a `CallError` if the response is too long or not in time. Any status resolves. */
 export function callHttp(call: HttpCall): Promise<HttpResponse> {
     const { host, port, method, path, timeoutMs, stallTimeoutMs, body, bodyEncoding, agent, signal, onData } = call;
+    const { maxBytes = defaultMaxBytes } = call;
     return new Promise((resolve, reject) => {
         const headers = body === undefined ?
             undefined :
@@ -58,7 +64,13 @@
         outgoing.on("response", response => {
             const chunks: Buffer[] = [];
             recordProgress();
+            let size = 0;
             response.on("data", (chunk: Buffer) => {
+                size += chunk.length;
+                if (size > maxBytes) {
+                    fail(`sent more than ${maxBytes} bytes`);
+                    return;
+                }
                 chunks.push(chunk);
                 recordProgress();
             });
