Accept SIGHUP from the first module on, so that a reload does not end a starting program

Cause: the handler was registered after the program listened and had logged so. It is registered by the first imported module now, and a signal that comes before the settings are watched is handled then.

--- a/src/bin/exit.ts
+++ b/src/bin/exit.ts
@@ -25,7 +25,22 @@
     process.on("SIGINT", handleSignal);
 }
 
-/** Calls `reload` on each SIGHUP, which would terminate the process by default. */
+let handleReload: (() => void) | undefined;
+let isReloadPending = false;
+
+/** Accepts SIGHUP, which would terminate the process by default; a signal before `registerReload` is handled then. */
+export function acceptReloads(): void {
+    process.on("SIGHUP", () => {
+        isReloadPending = handleReload === undefined;
+        handleReload?.();
+    });
+}
+
+/** Calls `reload` on each SIGHUP, and at once if one has arrived since `acceptReloads`. */
 export function registerReload(reload: () => void): void {
-    process.on("SIGHUP", reload);
+    handleReload = reload;
+    if (isReloadPending) {
+        isReloadPending = false;
+        reload();
+    }
 }
