Compare positions in the log by era, so that the log's return from an older copy loses nothing

Cause: records were ordered by offset alone, and ends only grow.

Without the header the era is 0 and positions are as before.

A fleet whose store returns from an older copy after the quarantine keeps it, also at an entry that restarts then.

--- a/src/direct/requestQuarantine.ts
+++ b/src/direct/requestQuarantine.ts
@@ -45,6 +45,8 @@
     applyRecords: (records: MirrorRecord[]) => void;
     /** Takes over records of a peer that cannot append them. */
     acceptRecords: (records: PendingRecord[]) => void;
+    /** Appends records again that the log has lost, unless another entry does so first. */
+    restoreRecords: (records: MirrorRecord[], isLost: (key: string) => boolean) => void;
     listPending: () => PendingRecord[];
     /** Whether crashes have been observed or reported lately, so that news is urgent. */
     isAlert: () => boolean;
@@ -67,6 +69,9 @@
 /** Time after an observed loss or a report for which news is urgent, in milliseconds. */
 const alertMs = 10_000;
 
+/** Maximum delay until lost records are appended again, in milliseconds; most entries then find that another one did. */
+const maxRestoreDelayMs = 2000;
+
 /** Creates the quarantine of an entry, without records. */
 export function createRequestQuarantine(options: RequestQuarantineOptions): RequestQuarantine {
     const { instance, now, random, logger } = options;
@@ -154,6 +159,13 @@
                 sharing.publish(unknown);
             }
         },
+        restoreRecords: (records, isLost) => {
+            setTimeout(
+                () =>
+                    sharing.publish(records.filter(({ key }) => isLost(key)).map(({ key, value }) => ({ key, value }))),
+                random() * maxRestoreDelayMs,
+            );
+        },
         listPending: sharing.listPending,
         isAlert: () => now() < alertUntil,
     };
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -10,6 +10,7 @@
 import { createLogRateLimiter } from "../observe/logRateLimiter.js";
 import { createFeed, type FeedSource, FeedTopic } from "../peers/feed.js";
 import { encodeHeartbeat, type LeaderHeartbeat, unpackRankLoads } from "../peers/heartbeat.js";
+import { getEra } from "../peers/logPosition.js";
 import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
 import { entryFeedTiming } from "../peers/pacing.js";
 import { estimateServiceMs } from "../routing/engineLatency.js";
@@ -162,6 +163,15 @@
             scheduler.dispatchPending();
         },
         onQuarantine: records => quarantine.applyRecords(records),
+        onQuarantineLost: records =>
+            quarantine.restoreRecords(records, key => {
+                const { quarantineEnd = 0, quarantineRecords } = feed.state;
+                return getEra(quarantineRecords.get(key)?.offset ?? 0) < getEra(quarantineEnd);
+            }),
+        onEra: era => {
+            metrics.logEra.set(era);
+            metrics.logEraChanges.inc();
+        },
         timing: entryFeedTiming,
         // Without a leader no heartbeat tells of new reports, and reading late lets more upstreams crash.
         isContinuousReader: topic => topic === FeedTopic.quarantine && quarantine.isAlert() && !hasRecentLeader(),
--- a/src/observe/directMetrics.ts
+++ b/src/observe/directMetrics.ts
@@ -16,6 +16,8 @@
     retriesRefused: Counter<string>;
     revision: Gauge<string>;
     upstreams: Gauge<string>;
+    logEra: Gauge<string>;
+    logEraChanges: Counter<string>;
     responseSeconds: Histogram<string>;
     logLinesDropped: Counter<string>;
     logReads: Counter<"topic" | "reason" | "outcome">;
@@ -64,6 +66,11 @@
         ),
         revision: createGauge("beechdock_direct_revision", "Revision of the document in force."),
         upstreams: createGauge("beechdock_direct_upstreams", "Upstreams in the instance list."),
+        logEra: createGauge("beechdock_log_era", "How often the log has returned from an older copy, as last seen."),
+        logEraChanges: createCounter(
+            "beechdock_log_era_changes_total",
+            "Returns of the log from an older copy, counted for each topic.",
+        ),
         responseSeconds: new Histogram({
             name: "beechdock_direct_answer_seconds",
             help: "Time to the end of an answer.",
--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -7,6 +7,7 @@
 import type { ServingDocument } from "../config/serving.js";
 import { CallError } from "../core/errors.js";
 import type { Logger } from "../observe/logger.js";
+import { getEra, getOffset } from "./logPosition.js";
 import {
     applyDocumentRecords,
     applyListRecords,
@@ -68,6 +69,10 @@
     onList: () => void;
     /** Called with the changed records of the quarantine, which is followed only with this option. */
     onQuarantine?: (records: MirrorRecord[]) => void;
+    /** Called with the records of the quarantine that the log has lost by returning from an older copy. */
+    onQuarantineLost?: (records: MirrorRecord[]) => void;
+    /** Called when the log has returned from an older copy. */
+    onEra?: (era: number) => void;
     timing: FeedTiming;
     /** Whether this process reads a topic of the log continuously, for example so that its peers do not have to. */
     isContinuousReader: (topic: FeedTopic) => boolean;
@@ -199,14 +204,14 @@
             options.onDocument(state.document!);
         }
     };
-    const applyListBatch = (batch: FeedBatch) => {
-        const apply = batch.isComplete ? replaceList : applyListRecords;
-        if (apply(state, batch.records, batch.end, decoders, now())) {
-            const changed = batch.records.slice(0, 8).map(({ key, value }) => ({
+    const applyListBatch = ({ records, end, isComplete }: FeedBatch) => {
+        const apply = isComplete ? replaceList : applyListRecords;
+        if (apply(state, records, end, decoders, now())) {
+            const changed = records.slice(0, 8).map(({ key, value }) => ({
                 upstream: key,
                 isGone: value === undefined,
             }));
-            logger.info("The instance list changed.", { changed, records: batch.records.length, offset: batch.end });
+            logger.info("The instance list changed.", { changed, records: records.length, offset: end });
             options.onList();
         }
     };
@@ -214,12 +219,21 @@
         document: applyDocumentBatch,
         list: applyListBatch,
         quarantine: ({ records, end, isComplete }) => {
-            const changes = applyQuarantineBatch(state, records, end, isComplete);
+            const { changes, lost } = applyQuarantineBatch(state, records, end, isComplete);
             if (changes.length > 0) {
                 options.onQuarantine?.(changes);
             }
+            if (lost.length > 0) {
+                options.onQuarantineLost?.(lost);
+            }
         },
     };
+    const getMirrorEnd = (topic: FeedTopic) =>
+        ({
+            document: state.documentEnd,
+            list: state.listEnd,
+            quarantine: state.quarantineEnd ?? 0,
+        })[topic];
     const read = async (topic: FeedTopic, reason: ReadReason, control: ReadControl) => {
         const topicState = topics[topic];
         const waitMs = reason === ReadReason.continuous && topicState.failures === 0 ? longPollMs : 0;
@@ -252,6 +266,18 @@
         verifiedAt[topic] = Math.max(verifiedAt[topic], confirmedAt);
         topicState.jitter = random();
         topicState.confirmedBy = undefined;
+        const previousEnd = getMirrorEnd(topic);
+        if (previousEnd > 0 && getEra(batch.end) > getEra(previousEnd)) {
+            logger.warn("The log has returned from an older copy; keeping what it lacks for now.", {
+                topic,
+                era: getEra(batch.end),
+                previousEra: getEra(previousEnd),
+                end: getOffset(batch.end),
+                previousEnd: getOffset(previousEnd),
+                records: batch.records.length,
+            });
+            options.onEra?.(getEra(batch.end));
+        }
         batchAppliers[topic](batch, {
             reason,
             readMs: Math.round(now() - startedAt),
--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -4,7 +4,9 @@
  * record with the highest offset of each key wins.
  */
 
-/** A record of the log; a record without a value is a tombstone, which deletes its key. */
+import { getEra, getOffset } from "./logPosition.js";
+
+/** A record of the log at a position (see `createLogPosition`); a record without a value is a tombstone, which deletes its key. */
 export interface MirrorRecord {
     key: string;
     offset: number;
@@ -83,20 +85,24 @@
 
 /**
  * Applies records of the quarantine's topic; `end` is the offset after the last of them. Records that a complete snapshot
- * lacks are deleted. Returns the records that changed the mirror, tombstones included.
+ * lacks are deleted, or lost if the log has returned from an older copy. Returns the records that changed the mirror,
+ * tombstones included, and the lost ones, which stay in the mirror.
  */
 export function applyQuarantineBatch<Document>(
     state: MirrorState<Document>,
     records: MirrorRecord[],
     end: number,
     isComplete: boolean,
-): MirrorRecord[] {
+): { changes: MirrorRecord[]; lost: MirrorRecord[]; } {
     const { quarantineRecords } = state;
+    const isNewEra = getEra(end) > getEra(state.quarantineEnd ?? 0);
     const present = new Set(records.map(({ key }) => key));
     const absent = [...quarantineRecords.values()].filter(({ key, offset }) =>
         isComplete && !present.has(key) && offset < end
     );
-    const tombstones = absent.map(({ key, offset }): MirrorRecord => ({ key, offset: offset + 0.5 }));
+    const lost = isNewEra ? absent.filter(({ value }) => value !== undefined) : [];
+    const deleted = isNewEra ? [] : absent;
+    const tombstones = deleted.map(({ key, offset }): MirrorRecord => ({ key, offset: offset + 0.5 }));
     const changes = [...tombstones, ...records].filter(record => {
         const known = quarantineRecords.get(record.key);
         if (known !== undefined && known.offset >= record.offset) {
@@ -111,7 +117,7 @@
         oldest.forEach(({ key }) => quarantineRecords.delete(key));
     }
     state.quarantineEnd = Math.max(state.quarantineEnd ?? 0, end);
-    return changes;
+    return { changes, lost };
 }
 
 /**
@@ -159,6 +165,9 @@
 /**
  * Applies a snapshot of the list that is complete up to `end`. Keys that the snapshot lacks are deleted unless their
  * record is newer. Returns whether the list changed.
+ *
+ * The first snapshot of a new era holds what an older copy of the log held: what it lacks gets the grace period of an
+ * outage, and what is known to be leaving or gone stays so until its record is written again.
  */
 export function replaceList<Document>(
     state: MirrorState<Document>,
@@ -167,11 +176,27 @@
     decoders: MirrorDecoders<Document>,
     now: number,
 ): boolean {
+    const isNewEra = getEra(end) > getEra(state.listEnd);
+    if (isNewEra && state.listEnd > 0) {
+        recordLogFailure(state, now);
+    }
     const present = new Set(records.map(({ key }) => key));
     const absent = [...state.entries.values()].filter(({ record }) => !present.has(record.key) && record.offset < end);
-    // Half an offset above the record: newer than the record itself, older than any later record of its key.
-    const tombstones = absent.map(({ record: { key, offset } }) => ({ key, offset: offset + 0.5 }));
-    return applyListRecords(state, [...tombstones, ...records], end, decoders, now);
+    // Half an offset above the record: newer than the record itself, older than any later record of its key. In a new era
+    // the tombstone is of that era too, so that peers which are cut off from the log are handed it.
+    const isInEra = isNewEra && getOffset(end) > 0;
+    const tombstones = absent.map(({ record: { key, offset } }) => ({
+        key,
+        offset: isInEra ? end - 0.5 : offset + 0.5,
+    }));
+    const current = isNewEra ? records.filter(record => !isOutdated(state.entries.get(record.key), record)) : records;
+    return applyListRecords(state, [...tombstones, ...current], end, decoders, now);
+}
+
+/** Whether a record of a new era's first snapshot may be older than what is known: that the upstream is leaving or gone. */
+function isOutdated(known: ListEntry | undefined, { offset }: MirrorRecord): boolean {
+    return known !== undefined && getEra(known.record.offset) < getEra(offset) &&
+        (known.upstream?.isLeaving ?? known.record.value === undefined);
 }
 
 /** Records a failed read of the log, which starts or extends the grace period of expired upstreams. */
--- a/src/wire/httpCall.ts
+++ b/src/wire/httpCall.ts
@@ -1,5 +1,5 @@
 /** HTTP client for control traffic between processes and to the platform, with timeouts. */
-import { type Agent, request } from "node:http";
+import { type Agent, type IncomingHttpHeaders, request } from "node:http";
 import { CallError } from "../core/errors.js";
 
 export interface HttpCall {
@@ -28,6 +28,7 @@
 
 export interface HttpResponse {
     status: number;
+    headers: IncomingHttpHeaders;
     body: Buffer;
 }
 
@@ -77,7 +78,7 @@
             response.on("error", error => fail(`failed during the response: ${error.message}`));
             response.on("end", () => {
                 clearTimeout(timer);
-                resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks) });
+                resolve({ status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks) });
             });
         });
         outgoing.end(body);
