Quarantine prompt parts on the path with slots too

What callers saw: as on the direct path, requests that share a part crash one upstream after another, and the entries with slots know no parts at all.

A caller lists the parts in Prompt-Parts. A slot that loses a run checks whether its upstream refuses connections, and names the crash in the failed frame; the entry reports it to the stream ENVIRONMENT-quarantine of the log, which all entries tail, and derives the quarantine with the module of the direct path. Such a request ends as not-run (unknown if an attempt may have run) with a title that names the part. Entries that cannot read the log do not hear of reports; there is no relay between peers on this path yet.

--- a/src/direct/crashMonitor.ts
+++ b/src/direct/crashMonitor.ts
@@ -14,9 +14,11 @@
 /** Time for which requests lost with one upstream are collected, in milliseconds. */
 const collectMs = 5000;
 
+type MonitoredUpstream = Pick<UpstreamRecord, "id" | "startedAt" | "host" | "port">;
+
 export interface CrashMonitor {
     /** Records a request that was lost as its upstream broke the connection. */
-    recordLoss: (upstream: UpstreamRecord, request: LostRequest) => void;
+    recordLoss: (upstream: MonitoredUpstream, request: LostRequest) => void;
 }
 
 export interface CrashMonitorOptions {
@@ -34,7 +36,7 @@
 /** Creates a monitor without suspects. */
 export function createCrashMonitor({ onCrash, checkRefused = isRefused }: CrashMonitorOptions): CrashMonitor {
     const suspects = new Map<string, Suspect>();
-    const check = async (upstream: UpstreamRecord, incarnation: string, suspect: Suspect) => {
+    const check = async (upstream: MonitoredUpstream, incarnation: string, suspect: Suspect) => {
         for (const [index, delayMs] of checkDelaysMs.entries()) {
             await new Promise(resolve => setTimeout(resolve, delayMs - (checkDelaysMs[index - 1] ?? 0)));
             if (await checkRefused(upstream)) {
@@ -66,7 +68,7 @@
 }
 
 /** Whether a connection is refused; false if it is accepted or not in time. */
-function isRefused({ host, port }: Address): Promise<boolean> {
+export function isRefused({ host, port }: Address): Promise<boolean> {
     return new Promise(resolve => {
         const socket = connect({ host, port });
         const settle = (isClosed: boolean) => {
--- a/src/direct/requestQuarantine.ts
+++ b/src/direct/requestQuarantine.ts
@@ -22,9 +22,14 @@
 import { createQuarantineSharing, type PendingRecord, type QuarantineSharing } from "./quarantineSharing.js";
 import type { DirectRequest } from "./types.js";
 
+/** What the quarantine needs to know of a request. */
+export type PromptRequest = Pick<DirectRequest, "id"> & {
+    head: Pick<DirectRequest["head"], "sharedPromptParts" | "ownPromptPart">;
+};
+
 /** One attempt of a request; times are in milliseconds. */
 export interface ObservedAttempt {
-    upstream: UpstreamRecord;
+    upstream: Pick<UpstreamRecord, "id" | "startedAt" | "host" | "port" | "isLeaving">;
     sentAt: number;
     /** Crashes that were known when the request was sent. */
     knownCrashes: string[];
@@ -34,13 +39,13 @@
 
 export interface RequestQuarantine {
     /** Finds the quarantined parts in the prompt of a request; undefined if it may be sent. */
-    find: (request: DirectRequest) => QuarantinedParts | undefined;
+    find: (request: PromptRequest) => QuarantinedParts | undefined;
     /** Returns the latest crashes that are known, as incarnations of upstreams. */
     getLatestCrashes: () => string[];
     /** Records that the upstream has continued to respond to the request. */
-    recordAnswer: (request: DirectRequest, attempt: ObservedAttempt) => void;
+    recordAnswer: (request: PromptRequest, attempt: ObservedAttempt) => void;
     /** Records that the upstream broke the connection as or before it began to respond. */
-    recordLoss: (request: DirectRequest, attempt: ObservedAttempt) => void;
+    recordLoss: (request: PromptRequest, attempt: ObservedAttempt) => void;
     /** Applies records that the feed has read. */
     applyRecords: (records: MirrorRecord[]) => void;
     /** Takes over records of a peer that cannot append them. */
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -62,6 +62,8 @@
     | { kind: "unreachable"; }
     /** The retry budget does not allow the next attempt. */
     | { kind: "retry-refused"; retryAfterSeconds: number; }
+    /** The prompt must not be sent to an upstream (again). */
+    | { kind: "obstructed"; title: string; retryAfterSeconds?: number; }
     | { kind: "deadline"; }
     | { kind: "caller-gone"; };
 
@@ -120,6 +122,8 @@
             retryOnOtherSlot(state, RunOutcome.notRun, now, RetryReason.unreachable, 502, "The slot cannot be reached"),
     "retry-refused": (state, event) =>
         failRequest(state, RunOutcome.notRun, 503, "Too many requests are being retried", event.retryAfterSeconds),
+    obstructed: (state, { title, retryAfterSeconds }) =>
+        failRequest(state, RunOutcome.notRun, 503, title, retryAfterSeconds),
     deadline: state => {
         const outcome = state.phase === Phase.choosing ? RunOutcome.notRun : RunOutcome.unknown;
         return failRequest(state, outcome, 504, "The deadline has passed");
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -20,6 +20,7 @@
 import { requestRpc, type RpcIdentity } from "../wire/rpc.js";
 import { advanceAttempt, type AttemptAction, type AttemptEvent, createAttemptState, RetryReason } from "./attempt.js";
 import { beginAttempt, beginRecord, endAttempt, endRecord, type Journal, type JournalRecord } from "./journal.js";
+import { parsePromptHead, type PromptHead, type PromptQuarantine } from "./promptQuarantine.js";
 import { relayFrame, sendProblem } from "./relay.js";
 import { admitRetry, countRequest, type RetryBudget } from "./retryBudget.js";
 import { isIdempotent } from "./route.js";
@@ -32,6 +33,9 @@
 /** Maximum `retry-after` when the retry budget is used up or no upstream is available, in seconds; drawn at random. */
 const maxRetryAfterSeconds = 4;
 
+/** Time after its first data after which a response shows that its prompt does not crash the upstream, in milliseconds. */
+const harmlessAfterMs = 250;
+
 /** What the dispatch of requests depends on. */
 export interface DispatchContext {
     identity: RpcIdentity;
@@ -41,6 +45,7 @@
     metrics: Metrics;
     retryBudget: RetryBudget;
     journal: Journal;
+    quarantine: PromptQuarantine;
     /** Called when an upstream is ejected. */
     onEjection?: (instance: string, reason: string) => void;
 }
@@ -64,6 +69,11 @@
     private stream: SlotStream | undefined;
     private deadlineTimer: NodeJS.Timeout | undefined;
     private retryReason: RetryReason | undefined;
+    private readonly prompt: PromptHead;
+    private knownCrashes: string[] = [];
+    /** Time of the first data of the current attempt; undefined before it. */
+    private beganAt: number | undefined;
+    private isHarmless = false;
     private sentAt = 0;
     private isStreamPaused = false;
     /** Whether the slot of the current attempt has reported that its upstream failed. */
@@ -88,6 +98,7 @@
         private readonly resolve: () => void,
     ) {
         const { route, message, receivedAt, requestId } = exchange;
+        this.prompt = parsePromptHead(requestId, message);
         const idempotent = isIdempotent(message.method ?? "GET", route!);
         this.state = createAttemptState(idempotent, receivedAt + route!.deadlineSeconds * 1000, requestId);
         this.record = beginRecord(context.journal, {
@@ -121,6 +132,11 @@
         const { route, tokens } = this.exchange;
         const now = Date.now();
         const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
+        const obstacle = this.context.quarantine.findObstacle(this.prompt);
+        if (obstacle !== undefined) {
+            this.apply({ kind: "obstructed", ...obstacle });
+            return;
+        }
         if (this.needsRetryBudget() && !admitRetry(retryBudget, now)) {
             this.apply({ kind: "retry-refused", retryAfterSeconds });
             return;
@@ -157,6 +173,9 @@
         const params = createRunParams(this.exchange, this.state, this.incarnation);
         const { url, instance } = this.upstream!;
         this.sentAt = Date.now();
+        this.knownCrashes = this.context.quarantine.getLatestCrashes();
+        this.beganAt = undefined;
+        this.isHarmless = false;
         this.stream = this.context.slots.run(url, params, this.createListener(), instance);
     }
 
@@ -188,6 +207,9 @@
                 if (isOwn && frame.kind === "failed") {
                     this.recordFailedFrame(frame);
                 }
+                if (isOwn) {
+                    this.observePrompt(frame);
+                }
                 this.apply({ kind: "frame", frame });
             },
             onBroken: (sent: boolean) => {
@@ -198,6 +220,36 @@
         };
     }
 
+    /** Tells the quarantine whether the upstream responds to the prompt or has crashed as it began to. */
+    private observePrompt(frame: Frame): void {
+        const { quarantine } = this.context;
+        const now = performance.now();
+        this.beganAt ??= frame.kind === "data" ? now : undefined;
+        const hasContinued = this.beganAt !== undefined && now - this.beganAt >= harmlessAfterMs;
+        const crash = frame.kind === "failed" ? frame.crash : undefined;
+        if (this.upstream === undefined || this.isHarmless) {
+            return;
+        }
+        const attempt = {
+            upstream: {
+                id: `${this.upstream.instance}/${crash ?? this.incarnation}`,
+                host: "",
+                port: 0,
+                isLeaving: false,
+            },
+            sentAt: now - (Date.now() - this.sentAt),
+            knownCrashes: this.knownCrashes,
+            beganAt: this.beganAt ?? now,
+        };
+        if (hasContinued || frame.kind === "end") {
+            this.isHarmless = true;
+            quarantine.recordAnswer(this.prompt, attempt);
+        }
+        else if (crash !== undefined) {
+            quarantine.recordLoss(this.prompt, attempt);
+        }
+    }
+
     /** Status 502 is attributed to the upstream, so it counts towards its ejection. */
     private recordFailedFrame({ status, title, incarnation }: Extract<Frame, { kind: "failed"; }>): void {
         if (status === 502 && this.upstream !== undefined) {
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -5,6 +5,7 @@
 import { type ActiveConfig, createInitialConfig } from "../config/fold.js";
 import { createConfigService } from "../config/loadConfig.js";
 import type { EntrySettings } from "../config/settings.js";
+import { createLogClient } from "../log/client.js";
 import { AuditKind } from "../observe/audit.js";
 import { createLoggerFactory, LogPrefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
@@ -17,6 +18,7 @@
 import { createExplainMethod } from "./explain.js";
 import { createJournal } from "./journal.js";
 import { startProbing } from "./probing.js";
+import { startPromptQuarantine } from "./promptQuarantine.js";
 import { createRetryBudget } from "./retryBudget.js";
 import { createEntryServer } from "./server.js";
 import { createSlotClient } from "./slotClient.js";
@@ -68,6 +70,15 @@
         isStopping: () => isStopping,
         retryBudget: createRetryBudget(maxRetryRatio, minRetriesPerSecond),
         journal: createJournal(journalCapacity),
+        quarantine: startPromptQuarantine({
+            instance,
+            environment,
+            log: createLogClient(platform.log),
+            logger,
+            now: () => performance.now(),
+            onCrash: () => metrics.upstreamCrashes.inc(),
+            onRejection: () => metrics.quarantineRejections.inc(),
+        }),
         onEjection: (instance: string, reason: string) =>
             configService.audit.record({ kind: AuditKind.ejection, subject: instance, reason }),
     };
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -7,6 +7,8 @@
     retries: Counter<"reason">;
     droppedFrames: Counter<string>;
     resumes: Counter<string>;
+    upstreamCrashes: Counter<string>;
+    quarantineRejections: Counter<string>;
     controlBytes: Counter<"direction" | "kind">;
     controlMessages: Counter<"kind">;
     revision: Gauge<string>;
@@ -42,6 +44,16 @@
             help: "Answers resumed on a new connection.",
             registers,
         }),
+        upstreamCrashes: new Counter({
+            name: "beechdock_upstream_crashes_total",
+            help: "Crashes of upstreams with requests of this entry, counted anew for each further lost request.",
+            registers,
+        }),
+        quarantineRejections: new Counter({
+            name: "beechdock_quarantine_rejections_total",
+            help: "Requests answered as not run because their prompt contains quarantined parts.",
+            registers,
+        }),
         controlBytes: new Counter({
             name: "beechdock_control_bytes_total",
             help: "Bytes of control traffic.",
--- a/src/slot/execute.ts
+++ b/src/slot/execute.ts
@@ -62,7 +62,9 @@
     catch (error) {
         const outcome = isConnectFailure(error) ? RunOutcome.notRun : RunOutcome.unknown;
         const title = "The upstream did not finish its answer";
-        emit(run, { kind: "failed", outcome, status: 502, title });
+        const mayHaveCrashed = outcome === RunOutcome.unknown && !abortController.signal.aborted;
+        const crash = mayHaveCrashed ? await upstream.findCrash?.() : undefined;
+        emit(run, { kind: "failed", outcome, status: 502, title, crash });
     }
     finally {
         clearTimeout(deadlineTimer);
--- a/src/slot/upstream.ts
+++ b/src/slot/upstream.ts
@@ -1,5 +1,7 @@
 /** HTTP client of the upstream that a slot serves. */
+import { randomUUID } from "node:crypto";
 import { Agent, type buildConnector, type Dispatcher, errors, request } from "undici";
+import { isRefused } from "../direct/crashMonitor.js";
 import { hopByHopHeaders } from "../wire/hopByHopHeaders.js";
 import type { ResponseHeaders, RunParams } from "../wire/messages.js";
 import { ResetDetectingSocket } from "../wire/resetDetectingSocket.js";
@@ -37,6 +39,8 @@
     onTimeout: () => void;
     /** Sends a request; rejects if it is aborted or fails before the response headers arrive. */
     run: (params: RunParams, signal: AbortSignal) => Promise<UpstreamResponse>;
+    /** Names the crash of the upstream after a run has failed; undefined if it still accepts connections. */
+    findCrash?: () => Promise<string | undefined>;
 }
 
 /** Time for which a connection may be idle and still be reused, in milliseconds. */
@@ -54,9 +58,35 @@
         timeouts,
         onTimeout,
         run: (params, signal) => requestUpstream(params.idempotent ? idempotent : nonIdempotent, url, params, signal),
+        findCrash: createCrashFinder(url),
     };
 }
 
+/** Time after a failed run until the upstream is checked, in milliseconds; a crashing process may still accept at first. */
+const crashCheckDelayMs = 20;
+/** Time within which failed runs belong to the same crash, in milliseconds; upstreams need longer to restart. */
+const sameCrashMs = 1000;
+
+function createCrashFinder(url: string): () => Promise<string | undefined> {
+    const { hostname, port, protocol } = new URL(url);
+    const address = { host: hostname, port: Number(port === "" ? defaultPorts[protocol] : port) };
+    const incarnation = randomUUID();
+    let crashes = 0;
+    let lastCrashAt = -Infinity;
+    return async () => {
+        await new Promise(resolve => setTimeout(resolve, crashCheckDelayMs));
+        if (!await isRefused(address)) {
+            return undefined;
+        }
+        const now = performance.now();
+        crashes += now - lastCrashAt > sameCrashMs ? 1 : 0;
+        lastCrashAt = now;
+        return `${incarnation}/${crashes}`;
+    };
+}
+
+const defaultPorts: Record<string, number> = { "http:": 80, "https:": 443 };
+
 /** Timeout for connecting, in milliseconds. */
 const connectTimeoutMs = 10_000;
 
--- a/src/standin/cluster.ts
+++ b/src/standin/cluster.ts
@@ -36,6 +36,8 @@
     group?: { name: string; rank: number; };
     /** Running upstream to use; a fake is started when absent. */
     upstream?: FakeUpstream;
+    /** Whether the slot calls its upstream without the proxy, which accepts connections also while the upstream is down. */
+    isUpstreamDirect?: boolean;
 }
 
 export interface ClusterEntry {
@@ -168,7 +170,7 @@
         internal: { host: "127.0.0.1", port },
         pool: options.pool,
         upstream: {
-            url: upstreamProxy.url,
+            url: options.isUpstreamDirect === true ? options.upstream!.url : upstreamProxy.url,
             kind: options.kind,
             ...(options.group === undefined ? {} : { ordersUrl: upstreamProxy.url }),
         },
--- a/src/standin/fakeSlot.ts
+++ b/src/standin/fakeSlot.ts
@@ -81,6 +81,12 @@
         metrics: createMetrics(),
         retryBudget: createRetryBudget(0.1, 10),
         journal: createJournal(100),
+        quarantine: {
+            findObstacle: () => undefined,
+            getLatestCrashes: () => [],
+            recordAnswer: () => undefined,
+            recordLoss: () => undefined,
+        },
         maxBodyBytes,
         logger: { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined },
         getConfig: () => config,
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -72,6 +72,8 @@
             retryAfterSeconds?: number;
             /** Incarnation of the slot that sends the frame. */
             incarnation?: string;
+            /** Names the crash of the upstream that ended the run; undefined if it has not crashed. */
+            crash?: string;
         }
     );
 
@@ -101,6 +103,7 @@
         title: z.string(),
         retryAfterSeconds: z.number().optional(),
         incarnation: z.string().optional(),
+        crash: z.string().optional(),
     }),
 ]);
 
--- /dev/null
+++ b/tests/integration/quarantine.test.ts
@@ -0,0 +1,111 @@
+import { afterAll, beforeAll, expect, it } from "vitest";
+import { createDemoDocument, demoKeys } from "../../src/demo/document.js";
+import { callChat, type CallResult } from "../../src/standin/caller.js";
+import { type Cluster, startCluster } from "../../src/standin/cluster.js";
+import { type FakeUpstream, generateTokens, startFakeEngine } from "../../src/standin/engine.js";
+import type { RequestHandler } from "../../src/standin/http.js";
+import { publishDocument } from "../../src/standin/publish.js";
+
+/** Bounds of the users' rule: the requests that may reach upstreams from `settleMs` after the fifth crash on. */
+const rule = { crashes: 5, settleMs: 3000, requests: 3 };
+const engineCount = 6;
+const restartMs = 1300;
+const crashingPart = "dead";
+const wait = (ms: number) => new Promise<void>(resolve => setTimeout(resolve, ms));
+
+const crashTimes: number[] = [];
+/** Arrivals of requests with the crashing part, in milliseconds. */
+const arrivalTimes: number[] = [];
+let isStopped = false;
+
+/** Starts an engine that crashes when it begins to respond to a prompt with the part, and restarts at its address. */
+async function startCrashingEngine(): Promise<FakeUpstream> {
+    let engine: FakeUpstream;
+    const respond: RequestHandler = async (request, body, response) => {
+        const parts = String(request.headers["prompt-parts"]).split(",").slice(0, -1);
+        if (parts.includes(crashingPart)) {
+            arrivalTimes.push(performance.now());
+        }
+        await wait(20);
+        if (parts.includes(crashingPart)) {
+            crashTimes.push(performance.now());
+            engine.close();
+            setTimeout(() => {
+                if (!isStopped) {
+                    void startFakeEngine(port, options, handlers).then(next => engine = next);
+                }
+            }, restartMs);
+            return;
+        }
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        const tokens = generateTokens(JSON.parse(body) as Parameters<typeof generateTokens>[0]);
+        const events = tokens.map(content => `data: ${JSON.stringify({ choices: [{ delta: { content } }] })}\n\n`);
+        response.end(`${events.join("")}data: [DONE]\n\n`);
+    };
+    const options = { firstTokenMs: 20, tokenMs: 10 };
+    const handlers = { "POST /v1": respond };
+    engine = await startFakeEngine(0, options, handlers);
+    const { url, runs, runsByKey } = engine;
+    const port = Number(new URL(url).port);
+    return { url, runs, runsByKey, close: () => engine.close() };
+}
+
+let cluster: Cluster;
+let lastRequest = 0;
+
+beforeAll(async () => {
+    const engines = await Promise.all(Array.from({ length: engineCount }, startCrashingEngine));
+    cluster = await startCluster(
+        ["entry-1", "entry-2"].map(instance => ({ instance, dataCentre: "dc-a" })),
+        engines.map((upstream, index) => ({
+            instance: `slot-${index}`,
+            dataCentre: "dc-a",
+            pool: "assistant",
+            kind: "engine" as const,
+            upstream,
+            isUpstreamDirect: true,
+        })),
+    );
+    await publishDocument(cluster, createDemoDocument());
+});
+
+afterAll(async () => {
+    isStopped = true;
+    await cluster.stop();
+});
+
+function call(entry: number, sharedParts: string[]): Promise<CallResult> {
+    lastRequest += 1;
+    const headers = { "prompt-parts": [...sharedParts, `own-${lastRequest}`].join(",") };
+    return callChat(cluster.entries[entry].url, `hello ${lastRequest}`, 4, { key: demoKeys.reception, headers });
+}
+
+it("requests that share a part under which upstreams crash are rejected by all entries, and others served", async () => {
+    for (let i = 0; i < 80; i++) {
+        await call(i % 2, ["aa", `b${i % 6}`]);
+    }
+    const calls: Promise<CallResult>[] = [];
+    for (let i = 0; i < 120; i++) {
+        calls.push(call(i % 2, ["aa", crashingPart, `b${i % 6}`]));
+        await wait(80);
+    }
+    const last = (await Promise.all(calls)).at(-1)!;
+    expect([last.status, last.outcome, JSON.parse(last.text).title]).toEqual([
+        503,
+        "not-run",
+        expect.stringMatching(/^The prompt contains parts under which \d+ upstreams crashed: dead$/),
+    ]);
+    const settledAt = (crashTimes[rule.crashes - 1] ?? Infinity) + rule.settleMs;
+    expect(arrivalTimes.filter(at => at > settledAt).length).toBeLessThanOrEqual(rule.requests);
+    await wait(restartMs);
+    const crashesBefore = crashTimes.length;
+    const sound = [];
+    for (let i = 0; i < 40; i++) {
+        sound.push((await call(i % 2, ["aa", `b${i % 6}`])).isCorrect);
+    }
+    expect(sound.filter(isCorrect => isCorrect).length).toBeGreaterThan(sound.length / 2);
+    const restarted = await cluster.startEntry({ instance: "entry-3", dataCentre: "dc-a" });
+    await restarted.process.waitForLine(line => line.msg.endsWith("The upstreams are known."));
+    const { status } = await call(cluster.entries.indexOf(restarted), ["c", crashingPart]);
+    expect([status, crashTimes.length]).toEqual([503, crashesBefore]);
+});
