--- a/src/standin/proxy.ts
+++ b/src/standin/proxy.ts
@@ -15,6 +15,8 @@
     cut: () => void;
     /** Ends `cut` and `dropDataFrom`; connections that may have lost data stay frozen. */
     heal: () => void;
+    /** Refuses new connections, as while the process behind the proxy is down, or accepts them again. */
+    setListening: (isListening: boolean) => Promise<void>;
     /** Drops the data from one end, on open and new connections, until `heal`. */
     dropDataFrom: (end: "client" | "server") => void;
     /** Resets both sides of every open connection. */
@@ -120,6 +122,14 @@
                 freeze();
             }
         },
+        setListening: async isListening => {
+            if (isListening && !server.listening) {
+                await listenOn(server, hosts.host, boundPort);
+            }
+            else if (!isListening && server.listening) {
+                server.close();
+            }
+        },
         dropDataFrom: end => {
             droppedEnd = end;
         },
@@ -129,7 +139,9 @@
         countConnections: () => connections.size,
         getReceivedBytes: () => receivedBytes,
         close: () => {
-            server.close();
+            if (server.listening) {
+                server.close();
+            }
             reset();
         },
     };
