Take no late second copy of a response for the next one

What callers saw: an upstream that sends a second copy of a response late, on a connection that is in use again, made the slot give that copy to the next request: /third got the body of /first.

Cause: connections were used again, and nothing on them tells which request a response belongs to.

Capacity on the path with slots was not measured again.

--- a/src/slot/upstream.ts
+++ b/src/slot/upstream.ts
@@ -43,21 +43,16 @@
     findCrash?: () => Promise<string | undefined>;
 }
 
-/** Time for which a connection may be idle and still be reused, in milliseconds. */
-const maxIdleMs = { idempotent: 2000, nonIdempotent: 250 };
-
 /**
- * Creates a client for the upstream at `url`. A connection that has been idle may have been lost, so it is not reused
- * after a short time, even if the upstream offers a longer keep-alive; the limit is lower for requests that cannot be
- * retried.
+ * Creates a client for the upstream at `url`. Every request has a connection of its own: nothing tells a late second copy
+ * of an earlier response from the response to the next request, and an idle connection may have been lost.
  */
 export function createUpstreamClient(url: string, timeouts: UpstreamTimeouts, onTimeout: () => void): UpstreamClient {
-    const idempotent = createAgent(maxIdleMs.idempotent);
-    const nonIdempotent = createAgent(maxIdleMs.nonIdempotent);
+    const agent = createAgent();
     return {
         timeouts,
         onTimeout,
-        run: (params, signal) => requestUpstream(params.idempotent ? idempotent : nonIdempotent, url, params, signal),
+        run: (params, signal) => requestUpstream(agent, url, params, signal),
         findCrash: createCrashFinder(url),
     };
 }
@@ -107,12 +102,12 @@
     socket.connect({ host: hostname, port: Number(port) }, () => settle(noValue, socket));
 }
 
-function createAgent(idleMs: number): Agent {
+function createAgent(): Agent {
     return new Agent({
         connect: connectUpstream,
         connections: 256,
-        keepAliveTimeout: idleMs,
-        keepAliveMaxTimeout: idleMs,
+        maxRequestsPerClient: 1,
+        pipelining: 0,
         headersTimeout: 0,
         bodyTimeout: 0,
     });
