Do not blame a usual part for crashes that an unknown part explains

Two ranks had crashed for other causes, then three under requests with the crashing part: five crashes with the usual part, one of them known when the next request was sent, and three at once with the crashing one.

Cause: the stronger evidence won although a part that nobody had ever seen answered was in the same crashes, and a first crash of any cause counted as the round before. A part that was answered before is now condemned only by eight crashes in three rounds, and not by crashes that an unknown part explains; where nothing is known of any part, five crashes in three rounds are needed.

--- a/src/routing/quarantine.ts
+++ b/src/routing/quarantine.ts
@@ -70,11 +70,25 @@
     quarantined: QuarantinedParts[];
 }
 
-/** Evidence required for a part that no reporter has seen answered, and for one that has been answered before. */
+/** Evidence that condemns a part; `rounds` is 1 if the upstreams may have crashed at once, for a common cause. */
+interface RequiredEvidence {
+    crashes: number;
+    /** Number of different requests. */
+    requests: number;
+    /** Number of crashes in a row of which each was known when a request was sent that crashed the next upstream. */
+    rounds: number;
+}
+
 const requiredEvidence = {
-    unanswered: { crashes: 3, requests: 3 },
-    answered: { crashes: 5, requests: 5 },
-};
+    /** For a part that no reporter has seen answered, though reporters know the usual parts. */
+    unusual: { crashes: 3, requests: 3, rounds: 1 },
+    /** For a part that no reporter has seen answered. */
+    unanswered: { crashes: 3, requests: 3, rounds: 2 },
+    /** For a part of all lost requests of which no reporter has seen any part answered. */
+    unknown: { crashes: 5, requests: 5, rounds: 3 },
+    /** For a part that was answered before. */
+    answered: { crashes: 8, requests: 8, rounds: 3 },
+} satisfies Record<string, RequiredEvidence>;
 /** Maximum number of records that are kept, by kind. */
 const maxRecords: Record<QuarantineRecord["kind"], number> = { crash: 256, answered: 256, alive: 64 };
 /** Maximum number of requests in one report, and of quarantined sets of parts. */
@@ -225,8 +239,8 @@
     const quarantined: QuarantinedParts[] = [];
     let unexplained = collectCrashes(state);
     while (quarantined.length < maxQuarantined) {
-        const evidence = collectEvidence(state, unexplained, answeredParts).filter(isConclusive);
-        const strongest = findStrongest(evidence);
+        const evidence = collectEvidence(state, unexplained, answeredParts);
+        const strongest = findStrongest(evidence.filter(known => isConclusive(known, evidence, answeredParts)));
         if (strongest === undefined) {
             break;
         }
@@ -271,28 +285,46 @@
     return new Set(requests.map(({ ownPart }) => ownPart)).size;
 }
 
-/**
- * Whether the evidence against one part suffices. Upstreams that crash at once may have a common cause, so that either
- * the part is unknown to reporters that know all usual ones, or a later request with it must have crashed an upstream too.
- */
-function isConclusive(evidence: Evidence): boolean {
-    const { crashes, wasAnswered } = evidence;
-    const required = wasAnswered ? requiredEvidence.answered : requiredEvidence.unanswered;
-    return crashes.length >= required.crashes && countDistinctRequests(evidence) >= required.requests &&
-        ((!wasAnswered && isUnusual(evidence, required.crashes)) || isRepeated(evidence));
+/** Whether the evidence against one part suffices. */
+function isConclusive(evidence: Evidence, all: Evidence[], answeredParts: Set<string>): boolean {
+    const { part, wasAnswered, requests } = evidence;
+    if (wasAnswered) {
+        return isSufficient(filterCrashes(evidence, crash => !isExplained(crash, all)), requiredEvidence.answered);
+    }
+    const isTelling = (crash: Crash) =>
+        crash.requests.some(({ parts, isReporterExperienced }) => isReporterExperienced && parts.includes(part));
+    const isCommon = evidence.crashes.every(crash => crash.requests.every(({ parts }) => parts.includes(part)));
+    const isAllUnknown = requests.every(({ parts }) => parts.every(other => !answeredParts.has(other)));
+    return isSufficient(filterCrashes(evidence, isTelling), requiredEvidence.unusual) ||
+        isSufficient(evidence, isCommon && isAllUnknown ? requiredEvidence.unknown : requiredEvidence.unanswered);
 }
 
-/** Whether experienced reporters lost requests with the part in at least `minCrashes` crashes. */
-function isUnusual({ crashes, part }: Evidence, minCrashes: number): boolean {
-    const unusual = crashes.filter(({ requests }) =>
-        requests.some(({ parts, isReporterExperienced }) => isReporterExperienced && parts.includes(part))
+/** Whether a crash is explained by a part that was never answered and is suspected in several crashes. */
+function isExplained(crash: Crash, all: Evidence[]): boolean {
+    return all.some(({ wasAnswered, crashes }) =>
+        !wasAnswered && crashes.length >= minSuspectCrashes && crashes.includes(crash)
     );
-    return unusual.length >= minCrashes;
 }
 
-/** Whether an upstream crashed under a request that was sent when an earlier crash with the part was known. */
-function isRepeated({ crashes, requests }: Evidence): boolean {
-    return requests.some(({ knownCrashes }) => crashes.some(({ upstream }) => knownCrashes.includes(upstream)));
+function filterCrashes(evidence: Evidence, isIncluded: (crash: Crash) => boolean): Evidence {
+    const crashes = evidence.crashes.filter(isIncluded);
+    const requests = crashes.flatMap(crash => crash.requests.filter(({ parts }) => parts.includes(evidence.part)));
+    return { ...evidence, crashes, requests };
+}
+
+function isSufficient(evidence: Evidence, required: RequiredEvidence): boolean {
+    return evidence.crashes.length >= required.crashes && countDistinctRequests(evidence) >= required.requests &&
+        countRounds(evidence) >= required.rounds;
+}
+
+/** Counts the rounds of crashes: the most of them of which each was known when a request of the next one was sent. */
+function countRounds({ crashes, part }: Evidence): number {
+    const rounds = new Map<string, number>();
+    for (const { upstream, requests } of crashes) {
+        const known = requests.filter(({ parts }) => parts.includes(part)).flatMap(({ knownCrashes }) => knownCrashes);
+        rounds.set(upstream, 1 + Math.max(0, ...known.map(crash => rounds.get(crash) ?? 0)));
+    }
+    return Math.max(0, ...rounds.values());
 }
 
 /** Finds the part with the strongest evidence; undefined if there is none or several parts in different requests tie. */
