--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -51,6 +51,12 @@
         });
 }
 
+/** Fetches the quarantine records of `peer` that the log has not accepted yet; rejects if the call fails. */
+export async function fetchPendingQuarantine(peer: Address): Promise<PendingRecord[]> {
+    const handOver = await fetchHandOver(peer, {});
+    return handOver?.pendingQuarantine ?? [];
+}
+
 /**
  * Binds the socket for heartbeats. Records the log positions of each heartbeat in the feed before `onHeartbeat` is
  * called; counts send failures by error code.
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -31,9 +31,11 @@
     createInternalHandler,
     createSettingsHandlers,
     fetchHandOver,
+    fetchPendingQuarantine,
     quarantineMethod,
     relayQuarantine,
 } from "./peerLink.js";
+import { collectPendingRecords } from "./pendingCollection.js";
 import type { PendingRecord } from "./quarantineSharing.js";
 import { createRequestQuarantine } from "./requestQuarantine.js";
 import { AttemptEnd } from "./requestState.js";
@@ -134,6 +136,8 @@
     /** Number of entries that share the retry budget, as last sent by a leader. */
     let entryCount = initialEntryCount;
     let leader: { host: string; lastHeartbeatAt: number; } | undefined;
+    /** Whether peers have been asked for the quarantine records that the log has not accepted. */
+    let hasCollectedPending = false;
 
     const feed = createFeed({
         source: options.source,
@@ -183,13 +187,15 @@
         random,
         logger,
         append: records => options.source.appendQuarantine(records),
-        relay: records => relayQuarantine(options.seeds, records),
+        relay: records => relayQuarantine(listOtherSeeds(), records),
         onCrash: () => metrics.upstreamCrashes.inc(),
         onChange: quarantined => {
             metrics.quarantinedParts.set(quarantined.length);
             scheduler.dispatchPending();
         },
     });
+    const listOtherSeeds = () => options.seeds.filter(({ host }) => host !== options.internal.host);
+    const hasQuarantineWaitExpired = () => now() - startedAt > maxQuarantineWaitMs;
     const hasRecentLeader = () => leader !== undefined && now() - leader.lastHeartbeatAt < leaderTimeoutMs;
     const listSlotHosts = () => {
         const upstreams = [...upstreamTracker.upstreams.values()].map(({ record }) => record);
@@ -216,7 +222,8 @@
         upstreamTracker,
         scheduler,
         quarantine,
-        isQuarantineKnown: () => feed.state.quarantineEnd !== undefined || now() - startedAt > maxQuarantineWaitMs,
+        isQuarantineKnown: () =>
+            (feed.state.quarantineEnd !== undefined && hasCollectedPending) || hasQuarantineWaitExpired(),
         now,
         recordFirstAttempt: request => recordRequest(getRetryBudget(request.pool), now()),
         acquireRetry: (request, at) => {
@@ -364,6 +371,12 @@
         await listenOn(control, options.control.host, options.control.port);
     }
     feed.start();
+    void collectPendingRecords({
+        peers: listOtherSeeds(),
+        fetchPending: fetchPendingQuarantine,
+        accept: quarantine.acceptRecords,
+        isExpired: hasQuarantineWaitExpired,
+    }).then(() => hasCollectedPending = true);
     setInterval(sendPresence, presenceIntervalMs);
     logger.info("The entry listens.", { port: options.callers.port });
 
--- a/src/peers/handOver.ts
+++ b/src/peers/handOver.ts
@@ -5,11 +5,10 @@
 import type { PeerRecords } from "./feed.js";
 import { listRecordsSince, type MirrorState } from "./mirror.js";
 
-/** Parameters of the call: the next offsets that the peer would read. */
+/** Parameters of the call: the next offsets that the peer would read. Nothing is sent of a topic whose end is missing. */
 export interface HandOverParams {
-    documentEnd: number;
-    listEnd: number;
-    /** Missing from peers that do not follow the quarantine. */
+    documentEnd?: number;
+    listEnd?: number;
     quarantineEnd?: number;
 }
 
@@ -18,7 +17,8 @@
 
 /** Creates the response: records from the peer's offsets on, and the end offsets of this mirror. */
 export function createHandOver<Document>(state: MirrorState<Document>, params: HandOverParams): PeerRecords {
-    const { documents, list } = listRecordsSince(state, params.documentEnd, params.listEnd);
+    const { documentEnd = Infinity, listEnd = Infinity } = params;
+    const { documents, list } = listRecordsSince(state, documentEnd, listEnd);
     const records = { documents, documentEnd: state.documentEnd, list, listEnd: state.listEnd };
     const { quarantineEnd, quarantineRecords } = state;
     if (params.quarantineEnd === undefined || quarantineEnd === undefined) {
