--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -36,6 +36,7 @@
     relayQuarantine,
 } from "./peerLink.js";
 import { collectPendingRecords } from "./pendingCollection.js";
+import { createPresenceTracker } from "./presenceTracker.js";
 import type { PendingRecord } from "./quarantineSharing.js";
 import { createRequestQuarantine } from "./requestQuarantine.js";
 import { AttemptEnd } from "./requestState.js";
@@ -101,6 +102,8 @@
 const presenceIntervalMs = 1000;
 /** Number of random slots that receive presence heartbeats while there is no leader. */
 const presenceFanout = 3;
+/** Time without a presence heartbeat after which a seed drops an entry, in milliseconds; each one goes to one seed. */
+const presenceMaxAgeMs = 10_000;
 /** Time without a heartbeat after which the leader counts as lost, in milliseconds; five heartbeat intervals. */
 const leaderTimeoutMs = 1000;
 /**
@@ -187,13 +190,15 @@
         random,
         logger,
         append: records => options.source.appendQuarantine(records),
-        relay: records => relayQuarantine(listOtherSeeds(), records),
+        relay: records => relayQuarantine([...listOtherSeeds(), ...listPresentEntries()], records),
         onCrash: () => metrics.upstreamCrashes.inc(),
         onChange: quarantined => {
             metrics.quarantinedParts.set(quarantined.length);
             scheduler.dispatchPending();
         },
     });
+    const presenceTracker = createPresenceTracker(presenceMaxAgeMs, now);
+    const listPresentEntries = () => presenceTracker.list().map(host => ({ host, port: options.internal.port }));
     const listOtherSeeds = () => options.seeds.filter(({ host }) => host !== options.internal.host);
     const hasQuarantineWaitExpired = () => now() - startedAt > maxQuarantineWaitMs;
     const hasRecentLeader = () => leader !== undefined && now() - leader.lastHeartbeatAt < leaderTimeoutMs;
@@ -351,7 +356,9 @@
     const sendPresence = () => {
         const leaderHosts = hasRecentLeader() ? [leader!.host] : undefined;
         const hosts = listSlotHosts();
-        const receivers = leaderHosts ?? Array.from({ length: presenceFanout }, () => pickPeer(hosts, random));
+        const slotHosts = leaderHosts ?? Array.from({ length: presenceFanout }, () => pickPeer(hosts, random));
+        // The seeds pass on what the log does not take; other entries do not know of one another.
+        const receivers = [...slotHosts, pickPeer(listOtherSeeds(), random)?.host];
         const presence = encodeHeartbeat({
             kind: "presence",
             host: options.internal.host,
@@ -363,6 +370,9 @@
         if (heartbeat.kind === "vector") {
             applyLeaderHeartbeat(heartbeat);
         }
+        else if (heartbeat.kind === "presence") {
+            presenceTracker.record(heartbeat.host);
+        }
     });
     await listenOn(server, options.callers.host, options.callers.port);
     await listenOn(readiness, options.readiness.host, options.readiness.port);
@@ -377,6 +387,7 @@
         accept: quarantine.acceptRecords,
         isExpired: hasQuarantineWaitExpired,
     }).then(() => hasCollectedPending = true);
+    sendPresence();
     setInterval(sendPresence, presenceIntervalMs);
     logger.info("The entry listens.", { port: options.callers.port });
 
