--- a/src/direct/logPositions.ts
+++ b/src/direct/logPositions.ts
@@ -4,27 +4,33 @@
  */
 import { type Feed, FeedTopic } from "../peers/feed.js";
 import type { LogPositions } from "../peers/heartbeat.js";
+import { decodeLogPosition, encodeLogPosition } from "../peers/logPosition.js";
 
 /** Age that is sent if a topic's mirror was never up to date, in milliseconds; also the upper bound of sent ages. */
 const maxPositionAgeMs = 1e9;
 
 /** Computes the log positions of this process; `now` is in milliseconds. */
 export function computeLogPositions({ state, getVerifiedAt }: Feed, now: number): LogPositions {
-    const computeAge = (topic: FeedTopic) => Math.min(maxPositionAgeMs, Math.round(now - getVerifiedAt(topic)));
+    const createPosition = (topic: FeedTopic, end: number): LogPositions["list"] => [
+        encodeLogPosition(end),
+        Math.min(maxPositionAgeMs, Math.round(now - getVerifiedAt(topic))),
+    ];
     const { documentEnd, listEnd, quarantineEnd } = state;
     return {
-        document: [documentEnd, computeAge(FeedTopic.document)],
-        list: [listEnd, computeAge(FeedTopic.list)],
-        quarantine: quarantineEnd === undefined ? undefined : [quarantineEnd, computeAge(FeedTopic.quarantine)],
+        document: createPosition(FeedTopic.document, documentEnd),
+        list: createPosition(FeedTopic.list, listEnd),
+        quarantine: quarantineEnd === undefined ? undefined : createPosition(FeedTopic.quarantine, quarantineEnd),
     };
 }
 
 /** Records the log positions of `peer`, the host of another process. */
 export function recordPeerPositions(feed: Feed, { document, list, quarantine }: LogPositions, peer: string): void {
-    feed.recordPeerPosition(FeedTopic.document, ...document, peer);
-    feed.recordPeerPosition(FeedTopic.list, ...list, peer);
+    const recordPosition = (topic: FeedTopic, [end, ageMs]: LogPositions["list"]) =>
+        feed.recordPeerPosition(topic, decodeLogPosition(end), ageMs, peer);
+    recordPosition(FeedTopic.document, document);
+    recordPosition(FeedTopic.list, list);
     if (quarantine !== undefined) {
-        feed.recordPeerPosition(FeedTopic.quarantine, ...quarantine, peer);
+        recordPosition(FeedTopic.quarantine, quarantine);
     }
 }
 
--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -5,7 +5,13 @@
 import type { DirectEntryMetrics } from "../observe/directMetrics.js";
 import type { Logger } from "../observe/logger.js";
 import type { Feed, PeerRecords } from "../peers/feed.js";
-import { createHandOver, handOverMethod, type HandOverParams } from "../peers/handOver.js";
+import {
+    createHandOver,
+    decodeHandOver,
+    handOverMethod,
+    type HandOverParams,
+    type HandOverResult,
+} from "../peers/handOver.js";
 import { decodeHeartbeat, type Heartbeat } from "../peers/heartbeat.js";
 import { bindDatagramSocket, type DatagramSocket } from "../wire/datagrams.js";
 import type { Address } from "../wire/listen.js";
@@ -17,7 +23,10 @@
 const handOverTimeoutMs = 600;
 
 /** Records that a peer has, and quarantine records that the log has not accepted yet. */
-export type HandOver = PeerRecords & { pendingQuarantine?: PendingRecord[]; };
+export type HandOver = PeerRecords & PendingQuarantine;
+interface PendingQuarantine {
+    pendingQuarantine?: PendingRecord[];
+}
 
 /** RPC method that passes quarantine records to a process that may reach the log. */
 export const quarantineMethod = "quarantine";
@@ -40,15 +49,17 @@
     peer: Address | undefined,
     params: HandOverParams,
 ): Promise<HandOver | undefined> {
-    return peer === undefined ?
-        undefined :
-        await callPeer<HandOver>({
-            ...peer,
-            method: handOverMethod,
-            params,
-            timeoutMs: handOverTimeoutMs,
-            stallTimeoutMs: handOverTimeoutMs,
-        });
+    if (peer === undefined) {
+        return undefined;
+    }
+    const result = await callPeer<HandOverResult & PendingQuarantine>({
+        ...peer,
+        method: handOverMethod,
+        params,
+        timeoutMs: handOverTimeoutMs,
+        stallTimeoutMs: handOverTimeoutMs,
+    });
+    return { ...decodeHandOver(result), pendingQuarantine: result.pendingQuarantine };
 }
 
 /** Fetches the quarantine records of `peer` that the log has not accepted yet; rejects if the call fails. */
@@ -88,7 +99,7 @@
     listPending: () => PendingRecord[] = () => [],
 ): ReturnType<typeof createPeerHandler> {
     return createPeerHandler({
-        [handOverMethod]: (params: HandOverParams): HandOver => ({
+        [handOverMethod]: (params: HandOverParams): HandOverResult & PendingQuarantine => ({
             ...createHandOver(feed.state, params),
             pendingQuarantine: listPending(),
         }),
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -9,6 +9,7 @@
 import { createLoggerFactory, LogPrefix } from "../observe/logger.js";
 import { createLogRateLimiter } from "../observe/logRateLimiter.js";
 import { createFeed, type FeedSource, FeedTopic } from "../peers/feed.js";
+import { createHandOverParams } from "../peers/handOver.js";
 import { encodeHeartbeat, type LeaderHeartbeat, unpackRankLoads } from "../peers/heartbeat.js";
 import { getEra } from "../peers/logPosition.js";
 import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
@@ -154,7 +155,7 @@
             const peer = isLeaderChosen ?
                 { host: leader!.host, port: options.internal.port } :
                 pickPeer([...slots, ...options.seeds], random);
-            const handOver = await fetchHandOver(peer, { documentEnd, listEnd, quarantineEnd });
+            const handOver = await fetchHandOver(peer, createHandOverParams(documentEnd, listEnd, quarantineEnd));
             quarantine.acceptRecords(handOver?.pendingQuarantine ?? []);
             return handOver;
         },
--- a/src/direct/startDirectSlot.ts
+++ b/src/direct/startDirectSlot.ts
@@ -18,7 +18,7 @@
 import { createDirectSlotMetrics } from "../observe/directMetrics.js";
 import { createLoggerFactory, LogPrefix } from "../observe/logger.js";
 import { createFeed, type FeedSource } from "../peers/feed.js";
-import type { HandOverParams } from "../peers/handOver.js";
+import { createHandOverParams, type HandOverParams } from "../peers/handOver.js";
 import {
     computeEncodedLoadLength,
     encodeExpertLoads,
@@ -124,7 +124,7 @@
         random: Math.random,
         logger: createLogger(LogPrefix.config),
         fetchFromPeer: (documentEnd, listEnd, quarantineEnd) =>
-            fetchFromRandomPeer({ documentEnd, listEnd, quarantineEnd }),
+            fetchFromRandomPeer(createHandOverParams(documentEnd, listEnd, quarantineEnd)),
         onDocument: () => updateGroup(),
         onList: () => updateGroup(),
         // A slot keeps the quarantine only to tell entries its end and to hand it over to them.
--- a/src/peers/handOver.ts
+++ b/src/peers/handOver.ts
@@ -3,27 +3,83 @@
  * for peers that cannot read the log.
  */
 import type { PeerRecords } from "./feed.js";
-import { listRecordsSince, type MirrorState } from "./mirror.js";
+import { decodeLogPosition, encodeLogPosition, type WirePosition } from "./logPosition.js";
+import { listRecordsSince, type MirrorRecord, type MirrorState } from "./mirror.js";
 
 /** Parameters of the call: the next offsets that the peer would read. Nothing is sent of a topic whose end is missing. */
 export interface HandOverParams {
-    documentEnd?: number;
-    listEnd?: number;
-    quarantineEnd?: number;
+    documentEnd?: WirePosition;
+    listEnd?: WirePosition;
+    quarantineEnd?: WirePosition;
+}
+
+type WireRecord = Omit<MirrorRecord, "offset"> & { offset: WirePosition; };
+
+/** Response to the call; see `PeerRecords`. */
+export interface HandOverResult {
+    documents: WireRecord[];
+    documentEnd: WirePosition;
+    list: WireRecord[];
+    listEnd: WirePosition;
+    quarantine?: WireRecord[];
+    quarantineEnd?: WirePosition;
 }
 
 /** RPC method name. */
 export const handOverMethod = "handOver";
 
-/** Creates the response: records from the peer's offsets on, and the end offsets of this mirror. */
-export function createHandOver<Document>(state: MirrorState<Document>, params: HandOverParams): PeerRecords {
-    const { documentEnd = Infinity, listEnd = Infinity } = params;
-    const { documents, list } = listRecordsSince(state, documentEnd, listEnd);
-    const records = { documents, documentEnd: state.documentEnd, list, listEnd: state.listEnd };
-    const { quarantineEnd, quarantineRecords } = state;
-    if (params.quarantineEnd === undefined || quarantineEnd === undefined) {
-        return records;
+/** Creates the parameters of a call from the next positions that this process would read. */
+export function createHandOverParams(documentEnd: number, listEnd: number, quarantineEnd: number): HandOverParams {
+    return {
+        documentEnd: encodeLogPosition(documentEnd),
+        listEnd: encodeLogPosition(listEnd),
+        quarantineEnd: encodeLogPosition(quarantineEnd),
+    };
+}
+
+/** Creates the response: records from the peer's positions on, and the ends of this mirror. */
+export function createHandOver<Document>(state: MirrorState<Document>, params: HandOverParams): HandOverResult {
+    const { documentEnd, listEnd, quarantineEnd } = params;
+    const { documents, list } = listRecordsSince(state, decodeEnd(documentEnd), decodeEnd(listEnd));
+    const result = {
+        documents: documents.map(encodeRecord),
+        documentEnd: encodeLogPosition(state.documentEnd),
+        list: list.map(encodeRecord),
+        listEnd: encodeLogPosition(state.listEnd),
+    };
+    if (quarantineEnd === undefined || state.quarantineEnd === undefined) {
+        return result;
     }
-    const quarantine = [...quarantineRecords.values()].filter(({ offset }) => offset >= params.quarantineEnd!);
-    return { ...records, quarantine, quarantineEnd };
+    const from = decodeEnd(quarantineEnd);
+    const quarantine = [...state.quarantineRecords.values()].filter(({ offset }) => offset >= from);
+    return {
+        ...result,
+        quarantine: quarantine.map(encodeRecord),
+        quarantineEnd: encodeLogPosition(state.quarantineEnd),
+    };
+}
+
+/** Decodes the response of a peer. */
+export function decodeHandOver(result: HandOverResult): PeerRecords {
+    const { documents, documentEnd, list, listEnd, quarantine, quarantineEnd } = result;
+    return {
+        documents: documents.map(decodeRecord),
+        documentEnd: decodeLogPosition(documentEnd),
+        list: list.map(decodeRecord),
+        listEnd: decodeLogPosition(listEnd),
+        quarantine: quarantine?.map(decodeRecord),
+        quarantineEnd: quarantineEnd === undefined ? undefined : decodeLogPosition(quarantineEnd),
+    };
+}
+
+function decodeEnd(end: WirePosition | undefined): number {
+    return end === undefined ? Infinity : decodeLogPosition(end);
+}
+
+function encodeRecord(record: MirrorRecord): WireRecord {
+    return { ...record, offset: encodeLogPosition(record.offset) };
+}
+
+function decodeRecord(record: WireRecord): MirrorRecord {
+    return { ...record, offset: decodeLogPosition(record.offset) };
 }
--- a/src/peers/heartbeat.ts
+++ b/src/peers/heartbeat.ts
@@ -5,8 +5,10 @@
  */
 import { z } from "zod/mini";
 
-/** Next offset of a topic that a process would read, and milliseconds since it was known to be the end of the topic. */
-const LogPositionSchema = z.tuple([z.number(), z.number()]);
+const WirePositionSchema = z.union([z.number(), z.tuple([z.number(), z.number()])]);
+
+/** Next position of a topic that a process would read, and milliseconds since it was known to be the end of the topic. */
+const LogPositionSchema = z.tuple([WirePositionSchema, z.number()]);
 
 const LogPositionsSchema = z.object({
     document: LogPositionSchema,
