--- a/src/direct/tests/logReaders.test.ts
+++ b/src/direct/tests/logReaders.test.ts
@@ -26,6 +26,8 @@
 const processCount = 24;
 /** Bytes per millisecond that the log sends to all readers together: a third of 80 MB/s. */
 const logBytesPerMs = 80_000 / 3;
+/** Size of a document in a snapshot, whose values are in base64, as a multiple of its size in a read. */
+const snapshotSizeRatio = 4 / 3;
 /** Bytes per millisecond of the narrowest link of an entry (19.6 Mbit/s) and of a slot (5.6 Mbit/s). */
 const entryLinkBytesPerMs = 2450;
 const slotLinkBytesPerMs = 700;
@@ -46,6 +48,8 @@
 function createSharedLog(documentBytes: number) {
     const log = {
         isSilent: false,
+        /** Names of the processes that reach neither the log nor the others. */
+        cutOff: new Set<string>(),
         documents: [1],
         /** Start times of the reads of the document's topic, by process. */
         readTimes: new Map<string, number[]>(),
@@ -76,22 +80,32 @@
     const createSource = (process: string, linkBytesPerMs: number): FeedSource => {
         const readTimes: number[] = [];
         log.readTimes.set(process, readTimes);
+        const isUnreachable = () => log.isSilent || log.cutOff.has(process);
         return {
-            readNewest: async topic =>
-                topic === FeedTopic.document ?
-                    createBatch(log.documents.length - 1, true) :
-                    { records: [], end: 1, isComplete: true },
+            readNewest: async topic => {
+                const timeoutAt = now() + responseMarginMs;
+                if (isUnreachable()) {
+                    await waitFor(timeoutAt - now());
+                    throw new CallError("timed out");
+                }
+                if (topic !== FeedTopic.document) {
+                    return { records: [], end: 1, isComplete: true };
+                }
+                const batch = createBatch(log.documents.length - 1, true);
+                await transmit(process, linkBytesPerMs, documentBytes * snapshotSizeRatio, Infinity);
+                return batch;
+            },
             read: async (topic, from, waitMs) => {
                 const timeoutAt = now() + waitMs + responseMarginMs;
                 if (topic === FeedTopic.document) {
                     readTimes.push(now());
                 }
                 const isBehind = () => topic === FeedTopic.document && log.documents.length > from;
-                const isLost = log.isSilent;
-                for (let waited = 0; !isLost && !log.isSilent && !isBehind() && waited < waitMs; waited += 50) {
+                const isLost = isUnreachable();
+                for (let waited = 0; !isLost && !isUnreachable() && !isBehind() && waited < waitMs; waited += 50) {
                     await waitFor(50);
                 }
-                if (isLost || log.isSilent) {
+                if (isLost || isUnreachable()) {
                     await waitFor(timeoutAt - now());
                     throw new CallError("timed out");
                 }
@@ -111,6 +125,7 @@
 function startFleet(
     seed: number,
     createSource: (process: string, linkBytesPerMs: number) => FeedSource,
+    cutOff: Set<string> = new Set(),
 ) {
     const { next: random } = createRandom(seed);
     /** Times at which each process applied each revision. */
@@ -141,9 +156,11 @@
         (ignored, index) => createProcess(`entry-${index}`, true),
     );
     const [leader, ...followers] = slotProcesses;
-    const send = (from: { name: string; feed: Feed; }, receivers: { feed: Feed; }[]) => {
+    const send = (from: { name: string; feed: Feed; }, receivers: { name: string; feed: Feed; }[]) => {
         const positions = computeLogPositions(from.feed, now());
-        receivers.forEach(({ feed }) => recordPeerPositions(feed, positions, from.name));
+        receivers.filter(({ name }) => cutOff.has(name) === cutOff.has(from.name)).forEach(({ feed }) =>
+            recordPeerPositions(feed, positions, from.name)
+        );
     };
     const scheduleRepeated = (callback: () => void, intervalMs: number) => {
         const timer: { id?: NodeJS.Timeout; } = {};
@@ -201,3 +218,32 @@
     );
     expect(Math.max(...delays)).toBeLessThanOrEqual(applyBoundMs);
 });
+
+test.each([1, 2, 3, 10, 16])(
+    "a data centre that was cut off has a large document in force in time, seed %i",
+    async seed => {
+        const { log, createSource } = createSharedLog(320_000);
+        const fleet = startFleet(seed, createSource, log.cutOff);
+        await vi.advanceTimersByTimeAsync(5000);
+        const dataCentre = [...fleet.applied.keys()].filter((name, index) => index % 3 === 2);
+        dataCentre.forEach(name => log.cutOff.add(name));
+        await vi.advanceTimersByTimeAsync(1000);
+        log.isSilent = true;
+        await vi.advanceTimersByTimeAsync(3000 + 100 * seed);
+        log.isSilent = false;
+        log.documents.push(2);
+        await vi.advanceTimersByTimeAsync(550);
+        log.cutOff.clear();
+        const healedAt = now();
+        for (const revision of [3, 4]) {
+            await vi.advanceTimersByTimeAsync(1440);
+            log.documents.push(revision);
+        }
+        await vi.advanceTimersByTimeAsync(5000);
+        fleet.stop();
+        const delays = fleet.entries.map(name =>
+            fleet.applied.get(name)!.find(({ revision }) => revision >= 2)!.at - healedAt
+        );
+        expect(Math.max(...delays)).toBeLessThanOrEqual(applyBoundMs);
+    },
+);
