--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -100,7 +100,7 @@
 ): ReturnType<typeof createPeerHandler> {
     return createPeerHandler({
         [handOverMethod]: (params: HandOverParams): HandOverResult & PendingQuarantine => ({
-            ...createHandOver(feed.state, params),
+            ...createHandOver(feed, params, performance.now()),
             pendingQuarantine: listPending(),
         }),
         ...methods,
--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -116,6 +116,8 @@
     /** Missing from peers that do not follow the quarantine or have not read it. */
     quarantine?: MirrorRecord[];
     quarantineEnd?: number;
+    /** Time since the log was last known to serve the list to a process, in milliseconds; missing if it never was. */
+    listServedAgeMs?: number;
 }
 
 /** Mirror of the log that updates itself between `start` and `stop`. */
@@ -123,6 +125,8 @@
     state: MirrorState<ServingDocument>;
     /** Time at which the mirror of a topic was last known to be up to date, in milliseconds; -Infinity if never. */
     getVerifiedAt: (topic: FeedTopic) => number;
+    /** Time at which the log was last known to serve the list to a process, in milliseconds; -Infinity if never. */
+    getListServedAt: () => number;
     start: () => void;
     stop: () => void;
     /** Records the next offset that `peer` would read, and the time since it was known to be the end of the topic. */
@@ -139,6 +143,11 @@
 const maxRetryMs = 1000;
 /** Time without any data after which a read that waits for records known to exist is aborted, in milliseconds. */
 const stuckReadMs = 400;
+/**
+ * Margin by which the log must have served a peer after the first of consecutive failed reads began, in milliseconds,
+ * for the failures not to count as an outage: the other read may have begun earlier.
+ */
+const servedMarginMs = 200;
 /** Interval between checks whether a read is due, in milliseconds. */
 const checkIntervalMs = 100;
 
@@ -192,6 +201,22 @@
     };
     let timer: NodeJS.Timeout | undefined;
     let isFetchingFromPeer = false;
+    let listServedAt = -Infinity;
+    /** Start of the first failed read since the last successful one of the list, in milliseconds. */
+    let failingSince: number | undefined;
+
+    const recordServed = (topic: FeedTopic, at: number) => {
+        if (topic === FeedTopic.list) {
+            listServedAt = Math.max(listServedAt, at);
+        }
+    };
+    /** Records a failed read; an outage of the log unless it has served the list to a peer meanwhile. */
+    const recordFailure = (startedAt: number) => {
+        failingSince ??= startedAt;
+        if (listServedAt <= failingSince + servedMarginMs) {
+            recordLogFailure(state, now());
+        }
+    };
 
     const applyDocumentBatch = (batch: FeedBatch, origin: Record<string, unknown>) => {
         if (applyDocumentRecords(state, batch.records, batch.end, decoders)) {
@@ -264,6 +289,8 @@
         // An empty response was sent when the wait was over; it may have been under way for some time.
         const confirmedAt = hasRecords ? startedAt : Math.min(now(), startedAt + waitMs);
         verifiedAt[topic] = Math.max(verifiedAt[topic], confirmedAt);
+        recordServed(topic, confirmedAt);
+        failingSince = topic === FeedTopic.list ? undefined : failingSince;
         topicState.jitter = random();
         topicState.confirmedBy = undefined;
         const previousEnd = getMirrorEnd(topic);
@@ -305,7 +332,7 @@
             topicState.retryAt = now() +
                 Math.min(maxRetryMs, minRetryMs * 2 ** topicState.failures) * (0.5 + random() / 2);
             if (topic !== FeedTopic.quarantine) {
-                recordLogFailure(state, now());
+                recordFailure(startedAt);
             }
             if (topicState.failures === 1) {
                 logger.warn("Reading the log failed.", {
@@ -334,6 +361,7 @@
         });
         isFetchingFromPeer = false;
         if (records !== undefined) {
+            recordServed(FeedTopic.list, now() - (records.listServedAgeMs ?? Infinity));
             applyPeerRecords(records);
         }
     };
@@ -384,6 +412,7 @@
     return {
         state,
         getVerifiedAt: topic => verifiedAt[topic],
+        getListServedAt: () => listServedAt,
         start: () => {
             checkTopics();
             timer = setInterval(checkTopics, checkIntervalMs);
@@ -391,6 +420,7 @@
         stop: () => clearInterval(timer),
         recordPeerPosition: (topic, end, ageMs, peer) => {
             const topicState = topics[topic];
+            recordServed(topic, now() - ageMs);
             if (end > topicState.peerEnd) {
                 const plannedAt = topicState.peerEnd > (topicState.end ?? 0) ? topicState.catchUpAt : Infinity;
                 topicState.peerEnd = end;
--- a/src/peers/handOver.ts
+++ b/src/peers/handOver.ts
@@ -2,9 +2,9 @@
  * Hand-over: sends a peer the log records that its mirror of the configuration document and the instance list lacks,
  * for peers that cannot read the log.
  */
-import type { PeerRecords } from "./feed.js";
+import type { Feed, PeerRecords } from "./feed.js";
 import { decodeLogPosition, encodeLogPosition, type WirePosition } from "./logPosition.js";
-import { listRecordsSince, type MirrorRecord, type MirrorState } from "./mirror.js";
+import { listRecordsSince, type MirrorRecord } from "./mirror.js";
 
 /** Parameters of the call: the next offsets that the peer would read. Nothing is sent of a topic whose end is missing. */
 export interface HandOverParams {
@@ -23,6 +23,7 @@
     listEnd: WirePosition;
     quarantine?: WireRecord[];
     quarantineEnd?: WirePosition;
+    listServedAgeMs?: number;
 }
 
 /** RPC method name. */
@@ -37,15 +38,25 @@
     };
 }
 
-/** Creates the response: records from the peer's positions on, and the ends of this mirror. */
-export function createHandOver<Document>(state: MirrorState<Document>, params: HandOverParams): HandOverResult {
+/**
+ * Creates the response: records from the peer's positions on, the ends of this mirror, and the time since the
+ * log was last known to serve the list.
+ */
+export function createHandOver(
+    feed: Pick<Feed, "state" | "getListServedAt">,
+    params: HandOverParams,
+    now: number,
+): HandOverResult {
+    const { state } = feed;
     const { documentEnd, listEnd, quarantineEnd } = params;
-    const { documents, list } = listRecordsSince(state, decodeEnd(documentEnd), decodeEnd(listEnd));
+    const { documents, list } = listRecordsSince(state, decodeEnd(documentEnd), decodeEnd(listEnd), now);
+    const listServedAt = feed.getListServedAt();
     const result = {
         documents: documents.map(encodeRecord),
         documentEnd: encodeLogPosition(state.documentEnd),
         list: list.map(encodeRecord),
         listEnd: encodeLogPosition(state.listEnd),
+        listServedAgeMs: listServedAt === -Infinity ? undefined : Math.round(now - listServedAt),
     };
     if (quarantineEnd === undefined || state.quarantineEnd === undefined) {
         return result;
@@ -61,7 +72,7 @@
 
 /** Decodes the response of a peer. */
 export function decodeHandOver(result: HandOverResult): PeerRecords {
-    const { documents, documentEnd, list, listEnd, quarantine, quarantineEnd } = result;
+    const { documents, documentEnd, list, listEnd, quarantine, quarantineEnd, listServedAgeMs } = result;
     return {
         documents: documents.map(decodeRecord),
         documentEnd: decodeLogPosition(documentEnd),
@@ -69,6 +80,7 @@
         listEnd: decodeLogPosition(listEnd),
         quarantine: quarantine?.map(decodeRecord),
         quarantineEnd: quarantineEnd === undefined ? undefined : decodeLogPosition(quarantineEnd),
+        listServedAgeMs,
     };
 }
 
--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -11,6 +11,11 @@
     key: string;
     offset: number;
     value?: string;
+    /**
+     * Time for which the peer that handed over a tombstone still keeps the upstream, in milliseconds. Undefined if the
+     * record is from the log.
+     */
+    graceMs?: number;
 }
 
 /** An upstream in the instance list. */
@@ -33,6 +38,8 @@
     upstream: UpstreamRecord | undefined;
     /** Time until which an upstream is kept after a tombstone, in milliseconds; 0 if it is not kept. */
     graceUntil: number;
+    /** Whether a peer set the grace period, so that failed reads of this process do not extend it. */
+    isGraceFixed: boolean;
 }
 
 /** State of a mirror. Times are those of the `now` arguments, in milliseconds. */
@@ -199,11 +206,11 @@
         (known.upstream?.isLeaving ?? known.record.value === undefined);
 }
 
-/** Records a failed read of the log, which starts or extends the grace period of expired upstreams. */
+/** Records that the log is failing, which starts or extends the grace period of expired upstreams. */
 export function recordLogFailure<Document>(state: MirrorState<Document>, now: number): void {
     state.logFailedAt = Math.max(state.logFailedAt, now);
     for (const entry of state.entries.values()) {
-        if (entry.graceUntil > 0) {
+        if (entry.graceUntil > 0 && !entry.isGraceFixed) {
             entry.graceUntil = Math.max(entry.graceUntil, now + expiryGraceMs);
         }
     }
@@ -246,14 +253,19 @@
     return (a.upstream?.startedAt ?? 0) - (b.upstream?.startedAt ?? 0) || a.record.offset - b.record.offset;
 }
 
-/** Lists the records at or after the given offsets, for a peer that has read up to there. */
-export function listRecordsSince<Document>(state: MirrorState<Document>, documentEnd: number, listEnd: number): {
-    documents: MirrorRecord[];
-    list: MirrorRecord[];
-} {
+/** Lists the records at or after the given offsets, for a peer that has read up to there at `now`. */
+export function listRecordsSince<Document>(
+    state: MirrorState<Document>,
+    documentEnd: number,
+    listEnd: number,
+    now: number,
+): { documents: MirrorRecord[]; list: MirrorRecord[]; } {
     const { documentRecord } = state;
     const documents = documentRecord !== undefined && documentRecord.offset >= documentEnd ? [documentRecord] : [];
-    const list = [...state.entries.values()].map(({ record }) => record).filter(({ offset }) => offset >= listEnd);
+    const list = [...state.entries.values()].filter(({ record }) => record.offset >= listEnd).map(({
+        record,
+        graceUntil,
+    }) => record.value === undefined ? { ...record, graceMs: Math.max(0, Math.round(graceUntil - now)) } : record);
     return { documents, list };
 }
 
@@ -269,12 +281,18 @@
     }
     if (record.value !== undefined) {
         const upstream = decoders.decodeUpstream(record.key, record.value);
-        state.entries.set(record.key, { record, upstream, graceUntil: 0 });
+        state.entries.set(record.key, { record, upstream, graceUntil: 0, isGraceFixed: false });
         return true;
     }
-    const isInGracePeriod = known?.upstream !== undefined && !known.upstream.isLeaving &&
-        now - state.logFailedAt < expiryGraceMs;
-    const graceUntil = isInGracePeriod ? state.logFailedAt + expiryGraceMs : 0;
-    state.entries.set(record.key, { record, upstream: isInGracePeriod ? known.upstream : undefined, graceUntil });
+    const { graceMs } = record;
+    const isGraceFixed = graceMs !== undefined;
+    const graceEnd = isGraceFixed ? now + Math.min(graceMs, expiryGraceMs) : state.logFailedAt + expiryGraceMs;
+    const isInGracePeriod = known?.upstream !== undefined && !known.upstream.isLeaving && now < graceEnd;
+    state.entries.set(record.key, {
+        record,
+        upstream: isInGracePeriod ? known.upstream : undefined,
+        graceUntil: isInGracePeriod ? graceEnd : 0,
+        isGraceFixed,
+    });
     return true;
 }
--- a/src/peers/tests/mirror.test.ts
+++ b/src/peers/tests/mirror.test.ts
@@ -129,6 +129,27 @@
     });
 });
 
+test("the grace period of an upstream ends with that of the peer that hands over its tombstone", () => {
+    const sender = createMirror<Document>();
+    const receiver = createMirror<Document>();
+    const live = [record("a", 1, "h1 live"), record("b", 2, "h2 live")];
+    [sender, receiver].forEach(mirror => applyListRecords(mirror, live, 3, decoders, 0));
+    recordLogFailure(sender, 1000);
+    applyListRecords(sender, [record("a", 4)], 5, decoders, 1100);
+    const [tombstone] = listRecordsSince(sender, 0, 4, 1200).list;
+    applyListRecords(receiver, [tombstone], 5, decoders, 1250);
+    recordLogFailure(receiver, 3000);
+    const listAt = (now: number) => {
+        removeExpiredUpstreams(receiver, now);
+        return listUpstreams(receiver).map(({ id }) => id);
+    };
+    expect(tombstone.graceMs).toBe(2100);
+    expect([3349, 3350].map(listAt)).toEqual([["a", "b"], ["b"]]);
+    // The same record from the log is not newer.
+    applyListRecords(receiver, [record("a", 4)], 5, decoders, 3400);
+    expect(listAt(3400)).toEqual(["b"]);
+});
+
 describe("the document", () => {
     test("never goes back", () => {
         const mirror = createMirror<Document>();
@@ -149,7 +170,7 @@
         const mirror = createMirror<Document>();
         applyDocumentRecords(mirror, [record("config", 5, "{\"revision\":7}")], 6, decoders);
         applyListRecords(mirror, [record("a", 1, "h1 live"), record("b", 4)], 5, decoders, 0);
-        expect([listRecordsSince(mirror, 0, 2), listRecordsSince(mirror, 6, 5)]).toMatchInlineSnapshot(`
+        expect([listRecordsSince(mirror, 0, 2, 0), listRecordsSince(mirror, 6, 5, 0)]).toMatchInlineSnapshot(`
           [
             {
               "documents": [
@@ -161,6 +182,7 @@
               ],
               "list": [
                 {
+                  "graceMs": 0,
                   "key": "b",
                   "offset": 4,
                   "value": undefined,
