--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -113,6 +113,8 @@
     documentEnd: number;
     list: MirrorRecord[];
     listEnd: number;
+    /** Whether `list` is a snapshot; missing from peers of earlier versions. */
+    isListComplete?: boolean;
     /** Missing from peers that do not follow the quarantine or have not read it. */
     quarantine?: MirrorRecord[];
     quarantineEnd?: number;
@@ -366,14 +368,14 @@
         }
     };
     const applyPeerRecords = (records: PeerRecords) => {
-        const { documents, documentEnd, list, listEnd, quarantine = [], quarantineEnd } = records;
-        const apply = (topic: FeedTopic, topicRecords: MirrorRecord[], end: number) => {
-            const batch = { records: topicRecords, end, isComplete: false };
+        const { documents, documentEnd, list, listEnd, isListComplete, quarantine = [], quarantineEnd } = records;
+        const apply = (topic: FeedTopic, topicRecords: MirrorRecord[], end: number, isComplete = false) => {
+            const batch = { records: topicRecords, end, isComplete };
             batchAppliers[topic](batch, { reason: "hand-over" });
             topics[topic].end = Math.max(topics[topic].end ?? 0, end);
         };
         apply(FeedTopic.document, documents, documentEnd);
-        apply(FeedTopic.list, list, listEnd);
+        apply(FeedTopic.list, list, listEnd, isListComplete);
         if (quarantineEnd !== undefined) {
             apply(FeedTopic.quarantine, quarantine, quarantineEnd);
         }
--- a/src/peers/handOver.ts
+++ b/src/peers/handOver.ts
@@ -21,6 +21,7 @@
     documentEnd: WirePosition;
     list: WireRecord[];
     listEnd: WirePosition;
+    isListComplete?: boolean;
     quarantine?: WireRecord[];
     quarantineEnd?: WirePosition;
     listServedAgeMs?: number;
@@ -49,13 +50,19 @@
 ): HandOverResult {
     const { state } = feed;
     const { documentEnd, listEnd, quarantineEnd } = params;
-    const { documents, list } = listRecordsSince(state, decodeEnd(documentEnd), decodeEnd(listEnd), now);
+    const { documents, list, isListComplete } = listRecordsSince(
+        state,
+        decodeEnd(documentEnd),
+        decodeEnd(listEnd),
+        now,
+    );
     const listServedAt = feed.getListServedAt();
     const result = {
         documents: documents.map(encodeRecord),
         documentEnd: encodeLogPosition(state.documentEnd),
         list: list.map(encodeRecord),
         listEnd: encodeLogPosition(state.listEnd),
+        isListComplete,
         listServedAgeMs: listServedAt === -Infinity ? undefined : Math.round(now - listServedAt),
     };
     if (quarantineEnd === undefined || state.quarantineEnd === undefined) {
@@ -72,12 +79,14 @@
 
 /** Decodes the response of a peer. */
 export function decodeHandOver(result: HandOverResult): PeerRecords {
-    const { documents, documentEnd, list, listEnd, quarantine, quarantineEnd, listServedAgeMs } = result;
+    const { documents, documentEnd, list, listEnd, isListComplete, quarantine, quarantineEnd, listServedAgeMs } =
+        result;
     return {
         documents: documents.map(decodeRecord),
         documentEnd: decodeLogPosition(documentEnd),
         list: list.map(decodeRecord),
         listEnd: decodeLogPosition(listEnd),
+        isListComplete,
         quarantine: quarantine?.map(decodeRecord),
         quarantineEnd: quarantineEnd === undefined ? undefined : decodeLogPosition(quarantineEnd),
         listServedAgeMs,
--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -50,6 +50,8 @@
     document: Document | undefined;
     /** Offset after the newest processed record of the list's topic. */
     listEnd: number;
+    /** End of the last snapshot of the list; a mirror lacks tombstones before it, of keys that it never knew. */
+    listSnapshotEnd: number;
     /** Newest records of the list and their upstreams, by key. */
     entries: Map<string, ListEntry>;
     /** Time of the last failed read of the log, in milliseconds. */
@@ -80,6 +82,7 @@
         documentRecord: undefined,
         document: undefined,
         listEnd: 0,
+        listSnapshotEnd: 0,
         entries: new Map(),
         logFailedAt: -Infinity,
         quarantineEnd: undefined,
@@ -196,7 +199,10 @@
         key,
         offset: isInEra ? end - 0.5 : offset + 0.5,
     }));
-    const current = isNewEra ? records.filter(record => !isOutdated(state.entries.get(record.key), record)) : records;
+    const current = isNewEra ?
+        records.filter(record => !isOutdated(state.entries.get(record.key), record)) :
+        records;
+    state.listSnapshotEnd = Math.max(state.listSnapshotEnd, end);
     return applyListRecords(state, [...tombstones, ...current], end, decoders, now);
 }
 
@@ -253,20 +259,24 @@
     return (a.upstream?.startedAt ?? 0) - (b.upstream?.startedAt ?? 0) || a.record.offset - b.record.offset;
 }
 
-/** Lists the records at or after the given offsets, for a peer that has read up to there at `now`. */
+/**
+ * Lists the records at or after the given offsets, for a peer that has read up to there at `now`; of the list all, as a
+ * snapshot, if this mirror may lack tombstones from there on.
+ */
 export function listRecordsSince<Document>(
     state: MirrorState<Document>,
     documentEnd: number,
     listEnd: number,
     now: number,
-): { documents: MirrorRecord[]; list: MirrorRecord[]; } {
+): { documents: MirrorRecord[]; list: MirrorRecord[]; isListComplete: boolean; } {
     const { documentRecord } = state;
     const documents = documentRecord !== undefined && documentRecord.offset >= documentEnd ? [documentRecord] : [];
-    const list = [...state.entries.values()].filter(({ record }) => record.offset >= listEnd).map(({
-        record,
-        graceUntil,
-    }) => record.value === undefined ? { ...record, graceMs: Math.max(0, Math.round(graceUntil - now)) } : record);
-    return { documents, list };
+    const isListComplete = listEnd < state.listSnapshotEnd;
+    const entries = [...state.entries.values()].filter(({ record }) => isListComplete || record.offset >= listEnd);
+    const list = entries.map(({ record, graceUntil }) =>
+        record.value === undefined ? { ...record, graceMs: Math.max(0, Math.round(graceUntil - now)) } : record
+    );
+    return { documents, list, isListComplete };
 }
 
 function applyListRecord<Document>(
--- a/src/peers/tests/mirror.test.ts
+++ b/src/peers/tests/mirror.test.ts
@@ -150,6 +150,18 @@
     expect(listAt(3400)).toEqual(["b"]);
 });
 
+test("a peer that began with a snapshot hands over that an upstream has gone before it", () => {
+    const restarted = createMirror<Document>();
+    const receiver = createMirror<Document>();
+    applyListRecords(receiver, [record("a", 1, "h1 live"), record("b", 2, "h2 live")], 3, decoders, 0);
+    // The log continues with a tombstone of "a" at offset 3, which a snapshot does not show.
+    replaceList(restarted, [record("b", 2, "h2 live")], 4, decoders, 0);
+    const { list, isListComplete } = listRecordsSince(restarted, 0, 3, 0);
+    const apply = isListComplete ? replaceList : applyListRecords;
+    apply(receiver, list, restarted.listEnd, decoders, 0);
+    expect(listUpstreams(receiver).map(({ id }) => id)).toEqual(["b"]);
+});
+
 describe("the document", () => {
     test("never goes back", () => {
         const mirror = createMirror<Document>();
@@ -180,6 +192,7 @@
                   "value": "{"revision":7}",
                 },
               ],
+              "isListComplete": false,
               "list": [
                 {
                   "graceMs": 0,
@@ -191,6 +204,7 @@
             },
             {
               "documents": [],
+              "isListComplete": false,
               "list": [],
             },
           ]
