--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -200,16 +200,21 @@
         offset: isInEra ? end - 0.5 : offset + 0.5,
     }));
     const current = isNewEra ?
-        records.filter(record => !isOutdated(state.entries.get(record.key), record)) :
+        records.filter(record => !isOutdated(state.entries.get(record.key), record, decoders)) :
         records;
     state.listSnapshotEnd = Math.max(state.listSnapshotEnd, end);
     return applyListRecords(state, [...tombstones, ...current], end, decoders, now);
 }
 
 /** Whether a record of a new era's first snapshot may be older than what is known: that the upstream is leaving or gone. */
-function isOutdated(known: ListEntry | undefined, { offset }: MirrorRecord): boolean {
-    return known !== undefined && getEra(known.record.offset) < getEra(offset) &&
+function isOutdated<Document>(
+    known: ListEntry | undefined,
+    { key, value, offset }: MirrorRecord,
+    decoders: MirrorDecoders<Document>,
+): boolean {
+    const isKnownToLeave = known !== undefined && getEra(known.record.offset) < getEra(offset) &&
         (known.upstream?.isLeaving ?? known.record.value === undefined);
+    return isKnownToLeave && value !== undefined && decoders.decodeUpstream(key, value)?.isLeaving !== true;
 }
 
 /** Records that the log is failing, which starts or extends the grace period of expired upstreams. */
--- a/src/peers/tests/mirror.test.ts
+++ b/src/peers/tests/mirror.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, test } from "vitest";
+import { createLogPosition } from "../logPosition.js";
 import {
     applyDocumentRecords,
     applyListRecords,
@@ -162,6 +163,16 @@
     expect(listUpstreams(receiver).map(({ id }) => id)).toEqual(["b"]);
 });
 
+test("an upstream that left takes the position at which the log of a new era says so too", () => {
+    const mirror = createMirror<Document>();
+    const position = createLogPosition(1, 1);
+    applyListRecords(mirror, [record("a", 2, "h1 leaving")], 3, decoders, 0);
+    replaceList(mirror, [record("a", position, "h1 leaving")], position + 1, decoders, 0);
+    expect(listRecordsSince(mirror, 0, createLogPosition(1, 0), 0).list.map(({ offset }) => offset)).toEqual([
+        position,
+    ]);
+});
+
 describe("the document", () => {
     test("never goes back", () => {
         const mirror = createMirror<Document>();
