--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -16,6 +16,8 @@
      * record is from the log.
      */
     graceMs?: number;
+    /** Set on the tombstone of a key that the log lacks since it returned from an older copy: it may be written again. */
+    isLost?: true;
 }
 
 /** An upstream in the instance list. */
@@ -195,9 +197,10 @@
     // Half an offset above the record: newer than the record itself, older than any later record of its key. In a new era
     // the tombstone is of that era too, so that peers which are cut off from the log are handed it.
     const isInEra = isNewEra && getOffset(end) > 0;
-    const tombstones = absent.map(({ record: { key, offset } }) => ({
+    const tombstones = absent.map(({ record: { key, offset, value, isLost } }): MirrorRecord => ({
         key,
         offset: isInEra ? end - 0.5 : offset + 0.5,
+        isLost: isNewEra && value !== undefined ? true : isLost,
     }));
     const current = isNewEra ?
         records.filter(record => !isOutdated(state.entries.get(record.key), record, decoders)) :
@@ -213,7 +216,7 @@
     decoders: MirrorDecoders<Document>,
 ): boolean {
     const isKnownToLeave = known !== undefined && getEra(known.record.offset) < getEra(offset) &&
-        (known.upstream?.isLeaving ?? known.record.value === undefined);
+        (known.upstream?.isLeaving ?? (known.record.value === undefined && known.record.isLost === undefined));
     return isKnownToLeave && value !== undefined && decoders.decodeUpstream(key, value)?.isLeaving !== true;
 }
 
--- a/src/peers/tests/mirror.test.ts
+++ b/src/peers/tests/mirror.test.ts
@@ -173,6 +173,24 @@
     ]);
 });
 
+test("an upstream that one copy of the log lacked is back once the log of the next era has it again", () => {
+    const mirror = createMirror<Document>();
+    const getIds = () => listUpstreams(mirror).map(({ id }) => id);
+    const ends = [1, 2].map(era => createLogPosition(era, 2));
+    applyListRecords(mirror, [record("a", 1, "h1 live"), record("b", 2, "h2 live")], 3, decoders, 0);
+    replaceList(mirror, [record("b", ends[0] - 1, "h2 live")], ends[0], decoders, 0);
+    removeExpiredUpstreams(mirror, expiryGraceMs);
+    const idsBefore = getIds();
+    replaceList(
+        mirror,
+        [record("b", ends[1] - 2, "h2 live"), record("a", ends[1] - 1, "h1 live")],
+        ends[1],
+        decoders,
+        5000,
+    );
+    expect([idsBefore, getIds()]).toEqual([["b"], ["a", "b"]]);
+});
+
 describe("the document", () => {
     test("never goes back", () => {
         const mirror = createMirror<Document>();
