--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -109,10 +109,10 @@
     const { quarantineRecords } = state;
     const isNewEra = getEra(end) > getEra(state.quarantineEnd ?? 0);
     const present = new Set(records.map(({ key }) => key));
-    const absent = [...quarantineRecords.values()].filter(({ key, offset }) =>
-        isComplete && !present.has(key) && offset < end
+    const absent = [...quarantineRecords.values()].filter(({ key, offset, value }) =>
+        isComplete && !present.has(key) && offset < end && value !== undefined
     );
-    const lost = isNewEra ? absent.filter(({ value }) => value !== undefined) : [];
+    const lost = isNewEra ? absent : [];
     const deleted = isNewEra ? [] : absent;
     const tombstones = deleted.map(({ key, offset }): MirrorRecord => ({ key, offset: offset + 0.5 }));
     const changes = [...tombstones, ...records].filter(record => {
@@ -193,11 +193,13 @@
         recordLogFailure(state, now);
     }
     const present = new Set(records.map(({ key }) => key));
-    const absent = [...state.entries.values()].filter(({ record }) => !present.has(record.key) && record.offset < end);
     // Half an offset above the record: newer than the record itself, older than any later record of its key. In a new era
     // the tombstone is of that era too, so that peers which are cut off from the log are handed it.
     const isInEra = isNewEra && getOffset(end) > 0;
-    const tombstones = absent.map(({ record: { key, offset, value, isLost } }): MirrorRecord => ({
+    const absent = [...state.entries.values()].map(({ record }) => record).filter(({ key, offset, value }) =>
+        !present.has(key) && offset < end && (value !== undefined || isInEra)
+    );
+    const tombstones = absent.map(({ key, offset, value, isLost }): MirrorRecord => ({
         key,
         offset: isInEra ? end - 0.5 : offset + 0.5,
         isLost: isNewEra && value !== undefined ? true : isLost,
--- a/src/peers/tests/mirror.test.ts
+++ b/src/peers/tests/mirror.test.ts
@@ -191,6 +191,14 @@
     expect([idsBefore, getIds()]).toEqual([["b"], ["a", "b"]]);
 });
 
+test("a tombstone stays older than the next record however often snapshots lack its key", () => {
+    const mirror = createMirror<Document>();
+    applyListRecords(mirror, [record("a", 1, "h1 live")], 2, decoders, 0);
+    [3, 4, 5].forEach(end => replaceList(mirror, [], end, decoders, 0));
+    applyListRecords(mirror, [record("a", 2, "h1 leaving")], 5, decoders, 0);
+    expect(listUpstreams(mirror).map(({ id }) => id)).toEqual(["a"]);
+});
+
 describe("the document", () => {
     test("never goes back", () => {
         const mirror = createMirror<Document>();
