--- a/src/direct/tests/logReaders.test.ts
+++ b/src/direct/tests/logReaders.test.ts
@@ -3,6 +3,7 @@
 import { CallError } from "../../core/errors.js";
 import { createRandom } from "../../core/random.js";
 import { createFeed, type Feed, type FeedBatch, type FeedSource, FeedTopic } from "../../peers/feed.js";
+import { createLogPosition, getEra, getOffset } from "../../peers/logPosition.js";
 import type { MirrorDecoders, MirrorRecord } from "../../peers/mirror.js";
 import { entryFeedTiming, heartbeatIntervalMs, slotFeedTiming } from "../../peers/pacing.js";
 import { computeLogPositions, recordPeerPositions } from "../logPositions.js";
@@ -24,6 +25,8 @@
 const presenceIntervalMs = 1000;
 /** Processes of each kind; a third of those of a group of 72 ranks. */
 const processCount = 24;
+/** Calls that the log takes in a second from these processes: a third of 2,000. */
+const maxCallsPerSecond = 2000 / 3;
 /** Bytes per millisecond that the log sends to all readers together: a third of 80 MB/s. */
 const logBytesPerMs = 80_000 / 3;
 /** Size of a document in a snapshot, whose values are in base64, as a multiple of its size in a read. */
@@ -51,6 +54,12 @@
         /** Names of the processes that reach neither the log nor the others. */
         cutOff: new Set<string>(),
         documents: [1],
+        /** Rises when the log returns from an older copy, which has fewer documents. */
+        era: 0,
+        /** Number of calls. */
+        calls: 0,
+        /** Bytes of all responses. */
+        sentBytes: 0,
         /** Start times of the reads of the document's topic, by process. */
         readTimes: new Map<string, number[]>(),
         /** Time at which the responses asked for so far are sent, in milliseconds. */
@@ -62,13 +71,14 @@
     const createBatch = (from: number, isComplete: boolean): FeedBatch => {
         const all = log.documents.map((revision, offset): MirrorRecord => ({
             key: "config",
-            offset,
+            offset: createLogPosition(log.era, offset),
             value: String(revision),
         }));
-        return { records: all.slice(from), end: all.length, isComplete };
+        return { records: all.slice(from), end: createLogPosition(log.era, all.length), isComplete };
     };
     /** Sends a response; it fails as a whole if it is not complete in time. */
     const transmit = async (process: string, linkBytesPerMs: number, bytes: number, timeoutAt: number) => {
+        log.sentBytes += bytes;
         log.sentAt = Math.max(log.sentAt, now()) + bytes / logBytesPerMs;
         const arrival = Math.max(log.sentAt, arrivedAt.get(process) ?? 0) + bytes / linkBytesPerMs;
         arrivedAt.set(process, arrival);
@@ -84,12 +94,13 @@
         return {
             readNewest: async topic => {
                 const timeoutAt = now() + responseMarginMs;
+                log.calls += 1;
                 if (isUnreachable()) {
                     await waitFor(timeoutAt - now());
                     throw new CallError("timed out");
                 }
                 if (topic !== FeedTopic.document) {
-                    return { records: [], end: 1, isComplete: true };
+                    return { records: [], end: createLogPosition(log.era, 1), isComplete: true };
                 }
                 const batch = createBatch(log.documents.length - 1, true);
                 await transmit(process, linkBytesPerMs, documentBytes * snapshotSizeRatio, Infinity);
@@ -97,10 +108,13 @@
             },
             read: async (topic, from, waitMs) => {
                 const timeoutAt = now() + waitMs + responseMarginMs;
+                log.calls += 1;
                 if (topic === FeedTopic.document) {
                     readTimes.push(now());
                 }
-                const isBehind = () => topic === FeedTopic.document && log.documents.length > from;
+                const offset = getOffset(from);
+                const isBehind = () =>
+                    getEra(from) !== log.era || (topic === FeedTopic.document && log.documents.length > offset);
                 const isLost = isUnreachable();
                 for (let waited = 0; !isLost && !isUnreachable() && !isBehind() && waited < waitMs; waited += 50) {
                     await waitFor(50);
@@ -109,10 +123,13 @@
                     await waitFor(timeoutAt - now());
                     throw new CallError("timed out");
                 }
+                if (getEra(from) !== log.era) {
+                    return undefined;
+                }
                 if (topic === FeedTopic.list) {
                     return { records: [], end: from, isComplete: false };
                 }
-                const batch = createBatch(from, false);
+                const batch = createBatch(offset, false);
                 await transmit(process, linkBytesPerMs, batch.records.length * documentBytes, timeoutAt);
                 return batch;
             },
@@ -247,3 +264,36 @@
         expect(Math.max(...delays)).toBeLessThanOrEqual(applyBoundMs);
     },
 );
+
+test.each([1, 2, 3])(
+    "a return of the log from an older copy is no congestion, with a large document, seed %i",
+    async seed => {
+        const { log, createSource } = createSharedLog(320_000);
+        const fleet = startFleet(seed, createSource);
+        await vi.advanceTimersByTimeAsync(5000);
+        log.documents.push(2);
+        await vi.advanceTimersByTimeAsync(5000);
+        const measure = async (ms: number) => {
+            const before = { calls: log.calls, bytes: log.sentBytes };
+            await vi.advanceTimersByTimeAsync(ms);
+            return { calls: log.calls - before.calls, bytes: log.sentBytes - before.bytes };
+        };
+        log.isSilent = true;
+        await vi.advanceTimersByTimeAsync(1500);
+        log.isSilent = false;
+        log.era += 1;
+        log.documents.pop();
+        const lost = await measure(500);
+        log.documents.push(2, 3);
+        const writtenAt = now();
+        const rewritten = await measure(5000);
+        fleet.stop();
+        const delays = fleet.entries.map(name =>
+            fleet.applied.get(name)!.find(({ revision }) => revision === 3)!.at - writtenAt
+        );
+        expect(lost.calls * 2).toBeLessThanOrEqual(maxCallsPerSecond);
+        // A snapshot of the copy and at most one of what is written again for each process, and a read of the newest document.
+        expect(lost.bytes + rewritten.bytes).toBeLessThanOrEqual(2 * processCount * 3 * 320_000 * snapshotSizeRatio);
+        expect(Math.max(...delays)).toBeLessThanOrEqual(applyBoundMs);
+    },
+);
