--- a/src/direct/tests/logReaders.test.ts
+++ b/src/direct/tests/logReaders.test.ts
@@ -143,6 +143,8 @@
     seed: number,
     createSource: (process: string, linkBytesPerMs: number) => FeedSource,
     cutOff: Set<string> = new Set(),
+    /** Returns the time that heartbeats of the leader wait before they are sent, in milliseconds. */
+    getLeaderDelayMs: () => number = () => 0,
 ) {
     const { next: random } = createRandom(seed);
     /** Times at which each process applied each revision. */
@@ -175,9 +177,9 @@
     const [leader, ...followers] = slotProcesses;
     const send = (from: { name: string; feed: Feed; }, receivers: { name: string; feed: Feed; }[]) => {
         const positions = computeLogPositions(from.feed, now());
-        receivers.filter(({ name }) => cutOff.has(name) === cutOff.has(from.name)).forEach(({ feed }) =>
-            recordPeerPositions(feed, positions, from.name)
-        );
+        const delayMs = from === leader ? getLeaderDelayMs() : 0;
+        const reachable = receivers.filter(({ name }) => cutOff.has(name) === cutOff.has(from.name));
+        setTimeout(() => reachable.forEach(({ feed }) => recordPeerPositions(feed, positions, from.name)), delayMs);
     };
     const scheduleRepeated = (callback: () => void, intervalMs: number) => {
         const timer: { id?: NodeJS.Timeout; } = {};
@@ -297,3 +299,25 @@
         expect(Math.max(...delays)).toBeLessThanOrEqual(applyBoundMs);
     },
 );
+
+test.each([1, 2, 3])(
+    "a document is in force in time although the leader's heartbeats wait on its link, seed %i",
+    async seed => {
+        const { log, createSource } = createSharedLog(320_000);
+        const link = { delayMs: 0 };
+        const fleet = startFleet(seed, createSource, log.cutOff, () => link.delayMs);
+        await vi.advanceTimersByTimeAsync(5000);
+        for (let step = 0; step < 25; step++) {
+            link.delayMs += 100;
+            await vi.advanceTimersByTimeAsync(200);
+        }
+        log.documents.push(2);
+        const confirmedAt = now();
+        await vi.advanceTimersByTimeAsync(6000);
+        fleet.stop();
+        const delays = fleet.entries.map(name =>
+            fleet.applied.get(name)!.find(({ revision }) => revision >= 2)!.at - confirmedAt
+        );
+        expect(Math.max(...delays)).toBeLessThanOrEqual(applyBoundMs);
+    },
+);
