--- a/src/direct/logPositions.ts
+++ b/src/direct/logPositions.ts
@@ -5,6 +5,7 @@
 import { type Feed, FeedTopic } from "../peers/feed.js";
 import type { LogPositions } from "../peers/heartbeat.js";
 import { decodeLogPosition, encodeLogPosition } from "../peers/logPosition.js";
+import type { TransitDelays } from "./transitDelay.js";
 
 /** Age that is sent if a topic's mirror was never up to date, in milliseconds; also the upper bound of sent ages. */
 const maxPositionAgeMs = 1e9;
@@ -20,13 +21,19 @@
         document: createPosition(FeedTopic.document, documentEnd),
         list: createPosition(FeedTopic.list, listEnd),
         quarantine: quarantineEnd === undefined ? undefined : createPosition(FeedTopic.quarantine, quarantineEnd),
+        sentAt: Math.round(performance.timeOrigin + now),
     };
 }
 
-/** Records the log positions of `peer`, the host of another process. */
-export function recordPeerPositions(feed: Feed, { document, list, quarantine }: LogPositions, peer: string): void {
+/**
+ * Records the log positions of `peer`, the host of another process. Their ages are those at the time of sending; the time
+ * under way is added to them.
+ */
+export function recordPeerPositions(feed: Feed, positions: LogPositions, peer: string, delays: TransitDelays): void {
+    const { document, list, quarantine, sentAt } = positions;
+    const delayMs = sentAt === undefined ? 0 : delays.measure(peer, sentAt);
     const recordPosition = (topic: FeedTopic, [end, ageMs]: LogPositions["list"]) =>
-        feed.recordPeerPosition(topic, decodeLogPosition(end), ageMs, peer);
+        feed.recordPeerPosition(topic, decodeLogPosition(end), ageMs + delayMs, peer);
     recordPosition(FeedTopic.document, document);
     recordPosition(FeedTopic.list, list);
     if (quarantine !== undefined) {
--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -18,6 +18,7 @@
 import { callPeer, createPeerHandler, type PeerMethods } from "../wire/peerRpc.js";
 import { recordPeerPositions } from "./logPositions.js";
 import type { PendingRecord } from "./quarantineSharing.js";
+import { createTransitDelays } from "./transitDelay.js";
 
 /** Time until a hand-over must begin, and longest pause within it, in milliseconds. */
 const handOverTimeoutMs = 600;
@@ -78,11 +79,12 @@
     failures: DirectEntryMetrics["sendFailures"],
     onHeartbeat: (heartbeat: Heartbeat) => void,
 ): Promise<DatagramSocket> {
+    const delays = createTransitDelays(() => performance.now());
     return bindDatagramSocket(address, bytes => {
         const heartbeat = decodeHeartbeat(bytes);
         if (heartbeat !== undefined) {
             const peer = heartbeat.kind === "presence" ? heartbeat.host : heartbeat.from;
-            recordPeerPositions(feed, heartbeat.positions, peer);
+            recordPeerPositions(feed, heartbeat.positions, peer, delays);
             onHeartbeat(heartbeat);
         }
     }, error => failures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" }));
--- a/src/direct/tests/logEras.test.ts
+++ b/src/direct/tests/logEras.test.ts
@@ -12,6 +12,7 @@
 import { listUpstreams, type MirrorDecoders } from "../../peers/mirror.js";
 import { entryFeedTiming, heartbeatIntervalMs, slotFeedTiming } from "../../peers/pacing.js";
 import { computeLogPositions, recordPeerPositions } from "../logPositions.js";
+import { createTransitDelays, type TransitDelays } from "../transitDelay.js";
 
 beforeEach(() => {
     vi.useFakeTimers();
@@ -158,6 +159,7 @@
 
 interface ModelProcess {
     feed: Feed;
+    delays: TransitDelays;
     isCut: boolean;
     revisions: number[];
     readTimes: number[];
@@ -169,6 +171,7 @@
         const readTimes: number[] = [];
         const revisions: number[] = [];
         const process: ModelProcess = {
+            delays: createTransitDelays(now),
             isCut: processes[index]?.isCut ?? false,
             revisions,
             readTimes,
@@ -199,7 +202,7 @@
     }
     const timer = setInterval(() => {
         const positions = computeLogPositions(processes[0].feed, now());
-        processes.slice(1).forEach(({ feed }) => recordPeerPositions(feed, positions, "leader"));
+        processes.slice(1).forEach(({ feed, delays }) => recordPeerPositions(feed, positions, "leader", delays));
     }, heartbeatIntervalMs);
     return {
         processes,
--- a/src/direct/tests/logReaders.test.ts
+++ b/src/direct/tests/logReaders.test.ts
@@ -7,6 +7,7 @@
 import type { MirrorDecoders, MirrorRecord } from "../../peers/mirror.js";
 import { entryFeedTiming, heartbeatIntervalMs, slotFeedTiming } from "../../peers/pacing.js";
 import { computeLogPositions, recordPeerPositions } from "../logPositions.js";
+import { createTransitDelays, type TransitDelays } from "../transitDelay.js";
 
 beforeEach(() => {
     vi.useFakeTimers();
@@ -164,7 +165,7 @@
             timing: isEntry ? entryFeedTiming : slotFeedTiming,
             isContinuousReader: () => name === "slot-0",
         });
-        return { name, feed };
+        return { name, feed, delays: createTransitDelays(now) };
     };
     const slotProcesses = Array.from(
         { length: processCount },
@@ -175,11 +176,17 @@
         (ignored, index) => createProcess(`entry-${index}`, true),
     );
     const [leader, ...followers] = slotProcesses;
-    const send = (from: { name: string; feed: Feed; }, receivers: { name: string; feed: Feed; }[]) => {
+    const send = (
+        from: { name: string; feed: Feed; },
+        receivers: { name: string; feed: Feed; delays: TransitDelays; }[],
+    ) => {
         const positions = computeLogPositions(from.feed, now());
         const delayMs = from === leader ? getLeaderDelayMs() : 0;
         const reachable = receivers.filter(({ name }) => cutOff.has(name) === cutOff.has(from.name));
-        setTimeout(() => reachable.forEach(({ feed }) => recordPeerPositions(feed, positions, from.name)), delayMs);
+        setTimeout(
+            () => reachable.forEach(({ feed, delays }) => recordPeerPositions(feed, positions, from.name, delays)),
+            delayMs,
+        );
     };
     const scheduleRepeated = (callback: () => void, intervalMs: number) => {
         const timer: { id?: NodeJS.Timeout; } = {};
--- a/src/peers/heartbeat.ts
+++ b/src/peers/heartbeat.ts
@@ -15,6 +15,8 @@
     list: LogPositionSchema,
     /** Missing while the process has not read the topic. */
     quarantine: z.optional(LogPositionSchema),
+    /** Time of the sender's clock to which the ages refer, in milliseconds; missing from earlier versions. */
+    sentAt: z.optional(z.number()),
 });
 /** Read positions of a process in the log, by topic. */
 export type LogPositions = z.infer<typeof LogPositionsSchema>;
