--- a/src/direct/tests/logEras.test.ts
+++ b/src/direct/tests/logEras.test.ts
@@ -3,14 +3,14 @@
  * several processes.
  */
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import type { ServingDocument } from "../../config/serving.js";
 import { CallError } from "../../core/errors.js";
 import { createRandom, type Random } from "../../core/random.js";
 import { createFeed, type Feed, type FeedSource, FeedTopic } from "../../peers/feed.js";
 import { createHandOver, createHandOverParams, decodeHandOver } from "../../peers/handOver.js";
 import { createLogPosition, getEra, getOffset } from "../../peers/logPosition.js";
-import { listUpstreams, type MirrorDecoders } from "../../peers/mirror.js";
+import { listUpstreams } from "../../peers/mirror.js";
 import { entryFeedTiming, heartbeatIntervalMs, slotFeedTiming } from "../../peers/pacing.js";
+import { feedDecoders } from "../../standin/feedDecoders.js";
 import { computeLogPositions, recordPeerPositions } from "../logPositions.js";
 import { createTransitDelays, type TransitDelays } from "../transitDelay.js";
 
@@ -42,18 +42,6 @@
 const now = () => Math.round(performance.now() - clock.startedAt);
 const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
-const decoders: MirrorDecoders<ServingDocument> = {
-    decodeDocument: text => ({ revision: Number(text) }) as unknown as ServingDocument,
-    getRevision: ({ revision }) => revision,
-    decodeUpstream: (id, text) => ({
-        id,
-        pool: "p",
-        host: id,
-        port: 1,
-        dataCentre: "a",
-        isLeaving: text === "leaving",
-    }),
-};
 const logger = { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined };
 
 interface ModelRecord {
@@ -177,7 +165,7 @@
             readTimes,
             feed: createFeed({
                 source: createSource(log, random, () => process.isCut, readTimes),
-                decoders,
+                decoders: feedDecoders,
                 now,
                 random: () => random.next(),
                 logger,
