Log and count the rate limits that responses name

The attempts of "The request has finished." now have rateLimit as it was received, and beechdock_direct_rate_limited_responses_total counts such responses. No decision reads it yet.

--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -203,6 +203,7 @@
     private handleHead(status: number, raw: string[], framing: ResponseFraming): void {
         const head = this.context.codec.decodeResponseHead(raw);
         this.attempts.at(-1)!.framing = framing;
+        this.attempts.at(-1)!.rateLimit = head.rateLimitValues.join(", ") || undefined;
         this.responseHead = head;
         this.status = status;
         const { id } = this.upstream!.record;
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -290,8 +290,11 @@
             const ms = Math.round(now() - request.receivedAt);
             metrics.requests.inc({ outcome: outcome.split(",")[0] });
             metrics.responseSeconds.observe(ms / 1000);
-            for (const { end, framing, unfinishedBytes } of attempts) {
+            for (const { end, framing, unfinishedBytes, rateLimit } of attempts) {
                 metrics.attempts.inc({ end: end?.split(":")[0] ?? "open" });
+                if (rateLimit !== undefined) {
+                    metrics.rateLimitedResponses.inc();
+                }
                 if (unfinishedBytes !== undefined) {
                     metrics.unfinishedStreams.inc({ framing });
                 }
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -61,6 +61,8 @@
     contentLength?: number;
     contentType?: string;
     load?: ReportedLoad;
+    /** Values of the field in which the upstream names its rate limit; see `parseRateLimit`. */
+    rateLimitValues: string[];
     /** Server that keeps the upstream's group from running. */
     faultyServer?: string;
     /** Headers that are relayed to the caller, as alternating names and values. */
@@ -97,6 +99,8 @@
     estimated: number;
     /** Age of the reported load behind the estimate, in milliseconds; undefined if there was none. */
     figuresAgeMs?: number;
+    /** Rate limit that the response names, as it was received. */
+    rateLimit?: string;
     /** How the end of the response body is determined; undefined before the response. */
     framing?: ResponseFraming;
     /** Number of stream events that the upstream has completed. */
--- a/src/observe/directMetrics.ts
+++ b/src/observe/directMetrics.ts
@@ -9,6 +9,7 @@
     requests: Counter<"outcome">;
     attempts: Counter<"end">;
     unfinishedStreams: Counter<"framing">;
+    rateLimitedResponses: Counter<string>;
     refusals: Counter<string>;
     quarantineRejections: Counter<string>;
     upstreamCrashes: Counter<string>;
@@ -50,6 +51,10 @@
             labelNames: ["framing"],
             registers,
         }),
+        rateLimitedResponses: createCounter(
+            "beechdock_direct_rate_limited_responses_total",
+            "Responses in which an upstream names a rate limit.",
+        ),
         refusals: createCounter("beechdock_direct_refusals_total", "Requests answered as not run."),
         quarantineRejections: createCounter(
             "beechdock_direct_quarantine_rejections_total",
