Hold the rate limits that upstreams name over all entries

Cause: nothing read the field. Class: a limit that is held by nobody because it belongs to all entries together.

Loads and group states in late heartbeats now count as of when they were sent.

--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -6,6 +6,7 @@
 import type { QuarantinedParts } from "../routing/quarantine.js";
 import type { UpstreamTracker } from "../routing/upstreamTracker.js";
 import type { DirectDispatch } from "./directDispatch.js";
+import type { AppliedRateLimit, RateLimiter } from "./rateLimiter.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import type { AttemptRecord, DirectRequest, HeadCodec, ReportedLoad } from "./types.js";
 
@@ -35,6 +36,8 @@
     acquireRetry: (request: DirectRequest, now: number) => boolean;
     /** Records the load that an upstream reported in a response. */
     updateLoad: (upstream: string, load: ReportedLoad) => void;
+    /** Records the rate limit that an upstream names in a response, or that it names none. */
+    observeRateLimit: RateLimiter["observeResponse"];
     /** Records that an upstream of the pool has sent part of a stream. */
     recordStreamProgress: (pool: string) => void;
     /** Whether no stream of the pool has received data recently. */
@@ -54,5 +57,11 @@
     /** Responds with `status` that the request failed and may have run. */
     sendFailure: (response: ServerResponse, status: number) => void;
     /** Counts and logs a finished request. */
-    logRequest: (request: DirectRequest, outcome: string, attempts: AttemptRecord[]) => void;
+    logRequest: (
+        request: DirectRequest,
+        outcome: string,
+        attempts: AttemptRecord[],
+        /** Rate limits that kept the request from upstreams when it was last placed. */
+        rateLimits: AppliedRateLimit[],
+    ) => void;
 }
--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -26,6 +26,7 @@
 import { type AttemptObserver, observeAttempt } from "./attemptObserver.js";
 import type { DirectContext } from "./context.js";
 import { isNextEvent } from "./eventOrder.js";
+import type { AppliedRateLimit } from "./rateLimiter.js";
 import {
     advanceDirectRequest,
     AttemptEnd,
@@ -54,6 +55,8 @@
     readonly urgency: number;
     readonly targetAt: number;
     latestSendAt: number;
+    /** Rate limits that kept the request from upstreams when it was last placed. */
+    rateLimits: AppliedRateLimit[] = [];
     private readonly state;
     private readonly triedUpstreams = new Set<string>();
     private readonly attempts: AttemptRecord[] = [];
@@ -202,11 +205,9 @@
 
     private handleHead(status: number, raw: string[], framing: ResponseFraming): void {
         const head = this.context.codec.decodeResponseHead(raw);
-        this.attempts.at(-1)!.framing = framing;
-        this.attempts.at(-1)!.rateLimit = head.rateLimitValues.join(", ") || undefined;
+        Object.assign(this.attempts.at(-1)!, { framing, rateLimit: head.rateLimitValues.join(", ") || undefined });
         this.responseHead = head;
         this.status = status;
-        const { id } = this.upstream!.record;
         if (head.requestId !== undefined && head.requestId !== this.request.id) {
             this.endAttempt(AttemptEnd.lost, "the answer belongs to another request");
             return;
@@ -219,10 +220,8 @@
             this.endAttempt(AttemptEnd.lost, "the answer is not the upstream's");
             return;
         }
-        recordResponse(this.context.upstreamTracker, id);
-        if (head.load !== undefined) {
-            this.context.updateLoad(id, head.load);
-        }
+        recordResponse(this.context.upstreamTracker, this.upstream!.record.id);
+        this.recordReports(head);
         this.prepareEvents(head.contentType);
     }
 
@@ -239,13 +238,12 @@
     }
 
     private handleRefusal(status: number, head: ResponseHead): void {
-        if (head.load !== undefined) {
-            this.context.updateLoad(this.upstream!.record.id, head.load);
-        }
         if (status === 421) {
             this.endAttempt(AttemptEnd.misdirected, "another upstream has the address");
+            return;
         }
-        else if (head.faultyServer !== undefined) {
+        this.recordReports(head);
+        if (head.faultyServer !== undefined) {
             this.context.markGroupBroken(this.request.pool, head.faultyServer);
             this.endAttempt(AttemptEnd.groupBroken, `the group waits for ${head.faultyServer}`);
         }
@@ -254,6 +252,15 @@
         }
     }
 
+    /** Records what the upstream reports of itself in a response. */
+    private recordReports({ load, rateLimitValues }: ResponseHead): void {
+        const { record } = this.upstream!;
+        this.context.observeRateLimit(record, rateLimitValues);
+        if (load !== undefined) {
+            this.context.updateLoad(record.id, load);
+        }
+    }
+
     private isSuccess(): boolean {
         return this.status >= 200 && this.status < 300;
     }
@@ -261,13 +268,7 @@
     private ensureStreamStarted(): void {
         if (!this.state.hasSentHead) {
             const { relayedHeaders } = this.responseHead!;
-            const headers: string[] = [];
-            for (let i = 0; i < relayedHeaders.length; i += 2) {
-                if (relayedHeaders[i].toLowerCase() !== "content-length") {
-                    headers.push(relayedHeaders[i], relayedHeaders[i + 1]);
-                }
-            }
-            this.response.writeHead(this.status, headers);
+            this.response.writeHead(this.status, removeHeader(relayedHeaders, "content-length"));
             this.response.flushHeaders();
             this.applyEvent({ kind: "began" });
         }
@@ -445,6 +446,11 @@
     private finish(): void {
         clearTimeout(this.deadlineTimer);
         this.context.scheduler.remove(this);
-        this.context.logRequest(this.request, this.outcome || "the caller has gone", this.attempts);
+        this.context.logRequest(this.request, this.outcome || "the caller has gone", this.attempts, this.rateLimits);
     }
 }
+
+/** Returns headers, given as alternating names and values, without those of a name in lower case. */
+function removeHeader(headers: string[], name: string): string[] {
+    return headers.filter((ignored, i) => headers[i - i % 2].toLowerCase() !== name);
+}
--- a/src/direct/logPositions.ts
+++ b/src/direct/logPositions.ts
@@ -27,9 +27,9 @@
 
 /**
  * Records the log positions of `peer`, the host of another process. Their ages are those at the time of sending; the time
- * under way is added to them.
+ * under way is added to them, and returned in milliseconds.
  */
-export function recordPeerPositions(feed: Feed, positions: LogPositions, peer: string, delays: TransitDelays): void {
+export function recordPeerPositions(feed: Feed, positions: LogPositions, peer: string, delays: TransitDelays): number {
     const { document, list, quarantine, sentAt } = positions;
     const delayMs = sentAt === undefined ? 0 : delays.measure(peer, sentAt);
     const recordPosition = (topic: FeedTopic, [end, ageMs]: LogPositions["list"]) =>
@@ -39,6 +39,7 @@
     if (quarantine !== undefined) {
         recordPosition(FeedTopic.quarantine, quarantine);
     }
+    return delayMs;
 }
 
 /** Picks a random peer; undefined if there are none. `random` returns a number in [0, 1). */
--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -12,7 +12,8 @@
     type HandOverParams,
     type HandOverResult,
 } from "../peers/handOver.js";
-import { decodeHeartbeat, type Heartbeat } from "../peers/heartbeat.js";
+import { decodeDatagram, type Heartbeat } from "../peers/heartbeat.js";
+import type { PermitGrantMessage, PermitRequestMessage } from "../peers/permitMessages.js";
 import { bindDatagramSocket, type DatagramSocket } from "../wire/datagrams.js";
 import type { Address } from "../wire/listen.js";
 import { callPeer, createPeerHandler, type PeerMethods } from "../wire/peerRpc.js";
@@ -69,24 +70,34 @@
     return handOver?.pendingQuarantine ?? [];
 }
 
+/** Receives the datagrams of other processes; `delayMs` is the time that one was under way beyond the usual time. */
+export interface DatagramListener {
+    onHeartbeat: (heartbeat: Heartbeat, delayMs: number) => void;
+    onPermitMessage?: (message: PermitRequestMessage | PermitGrantMessage, delayMs: number) => void;
+}
+
 /**
- * Binds the socket for heartbeats. Records the log positions of each heartbeat in the feed before `onHeartbeat` is
- * called; counts send failures by error code.
+ * Binds the socket for datagrams. Records the log positions of each heartbeat in the feed before the listener is called;
+ * counts send failures by error code.
  */
-export function bindHeartbeatSocket(
+export function bindDatagrams(
     address: Address,
     feed: Feed,
     failures: DirectEntryMetrics["sendFailures"],
-    onHeartbeat: (heartbeat: Heartbeat) => void,
+    listener: DatagramListener,
 ): Promise<DatagramSocket> {
     const delays = createTransitDelays(() => performance.now());
     return bindDatagramSocket(address, bytes => {
-        const heartbeat = decodeHeartbeat(bytes);
-        if (heartbeat !== undefined) {
-            const peer = heartbeat.kind === "presence" ? heartbeat.host : heartbeat.from;
-            recordPeerPositions(feed, heartbeat.positions, peer, delays);
-            onHeartbeat(heartbeat);
+        const datagram = decodeDatagram(bytes);
+        if (datagram === undefined) {
+            return;
+        }
+        if (datagram.kind === "permit-request" || datagram.kind === "permit-grant") {
+            listener.onPermitMessage?.(datagram, delays.measure(datagram.from, datagram.sentAt));
+            return;
         }
+        const peer = datagram.kind === "presence" ? datagram.host : datagram.from;
+        listener.onHeartbeat(datagram, recordPeerPositions(feed, datagram.positions, peer, delays));
     }, error => failures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" }));
 }
 
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -11,11 +11,18 @@
     updateCredits,
 } from "../routing/capacityShare.js";
 import { type GroupTracker, isGroupOpen } from "../routing/groupTracker.js";
-import { createPendingQueue, listPending, type PendingQueue, removeExpired } from "../routing/pendingQueue.js";
+import {
+    compareLimited,
+    createPendingQueue,
+    listPending,
+    type PendingQueue,
+    removeExpired,
+} from "../routing/pendingQueue.js";
 import { placeRequest } from "../routing/requestPlacement.js";
-import { estimateRequests, type UpstreamTracker } from "../routing/upstreamTracker.js";
+import { estimateRequests, type TrackedUpstream, type UpstreamTracker } from "../routing/upstreamTracker.js";
 import type { Scheduler } from "./context.js";
 import type { DirectDispatch } from "./directDispatch.js";
+import type { RateLimiter } from "./rateLimiter.js";
 
 /** Interval at which queued requests are tried again, in milliseconds; a tenth of the interval of the load reports. */
 const dispatchIntervalMs = 20;
@@ -37,6 +44,16 @@
     /** Returns a random number in [0, 1). */
     random: () => number;
     findPool: (name: string) => ServingPool | undefined;
+    rateLimiter: Pick<
+        RateLimiter,
+        | "getAdmission"
+        | "takePermit"
+        | "isPoolLimited"
+        | "admitWaiting"
+        | "listUnservable"
+        | "requestPermits"
+        | "listApplied"
+    >;
 }
 
 export interface DirectScheduler extends Scheduler {
@@ -47,6 +64,8 @@
      * entries, then dispatches the queued requests.
      */
     updateCapacity: (pool: string, entries: number) => void;
+    /** Lists the queued requests of a pool in the order in which they should be sent. */
+    listWaiting: (pool: string) => DirectDispatch[];
 }
 
 /** Creates a scheduler with an empty queue. */
@@ -61,7 +80,7 @@
         return share;
     };
     const trySend = (dispatch: DirectDispatch): boolean => {
-        const { upstreamTracker, dataCentre, random, findPool, groupTracker } = options;
+        const { upstreamTracker, dataCentre, random, findPool, groupTracker, rateLimiter } = options;
         const { request } = dispatch;
         if (dispatch.endIfQuarantined()) {
             return true;
@@ -73,7 +92,9 @@
         }
         const maxQueued = dispatch.targetAt > now ? maxQueuedOnTime : maxQueuedLate;
         const maxRequests = engine === undefined ? Infinity : engine.slots + maxQueued;
-        const placementOptions = { pool: request.pool, dataCentre, maxRequests };
+        const getAdmission = ({ record }: TrackedUpstream) => rateLimiter.getAdmission(record);
+        const placementOptions = { pool: request.pool, dataCentre, maxRequests, getAdmission };
+        dispatch.rateLimits = rateLimiter.listApplied(request.pool);
         const upstream = placeRequest(
             upstreamTracker,
             { ...placementOptions, excluded: dispatch.getTriedUpstreams() },
@@ -84,19 +105,34 @@
         if (upstream === undefined || (engine !== undefined && !takeCredit(getCapacityShare(request.pool), now))) {
             return false;
         }
+        rateLimiter.takePermit(upstream.record, pendingQueue.waiting.has(dispatch));
         dispatch.sendTo(upstream, estimateRequests(upstream, now));
         return true;
     };
+    const listWaiting = (pool: string) => {
+        const waiting = listPending(pendingQueue, options.now()).filter(({ request }) => request.pool === pool);
+        return options.rateLimiter.isPoolLimited(pool) ? waiting.sort(compareLimited) : waiting;
+    };
+    const listPools = () => [...new Set([...pendingQueue.waiting].map(({ request }) => request.pool))];
     const dispatchPending = () => {
         const now = options.now();
         removeExpired(pendingQueue, now).forEach(dispatch => dispatch.expire());
-        for (const dispatch of listPending(pendingQueue, now)) {
+        for (const dispatch of listPools().flatMap(listWaiting)) {
             if (pendingQueue.waiting.has(dispatch) && trySend(dispatch)) {
                 pendingQueue.waiting.delete(dispatch);
             }
         }
+        rejectUnservable();
         schedule();
     };
+    const rejectUnservable = () => {
+        for (const pool of listPools()) {
+            for (const dispatch of options.rateLimiter.listUnservable(pool, listWaiting(pool))) {
+                pendingQueue.waiting.delete(dispatch);
+                dispatch.expire();
+            }
+        }
+    };
     const schedule = () => {
         clearTimeout(dispatchTimer);
         dispatchTimer = pendingQueue.waiting.size === 0 ? undefined : setTimeout(dispatchPending, dispatchIntervalMs);
@@ -106,7 +142,10 @@
             dispatch.expire();
             return;
         }
+        const { pool } = dispatch.request;
+        options.rateLimiter.admitWaiting(pool, dispatch, listWaiting(pool));
         pendingQueue.waiting.add(dispatch);
+        options.rateLimiter.requestPermits();
         if (dispatchTimer === undefined) {
             schedule();
         }
@@ -122,6 +161,7 @@
             pendingQueue.waiting.delete(dispatch);
         },
         dispatchPending,
+        listWaiting,
         updateCapacity: (pool, entries) => {
             const engine = options.findPool(pool)?.engine;
             if (engine !== undefined) {
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -10,7 +10,7 @@
 import { createLogRateLimiter } from "../observe/logRateLimiter.js";
 import { createFeed, type FeedSource, FeedTopic } from "../peers/feed.js";
 import { createHandOverParams } from "../peers/handOver.js";
-import { encodeHeartbeat, type LeaderHeartbeat, unpackRankLoads } from "../peers/heartbeat.js";
+import { encodeDatagram, type LeaderHeartbeat, unpackRankLoads } from "../peers/heartbeat.js";
 import { getEra } from "../peers/logPosition.js";
 import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
 import { entryFeedTiming } from "../peers/pacing.js";
@@ -28,7 +28,7 @@
 import type { DirectContext } from "./context.js";
 import { computeLogPositions, pickPeer } from "./logPositions.js";
 import {
-    bindHeartbeatSocket,
+    bindDatagrams,
     createInternalHandler,
     createSettingsHandlers,
     fetchHandOver,
@@ -39,9 +39,10 @@
 import { collectPendingRecords } from "./pendingCollection.js";
 import { createPresenceTracker } from "./presenceTracker.js";
 import type { PendingRecord } from "./quarantineSharing.js";
+import { createRateLimiter, type RateLimiter } from "./rateLimiter.js";
 import { createRequestQuarantine } from "./requestQuarantine.js";
 import { AttemptEnd } from "./requestState.js";
-import { createScheduler } from "./scheduler.js";
+import { createScheduler, type DirectScheduler } from "./scheduler.js";
 import { applyLimits, createDirectServer, sendEmptyResponse, sendJsonResponse } from "./server.js";
 import type { AttemptRecord, DirectRequest, HeadCodec } from "./types.js";
 
@@ -209,13 +210,26 @@
             host
         );
     };
-    const scheduler = createScheduler({
+    const rateLimiter: RateLimiter = createRateLimiter({
+        host: options.internal.host,
+        now,
+        random,
+        logger: peersLogger,
+        upstreamTracker,
+        listSeeds: () => options.seeds.map(({ host }) => host),
+        listWaiting: pool => scheduler.listWaiting(pool),
+        send: (message, host) => datagrams.send(encodeDatagram(message), host, options.internal.port),
+        onPermits: () => scheduler.dispatchPending(),
+        onLimitsChanged: count => metrics.rateLimitedUpstreams.set(count),
+    });
+    const scheduler: DirectScheduler = createScheduler({
         upstreamTracker,
         groupTracker,
         dataCentre: options.dataCentre,
         now,
         random,
         findPool: name => index?.pools.get(name),
+        rateLimiter,
     });
     const getRetryBudget = (pool: string) => {
         const budget = retryBudgets.get(pool) ?? createWindowedRetryBudget(options.retries);
@@ -231,7 +245,10 @@
         isQuarantineKnown: () =>
             (feed.state.quarantineEnd !== undefined && hasCollectedPending) || hasQuarantineWaitExpired(),
         now,
-        recordFirstAttempt: request => recordRequest(getRetryBudget(request.pool), now()),
+        recordFirstAttempt: request => {
+            recordRequest(getRetryBudget(request.pool), now());
+            rateLimiter.recordArrival(request.pool, request.workspace?.urgency ?? request.route.urgency);
+        },
         acquireRetry: (request, at) => {
             const isAllowed = acquireRetry(getRetryBudget(request.pool), entryCount, at);
             if (!isAllowed) {
@@ -241,6 +258,7 @@
         },
         updateLoad: (upstream, { running, waiting }) =>
             updateLoad(upstreamTracker, upstream, { running, waiting, observedAt: now() }),
+        observeRateLimit: rateLimiter.observeResponse,
         recordStreamProgress: pool => lastProgressAt.set(pool, now()),
         isPoolStalled: pool => now() - (lastProgressAt.get(pool) ?? -Infinity) > stallAfterMs,
         markGroupBroken: pool => markGroupBroken(groupTracker, pool, now()),
@@ -265,6 +283,9 @@
                 Math.min(lowestUrgency - 1, request.workspace?.urgency ?? request.route.urgency);
         },
         computeRetryAfterMs: request => {
+            if (rateLimiter.isPoolLimited(request.pool)) {
+                return rateLimiter.computeReturnMs(request.pool);
+            }
             const isBroken = !isGroupOpen(groupTracker, request.pool, now());
             const minShare = isBroken ? minBrokenGroupShare : minFullPoolShare;
             const maxRetryAfterMs = Math.max(0, request.deadlineAt - now()) * maxRetryAfterShare;
@@ -286,7 +307,7 @@
             });
         },
         sendFailure: (response, status) => sendEmptyResponse(response, status, []),
-        logRequest: (request, outcome, attempts) => {
+        logRequest: (request, outcome, attempts, rateLimits) => {
             const ms = Math.round(now() - request.receivedAt);
             metrics.requests.inc({ outcome: outcome.split(",")[0] });
             metrics.responseSeconds.observe(ms / 1000);
@@ -311,6 +332,7 @@
                 outcome,
                 ms,
                 attempts,
+                rateLimits: rateLimits.length === 0 ? undefined : rateLimits,
                 promptParts: isAnyLost(attempts) ? request.head.sharedPromptParts : undefined,
             });
         },
@@ -331,14 +353,14 @@
     }, quarantine.listPending);
     const internal = createServer(handleInternalRequest);
     const control = createServer(handleInternalRequest);
-    const applyLeaderHeartbeat = (heartbeat: LeaderHeartbeat) => {
+    const applyLeaderHeartbeat = (heartbeat: LeaderHeartbeat, delayMs: number) => {
         leader = { host: heartbeat.from, lastHeartbeatAt: now() };
         entryCount = Math.max(1, heartbeat.entryCount);
         const wasOpen = isGroupOpen(groupTracker, heartbeat.pool, now());
         updateGroupState(groupTracker, heartbeat.pool, {
             isOpen: heartbeat.isOpen,
             epoch: heartbeat.epoch,
-            observedAt: now(),
+            observedAt: now() - delayMs,
         });
         const isOpen = isGroupOpen(groupTracker, heartbeat.pool, now());
         if (wasOpen !== isOpen) {
@@ -352,7 +374,7 @@
         for (const { rank, running, waiting, ageMs } of unpackRankLoads(heartbeat.ranks)) {
             const id = upstreamIdsByRank.get(rank);
             if (id !== undefined) {
-                updateLoad(upstreamTracker, id, { running, waiting, observedAt: now() - ageMs });
+                updateLoad(upstreamTracker, id, { running, waiting, observedAt: now() - ageMs - delayMs });
             }
         }
         scheduler.updateCapacity(heartbeat.pool, entryCount);
@@ -363,20 +385,24 @@
         const slotHosts = leaderHosts ?? Array.from({ length: presenceFanout }, () => pickPeer(hosts, random));
         // The seeds pass on what the log does not take; other entries do not know of one another.
         const receivers = [...slotHosts, pickPeer(listOtherSeeds(), random)?.host];
-        const presence = encodeHeartbeat({
+        const presence = encodeDatagram({
             kind: "presence",
             host: options.internal.host,
             positions: computeLogPositions(feed, now()),
         });
         receivers.forEach(host => host !== undefined && datagrams.send(presence, host, options.internal.port));
     };
-    const datagrams = await bindHeartbeatSocket(options.internal, feed, metrics.sendFailures, heartbeat => {
-        if (heartbeat.kind === "vector") {
-            applyLeaderHeartbeat(heartbeat);
-        }
-        else if (heartbeat.kind === "presence") {
-            presenceTracker.record(heartbeat.host);
-        }
+    const datagrams = await bindDatagrams(options.internal, feed, metrics.sendFailures, {
+        onHeartbeat: (heartbeat, delayMs) => {
+            if (heartbeat.kind === "vector") {
+                applyLeaderHeartbeat(heartbeat, delayMs);
+            }
+            else if (heartbeat.kind === "presence") {
+                presenceTracker.record(heartbeat.host);
+                rateLimiter.handlePresence(heartbeat.host);
+            }
+        },
+        onPermitMessage: rateLimiter.receive,
     });
     await listenOn(server, options.callers.host, options.callers.port);
     await listenOn(readiness, options.readiness.host, options.readiness.port);
--- a/src/direct/startDirectSlot.ts
+++ b/src/direct/startDirectSlot.ts
@@ -21,8 +21,8 @@
 import { createHandOverParams, type HandOverParams } from "../peers/handOver.js";
 import {
     computeEncodedLoadLength,
+    encodeDatagram,
     encodeExpertLoads,
-    encodeHeartbeat,
     type Heartbeat,
     type RankHeartbeat,
 } from "../peers/heartbeat.js";
@@ -45,7 +45,7 @@
 import { type Address, listenOn } from "../wire/listen.js";
 import { callPeer } from "../wire/peerRpc.js";
 import { computeLogPositions, pickPeer } from "./logPositions.js";
-import { bindHeartbeatSocket, createInternalHandler, createSettingsHandlers, fetchHandOver } from "./peerLink.js";
+import { bindDatagrams, createInternalHandler, createSettingsHandlers, fetchHandOver } from "./peerLink.js";
 
 export interface DirectSlotOptions {
     instance: string;
@@ -196,8 +196,7 @@
         report = await localRank.readReport().catch(() => undefined);
         return { outcome, report };
     };
-    const send = (heartbeat: Heartbeat, host: string) =>
-        datagrams.send(encodeHeartbeat(heartbeat), host, internal.port);
+    const send = (heartbeat: Heartbeat, host: string) => datagrams.send(encodeDatagram(heartbeat), host, internal.port);
     const readLocalRank = async () => {
         const wasOpen = report?.isOpen;
         report = await localRank.readReport();
@@ -304,10 +303,10 @@
             entryCount: entryHeartbeatTimes.size,
             positions: computeLogPositions(feed, now()),
         };
-        const bytes = encodeHeartbeat(heartbeat);
+        const bytes = encodeDatagram(heartbeat);
         const slotBytes = heartbeatCount % heartbeatsPerEntryList === 0 ?
-            encodeHeartbeat({ ...heartbeat, ranks: "", entries: [...entryHeartbeatTimes.keys()] }) :
-            encodeHeartbeat({ ...heartbeat, ranks: "" });
+            encodeDatagram({ ...heartbeat, ranks: "", entries: [...entryHeartbeatTimes.keys()] }) :
+            encodeDatagram({ ...heartbeat, ranks: "" });
         const bursts = splitIntoBursts([
             ...[...entryHeartbeatTimes.keys()].map(host => ({ host, bytes })),
             ...listOtherHosts().map(host => ({ host, bytes: slotBytes })),
@@ -331,12 +330,9 @@
             }
         },
     };
-    const datagrams = await bindHeartbeatSocket(
-        internal,
-        feed,
-        metrics.sendFailures,
-        heartbeat => heartbeatHandlers[heartbeat.kind](heartbeat as never),
-    );
+    const datagrams = await bindDatagrams(internal, feed, metrics.sendFailures, {
+        onHeartbeat: heartbeat => heartbeatHandlers[heartbeat.kind](heartbeat as never),
+    });
     const server = createServer(createInternalHandler(feed, metrics.registry, {
         [readMethod]: () => localRank.readReport(),
         [orderMethod]: ({ order, epoch }: { order: RankOrder | DeltaPrepare; epoch: number; }) =>
--- a/src/observe/directMetrics.ts
+++ b/src/observe/directMetrics.ts
@@ -10,6 +10,7 @@
     attempts: Counter<"end">;
     unfinishedStreams: Counter<"framing">;
     rateLimitedResponses: Counter<string>;
+    rateLimitedUpstreams: Gauge<string>;
     refusals: Counter<string>;
     quarantineRejections: Counter<string>;
     upstreamCrashes: Counter<string>;
@@ -55,6 +56,10 @@
             "beechdock_direct_rate_limited_responses_total",
             "Responses in which an upstream names a rate limit.",
         ),
+        rateLimitedUpstreams: createGauge(
+            "beechdock_direct_rate_limited_upstreams",
+            "Upstreams with a rate limit in force.",
+        ),
         refusals: createCounter("beechdock_direct_refusals_total", "Requests answered as not run."),
         quarantineRejections: createCounter(
             "beechdock_direct_quarantine_rejections_total",
--- a/src/peers/heartbeat.ts
+++ b/src/peers/heartbeat.ts
@@ -4,6 +4,7 @@
  * subscribe to it (`presence`).
  */
 import { z } from "zod/mini";
+import { PermitGrantSchema, PermitRequestSchema } from "./permitMessages.js";
 
 const WirePositionSchema = z.union([z.number(), z.tuple([z.number(), z.number()])]);
 
@@ -89,15 +90,19 @@
 /** Any heartbeat, discriminated by `kind`. */
 export type Heartbeat = z.infer<typeof HeartbeatSchema>;
 
-/** Encodes a heartbeat as JSON. */
-export function encodeHeartbeat(heartbeat: Heartbeat): Buffer {
-    return Buffer.from(JSON.stringify(heartbeat));
+/** Heartbeats, and the messages about permits that are sent between the same sockets. */
+const DatagramSchema = z.discriminatedUnion("kind", [HeartbeatSchema, PermitRequestSchema, PermitGrantSchema]);
+export type Datagram = z.infer<typeof DatagramSchema>;
+
+/** Encodes a datagram as JSON. */
+export function encodeDatagram(datagram: Datagram): Buffer {
+    return Buffer.from(JSON.stringify(datagram));
 }
 
-/** Decodes a datagram; returns undefined if it is not a valid heartbeat. */
-export function decodeHeartbeat(bytes: Buffer): Heartbeat | undefined {
+/** Decodes a datagram; returns undefined if it is not valid. */
+export function decodeDatagram(bytes: Buffer): Datagram | undefined {
     try {
-        const result = HeartbeatSchema.safeParse(JSON.parse(bytes.toString()));
+        const result = DatagramSchema.safeParse(JSON.parse(bytes.toString()));
         return result.success ? result.data : undefined;
     }
     catch {
--- a/src/peers/tests/cadence.test.ts
+++ b/src/peers/tests/cadence.test.ts
@@ -3,8 +3,8 @@
 import { createFeed, type FeedSource } from "../feed.js";
 import {
     computeEncodedLoadLength,
+    encodeDatagram,
     encodeExpertLoads,
-    encodeHeartbeat,
     packRankLoads,
     unpackRankLoads,
 } from "../heartbeat.js";
@@ -46,7 +46,7 @@
     };
     const period = computeExpertLoadPeriod(ranks, computeEncodedLoadLength(sets, experts));
     const measureHeartbeat = (hasExpertLoads: boolean) =>
-        datagramHeaderBytes + encodeHeartbeat({
+        datagramHeaderBytes + encodeDatagram({
             kind: "state",
             from: host,
             pool: "model-pool",
@@ -76,11 +76,11 @@
             entryCount: 72,
             positions,
         };
-        const bytesToEntry = datagramHeaderBytes + encodeHeartbeat(heartbeat).length;
-        const bytesToSlot = datagramHeaderBytes + encodeHeartbeat({ ...heartbeat, ranks: "" }).length;
+        const bytesToEntry = datagramHeaderBytes + encodeDatagram(heartbeat).length;
+        const bytesToSlot = datagramHeaderBytes + encodeDatagram({ ...heartbeat, ranks: "" }).length;
         const datagrams = [
-            ...Array.from({ length: 72 }, () => ({ bytes: encodeHeartbeat(heartbeat) })),
-            ...Array.from({ length: 71 }, () => ({ bytes: encodeHeartbeat({ ...heartbeat, ranks: "" }) })),
+            ...Array.from({ length: 72 }, () => ({ bytes: encodeDatagram(heartbeat) })),
+            ...Array.from({ length: 71 }, () => ({ bytes: encodeDatagram({ ...heartbeat, ranks: "" }) })),
         ];
         const bursts = splitIntoBursts(datagrams);
         const sizes = bursts.map(burst => burst.datagrams.reduce((sum, { bytes }) => sum + bytes.length, 0));
--- a/src/peers/tests/lead.test.ts
+++ b/src/peers/tests/lead.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { decodeExpertLoads, decodeHeartbeat, encodeExpertLoads } from "../heartbeat.js";
+import { decodeDatagram, decodeExpertLoads, encodeExpertLoads } from "../heartbeat.js";
 import {
     createLeaderState,
     findSuccessor,
@@ -50,5 +50,5 @@
 });
 
 test.each(["", "{", "[]", "{\"kind\":\"vector\"}", "{\"kind\":\"presence\",\"host\":3}"])("%s is no beacon", text => {
-    expect(decodeHeartbeat(Buffer.from(text))).toBeUndefined();
+    expect(decodeDatagram(Buffer.from(text))).toBeUndefined();
 });
--- a/src/routing/pendingQueue.ts
+++ b/src/routing/pendingQueue.ts
@@ -43,3 +43,11 @@
     return Number(a.targetAt < now) - Number(b.targetAt < now) || a.urgency - b.urgency ||
         b.arrivalNumber - a.arrivalNumber;
 }
+
+/**
+ * Orders requests of a pool whose upstreams are all limited: by urgency, then oldest first, as only as many wait as can be
+ * sent.
+ */
+export function compareLimited(a: PendingRequest, b: PendingRequest): number {
+    return a.urgency - b.urgency || a.arrivalNumber - b.arrivalNumber;
+}
--- a/src/routing/requestPlacement.ts
+++ b/src/routing/requestPlacement.ts
@@ -2,7 +2,13 @@
  * Places a request on the least loaded upstream of a random sample. Many entries see the same loads some hundred
  * milliseconds late; if each compared all upstreams, they would all choose the same one.
  */
-import { estimateRequests, type TrackedUpstream, type UpstreamTracker } from "./upstreamTracker.js";
+import {
+    estimateRequests,
+    listCandidates,
+    type TrackedUpstream,
+    UpstreamAdmission,
+    type UpstreamTracker,
+} from "./upstreamTracker.js";
 
 export interface PlacementOptions {
     pool: string;
@@ -11,12 +17,16 @@
     excluded: ReadonlySet<string>;
     /** Upper bound of an upstream's running and waiting requests; `Infinity` for no bound. */
     maxRequests: number;
+    /** Returns whether an upstream's rate limit admits a request; all upstreams are unlimited without it. */
+    getAdmission?: (upstream: TrackedUpstream) => UpstreamAdmission;
 }
 
 /** Upstreams compared for one request; a larger sample overloads an upstream that looks idle to all entries. */
 const sampleSize = 3;
 /** Requests added to the load of an upstream in another data centre; traffic between data centres is charged. */
 const remotePenaltyRequests = 1;
+/** Requests taken off the load of a limited upstream for which there is a permit, which would expire unused. */
+const permitBonusRequests = 0.5;
 
 /** Chooses an upstream; undefined when none has capacity. `random` yields numbers in [0, 1). */
 export function placeRequest(
@@ -25,17 +35,18 @@
     now: number,
     random: () => number,
 ): TrackedUpstream | undefined {
-    const usable = [...tracker.upstreams.values()].filter(({ record, isReplaced }) =>
-        record.pool === options.pool && !record.isLeaving && !isReplaced && !options.excluded.has(record.id)
+    const { getAdmission = () => UpstreamAdmission.unlimited } = options;
+    const withCapacity = listCandidates(tracker, options.pool, now, options.excluded).filter(upstream =>
+        estimateRequests(upstream, now) < options.maxRequests
     );
-    const reachable = usable.filter(({ avoidedUntil }) => avoidedUntil <= now);
-    const candidates = reachable.length > 0 ? reachable : usable;
-    const withCapacity = candidates.filter(upstream => estimateRequests(upstream, now) < options.maxRequests);
+    const permitted = withCapacity.filter(upstream => getAdmission(upstream) === UpstreamAdmission.permitted);
+    const unlimited = withCapacity.filter(upstream => getAdmission(upstream) === UpstreamAdmission.unlimited);
     let best: TrackedUpstream | undefined;
     let bestCost = Infinity;
-    for (const upstream of takeSample(withCapacity, sampleSize, random)) {
+    for (const upstream of [...permitted, ...takeSample(unlimited, sampleSize, random)]) {
         const isRemote = upstream.record.dataCentre !== options.dataCentre;
-        const cost = estimateRequests(upstream, now) + (isRemote ? remotePenaltyRequests : 0) + random();
+        const bonus = permitted.includes(upstream) ? permitBonusRequests : 0;
+        const cost = estimateRequests(upstream, now) + (isRemote ? remotePenaltyRequests : 0) - bonus + random();
         if (cost < bestCost) {
             best = upstream;
             bestCost = cost;
--- a/src/routing/upstreamTracker.ts
+++ b/src/routing/upstreamTracker.ts
@@ -134,6 +134,30 @@
     }
 }
 
+/** Whether a request may be sent to an upstream with regard to the rate limit that it names. */
+export const UpstreamAdmission = {
+    unlimited: "unlimited",
+    /** The upstream is limited, and this entry holds a permit. */
+    permitted: "permitted",
+    /** The upstream is limited, and this entry holds no permit. */
+    limited: "limited",
+} as const;
+export type UpstreamAdmission = (typeof UpstreamAdmission)[keyof typeof UpstreamAdmission];
+
+/** Lists the upstreams of a pool for requests, without those that are avoided unless there are no others. */
+export function listCandidates(
+    tracker: UpstreamTracker,
+    pool: string,
+    now: number,
+    excluded: ReadonlySet<string> = new Set(),
+): TrackedUpstream[] {
+    const usable = [...tracker.upstreams.values()].filter(({ record, isReplaced }) =>
+        record.pool === pool && !record.isLeaving && !isReplaced && !excluded.has(record.id)
+    );
+    const reachable = usable.filter(({ avoidedUntil }) => avoidedUntil <= now);
+    return reachable.length > 0 ? reachable : usable;
+}
+
 /** Counts this entry's requests in flight at an upstream. */
 export function countOwnRequests(upstream: TrackedUpstream): number {
     return upstream.ownRequests.reduce((count, { endedAt }) => count + Number(endedAt === undefined), 0);
