Do not take silence after the first data for a response that goes on

In a group of ranks a crash stalls everybody's streams for 1.5 s before they break. Only further data shows that the upstream bears the prompt; on the path with slots too, where any frame counted. attemptObserver.test.ts failed before for a response that begins and is silent.

--- a/src/direct/attemptObserver.ts
+++ b/src/direct/attemptObserver.ts
@@ -13,8 +13,8 @@
 }
 
 /**
- * Time after the first data after which a connection that still holds shows that the prompt does not crash the upstream,
- * in milliseconds: an upstream crashes as it begins to respond.
+ * Time after the first data after which further data shows that the prompt does not crash the upstream, in milliseconds: an
+ * upstream crashes as it begins to respond. Silence shows nothing, as a connection may break long after the crash.
  */
 const harmlessAfterMs = 250;
 
@@ -34,20 +34,16 @@
             quarantine.recordAnswer(request, { upstream, sentAt, knownCrashes, beganAt: beganAt ?? sentAt });
         }
     };
-    const hasContinued = () => beganAt !== undefined && now() - beganAt >= harmlessAfterMs;
     return {
         recordData: () => {
             beganAt ??= now();
-            if (hasContinued()) {
+            if (now() - beganAt >= harmlessAfterMs) {
                 recordAnswer();
             }
         },
         recordCompletion: recordAnswer,
         recordBreak: () => {
-            if (hasContinued()) {
-                recordAnswer();
-            }
-            else {
+            if (!isHarmless) {
                 quarantine.recordLoss(request, { upstream, sentAt, knownCrashes, beganAt: beganAt ?? sentAt });
             }
         },
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -224,8 +224,9 @@
     private observePrompt(frame: Frame): void {
         const { quarantine } = this.context;
         const now = performance.now();
-        this.beganAt ??= frame.kind === "data" ? now : undefined;
-        const hasContinued = this.beganAt !== undefined && now - this.beganAt >= harmlessAfterMs;
+        const isData = frame.kind === "data";
+        this.beganAt ??= isData ? now : undefined;
+        const hasContinued = isData && this.beganAt !== undefined && now - this.beganAt >= harmlessAfterMs;
         const crash = frame.kind === "failed" ? frame.crash : undefined;
         if (this.upstream === undefined || this.isHarmless) {
             return;
