--- a/src/direct/crashMonitor.ts
+++ b/src/direct/crashMonitor.ts
@@ -11,7 +11,7 @@
 const checkDelaysMs = [20, 150, 500];
 /** Timeout of one check, in milliseconds. */
 const checkTimeoutMs = 300;
-/** Time for which requests lost with one upstream are collected, in milliseconds. */
+/** Time after a crash for which requests lost with the upstream are collected, in milliseconds. */
 const collectMs = 5000;
 
 type MonitoredUpstream = Pick<UpstreamRecord, "id" | "startedAt" | "host" | "port">;
@@ -29,7 +29,9 @@
 }
 
 interface Suspect {
+    /** Requests lost since the check in progress began, or since the crash. */
     requests: LostRequest[];
+    isChecking: boolean;
     hasCrashed: boolean;
 }
 
@@ -37,32 +39,48 @@
 export function createCrashMonitor({ onCrash, checkRefused = isRefused }: CrashMonitorOptions): CrashMonitor {
     const suspects = new Map<string, Suspect>();
     const check = async (upstream: MonitoredUpstream, incarnation: string, suspect: Suspect) => {
+        suspect.isChecking = true;
+        while (suspect.requests.length > 0 && !suspect.hasCrashed) {
+            const count = suspect.requests.length;
+            suspect.hasCrashed = await hasRefused(upstream);
+            if (!suspect.hasCrashed) {
+                // Requests that were lost during the check are checked anew.
+                suspect.requests.splice(0, count);
+            }
+        }
+        suspect.isChecking = false;
+        if (suspect.hasCrashed) {
+            onCrash(incarnation, suspect.requests);
+            setTimeout(() => suspects.delete(incarnation), collectMs);
+        }
+        else {
+            suspects.delete(incarnation);
+        }
+    };
+    const hasRefused = async (upstream: MonitoredUpstream) => {
         for (const [index, delayMs] of checkDelaysMs.entries()) {
             await new Promise(resolve => setTimeout(resolve, delayMs - (checkDelaysMs[index - 1] ?? 0)));
             if (await checkRefused(upstream)) {
-                suspect.hasCrashed = true;
-                onCrash(incarnation, suspect.requests);
-                return;
+                return true;
             }
         }
+        return false;
     };
     return {
         recordLoss: (upstream, request) => {
             const incarnation = formatIncarnation(upstream);
-            const known = suspects.get(incarnation);
-            const suspect = known ?? { requests: [], hasCrashed: false };
+            const suspect = suspects.get(incarnation) ?? { requests: [], isChecking: false, hasCrashed: false };
+            suspects.set(incarnation, suspect);
             if (suspect.requests.length >= maxReportedRequests) {
                 return;
             }
             suspect.requests.push(request);
-            if (known === undefined) {
-                suspects.set(incarnation, suspect);
-                setTimeout(() => suspects.delete(incarnation), collectMs);
-                void check(upstream, incarnation, suspect);
-            }
-            else if (suspect.hasCrashed) {
+            if (suspect.hasCrashed && !suspect.isChecking) {
                 onCrash(incarnation, suspect.requests);
             }
+            else if (!suspect.isChecking) {
+                void check(upstream, incarnation, suspect);
+            }
         },
     };
 }
