Reject at once what cannot be sent before its broken group can open

An entry now remembers the latest three outages of a group and expects none to be shorter; what would be too late by then is rejected as it comes, or as the group breaks, with a Retry-After from the expected opening on. Without an outage before, or in one that lasts longer, requests wait as before.

The crash lines of the quarantine now tell the evidence (own parts, known crashes, whether the reporter knows the usual parts), and an answer that clears a suspected part is logged.

--- a/src/direct/requestQuarantine.ts
+++ b/src/direct/requestQuarantine.ts
@@ -115,10 +115,9 @@
         onCrash: (upstream, requests) => {
             const parts = [...new Set(requests.flatMap(request => request.parts))];
             const answeredParts = parts.filter(part => history.parts.has(part));
-            const requestIds = requests.map(({ id }) => id);
-            logger.warn("An upstream has crashed.", { upstream, requests: requestIds, parts, answeredParts });
-            options.onCrash();
             const { isExperienced } = history;
+            logger.warn("An upstream has crashed.", { upstream, requests, parts, answeredParts, isExperienced });
+            options.onCrash();
             publish({ kind: "crash", upstream, requests: [...requests], answeredParts, isExperienced });
         },
     });
@@ -137,7 +136,14 @@
             }
             const { id } = request;
             const telling = parts.filter(part => isAnswerTelling(state, part, beganAt));
-            telling.forEach(part => publish({ kind: "answered", part, request: id }));
+            telling.forEach(part => {
+                logger.info("A suspected part of a prompt was answered.", {
+                    part,
+                    requestId: id,
+                    upstream: upstream.id,
+                });
+                publish({ kind: "answered", part, request: id });
+            });
             const incarnation = formatIncarnation(upstream);
             if (isWronglyReported(state, incarnation, sentAt, now())) {
                 publish({ kind: "alive", upstream: incarnation, request: id });
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -10,7 +10,7 @@
     takeCredit,
     updateCredits,
 } from "../routing/capacityShare.js";
-import { type GroupTracker, isGroupOpen } from "../routing/groupTracker.js";
+import { estimateOpenAt, type GroupTracker, isGroupOpen } from "../routing/groupTracker.js";
 import {
     compareLimited,
     createPendingQueue,
@@ -115,8 +115,7 @@
     };
     const listPools = () => [...new Set([...pendingQueue.waiting].map(({ request }) => request.pool))];
     const dispatchPending = () => {
-        const now = options.now();
-        removeExpired(pendingQueue, now).forEach(dispatch => dispatch.expire());
+        removeExpired(pendingQueue, options.now(), getEarliestSendAt).forEach(dispatch => dispatch.expire());
         for (const dispatch of listPools().flatMap(listWaiting)) {
             if (pendingQueue.waiting.has(dispatch) && trySend(dispatch)) {
                 pendingQueue.waiting.delete(dispatch);
@@ -137,8 +136,14 @@
         clearTimeout(dispatchTimer);
         dispatchTimer = pendingQueue.waiting.size === 0 ? undefined : setTimeout(dispatchPending, dispatchIntervalMs);
     };
+    /** Returns the earliest time at which a request can be sent, in milliseconds: later than now while its group is broken. */
+    const getEarliestSendAt = ({ request: { pool } }: DirectDispatch) => {
+        const now = options.now();
+        const isGroup = options.findPool(pool)?.engine !== undefined;
+        return (isGroup ? estimateOpenAt(options.groupTracker, pool, now) : undefined) ?? now;
+    };
     const enqueue = (dispatch: DirectDispatch) => {
-        if (dispatch.latestSendAt < options.now()) {
+        if (dispatch.latestSendAt < getEarliestSendAt(dispatch)) {
             dispatch.expire();
             return;
         }
--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { findServingRoute, pickPool, type ServingIndex } from "../config/serving.js";
+import type { QuarantinedParts } from "../routing/quarantine.js";
 import { readBody } from "../wire/body.js";
 import { interruptResponse } from "../wire/interruptResponse.js";
 import type { DirectContext } from "./context.js";
@@ -144,11 +145,15 @@
     }
 }
 
-/** Sends a JSON response; does nothing if a response has been started or the connection is closed. */
-export function sendJsonResponse(response: ServerResponse, status: number, contentType: string, body: object): void {
+/** Responds that a request has not run because of parts of its prompt; does nothing if a response has been started. */
+export function sendQuarantineRejection(response: ServerResponse, { parts, upstreams }: QuarantinedParts): void {
     if (!response.headersSent && !response.destroyed) {
-        const text = JSON.stringify(body);
-        response.writeHead(status, ["Content-Type", contentType, "Content-Length", String(Buffer.byteLength(text))]);
+        const partList = `${parts.length === 1 ? "part" : "parts"} ${parts.join(", ")}`;
+        const detail = `The request has not run: ${upstreams.length} upstreams crashed under its prompt's ${partList}.`;
+        const problem = { title: "The prompt contains quarantined parts", status: 503, detail, parts };
+        const text = JSON.stringify(problem);
+        const contentLength = String(Buffer.byteLength(text));
+        response.writeHead(503, ["Content-Type", "application/problem+json", "Content-Length", contentLength]);
         response.end(text);
     }
 }
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -15,7 +15,14 @@
 import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
 import { entryFeedTiming } from "../peers/pacing.js";
 import { estimateServiceMs } from "../routing/engineLatency.js";
-import { createGroupTracker, isGroupOpen, markGroupBroken, updateGroupState } from "../routing/groupTracker.js";
+import {
+    createGroupTracker,
+    estimateOpenAt,
+    isGroupOpen,
+    markGroupBroken,
+    updateGroupState,
+} from "../routing/groupTracker.js";
+import { computeRetryAfterMs } from "../routing/retryAfter.js";
 import { createUpstreamTracker, findRanks, setUpstreams, updateLoad } from "../routing/upstreamTracker.js";
 import {
     acquireRetry,
@@ -43,7 +50,7 @@
 import { createRequestQuarantine } from "./requestQuarantine.js";
 import { AttemptEnd } from "./requestState.js";
 import { createScheduler, type DirectScheduler } from "./scheduler.js";
-import { applyLimits, createDirectServer, sendEmptyResponse, sendJsonResponse } from "./server.js";
+import { applyLimits, createDirectServer, sendEmptyResponse, sendQuarantineRejection } from "./server.js";
 import type { AttemptRecord, DirectRequest, HeadCodec } from "./types.js";
 
 export interface DirectEntryOptions {
@@ -89,13 +96,6 @@
 const drainPollMs = 50;
 /** Lowest urgency that upstreams support; 0 is the highest. */
 const lowestUrgency = 9;
-/** Maximum Retry-After, as a share of the time left until the caller's deadline. */
-const maxRetryAfterShare = 1 / 3;
-/** Minimum Retry-After for a broken group, as a share of the maximum; such a group takes seconds to recover. */
-const minBrokenGroupShare = 0.9;
-/** Minimum Retry-After for a full pool, as a share of the maximum; capacity becomes free sooner. */
-const minFullPoolShare = 0.5;
-
 /** Time without stream data until a pool's group counts as stalled, in milliseconds; several steps of the group. */
 const stallAfterMs = 500;
 /** Number of entries assumed to share the retry budget until the leader has sent the actual number. */
@@ -286,25 +286,20 @@
             if (rateLimiter.isPoolLimited(request.pool)) {
                 return rateLimiter.computeReturnMs(request.pool);
             }
-            const isBroken = !isGroupOpen(groupTracker, request.pool, now());
-            const minShare = isBroken ? minBrokenGroupShare : minFullPoolShare;
-            const maxRetryAfterMs = Math.max(0, request.deadlineAt - now()) * maxRetryAfterShare;
-            return maxRetryAfterMs * (minShare + random() * (1 - minShare));
+            const openAt = estimateOpenAt(groupTracker, request.pool, now());
+            return computeRetryAfterMs({
+                leftMs: request.deadlineAt - now(),
+                isGroupBroken: !isGroupOpen(groupTracker, request.pool, now()),
+                openInMs: openAt === undefined ? undefined : openAt - now(),
+            }, random());
         },
         sendRefusal: (response, retryAfterMs) => {
             metrics.refusals.inc();
             sendEmptyResponse(response, 503, ["Retry-After", (retryAfterMs / 1000).toFixed(3)]);
         },
-        sendRejection: (response, { parts, upstreams }) => {
+        sendRejection: (response, quarantined) => {
             metrics.quarantineRejections.inc();
-            sendJsonResponse(response, 503, "application/problem+json", {
-                title: "The prompt contains quarantined parts",
-                status: 503,
-                detail: `The request has not run: ${upstreams.length} upstreams crashed under its prompt's ${
-                    parts.length === 1 ? "part" : "parts"
-                } ${parts.join(", ")}.`,
-                parts,
-            });
+            sendQuarantineRejection(response, quarantined);
         },
         sendFailure: (response, status) => sendEmptyResponse(response, status, []),
         logRequest: (request, outcome, attempts, rateLimits) => {
--- a/src/routing/pendingQueue.ts
+++ b/src/routing/pendingQueue.ts
@@ -24,9 +24,13 @@
     return { waiting: new Set() };
 }
 
-/** Removes and returns the requests whose latest send time has passed. */
-export function removeExpired<T extends PendingRequest>(queue: PendingQueue<T>, now: number): T[] {
-    const expired = [...queue.waiting].filter(({ latestSendAt }) => latestSendAt < now);
+/** Removes and returns the requests whose latest send time is before the earliest one, which is `now` by default. */
+export function removeExpired<T extends PendingRequest>(
+    queue: PendingQueue<T>,
+    now: number,
+    getEarliestSendAt: (request: T) => number = () => now,
+): T[] {
+    const expired = [...queue.waiting].filter(request => request.latestSendAt < getEarliestSendAt(request));
     expired.forEach(request => queue.waiting.delete(request));
     return expired;
 }
--- a/src/routing/tests/direct.test.ts
+++ b/src/routing/tests/direct.test.ts
@@ -2,7 +2,7 @@
 import { createRandom } from "../../core/random.js";
 import type { UpstreamRecord } from "../../peers/mirror.js";
 import { computeFreeCapacity, createCapacityShare, takeCredit, updateCredits } from "../capacityShare.js";
-import { createGroupTracker, isGroupOpen, markGroupBroken, updateGroupState } from "../groupTracker.js";
+import { createGroupTracker, estimateOpenAt, isGroupOpen, markGroupBroken, updateGroupState } from "../groupTracker.js";
 import { createPendingQueue, listPending, type PendingRequest, removeExpired } from "../pendingQueue.js";
 import { placeRequest } from "../requestPlacement.js";
 import {
@@ -183,6 +183,26 @@
         expect(seen).toEqual([true, true, false, false, false, true]);
     });
 
+    test("is expected to open after the shortest of its latest outages, unless it was never seen to open", () => {
+        const tracker = createGroupTracker();
+        const play = (from: number, until: number, epoch: number) => {
+            updateGroupState(tracker, "p", { isOpen: false, epoch, observedAt: from });
+            updateGroupState(tracker, "p", { isOpen: true, epoch: epoch + 1, observedAt: until });
+        };
+        updateGroupState(tracker, "p", { isOpen: false, epoch: 0, observedAt: 0 });
+        const seen = [estimateOpenAt(tracker, "p", 100)];
+        play(100, 9000, 1);
+        play(10_000, 13_200, 2);
+        play(20_000, 23_000, 3);
+        play(30_000, 33_500, 4);
+        seen.push(estimateOpenAt(tracker, "p", 34_000));
+        updateGroupState(tracker, "p", { isOpen: false, epoch: 5, observedAt: 40_000 });
+        seen.push(estimateOpenAt(tracker, "p", 40_100));
+        updateGroupState(tracker, "p", { isOpen: false, epoch: 5, observedAt: 43_400 });
+        seen.push(estimateOpenAt(tracker, "p", 43_400));
+        expect(seen).toEqual([undefined, undefined, 43_000, undefined]);
+    });
+
     test("is tried again when nothing is heard of it any more", () => {
         const tracker = createGroupTracker();
         markGroupBroken(tracker, "p", 0);
