Count crashes under a request and its repeats as evidence

The users' rule counts repeats as well, and the last part never crashes servers, so a crash under a repeat tells as much as one under another request.

--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -51,4 +51,6 @@
     state: InstanceState;
     /** Moving average of the service time, in milliseconds. */
     serviceMs: number;
+    /** Time until the upstream's rate limit admits a new request, in milliseconds; undefined without a limit. */
+    permitWaitMs?: number;
 }
--- a/src/routing/admission.ts
+++ b/src/routing/admission.ts
@@ -16,6 +16,7 @@
     removeRequest,
     sumQueuedWeights,
 } from "./fairQueue.js";
+import { computePermitWaitMs, createUpstreamRate, takeUpstreamPermit, type UpstreamRate } from "./upstreamRate.js";
 
 export interface AdmissionLimits {
     /** Running requests. */
@@ -45,6 +46,8 @@
     throughput: Throughput;
     /** Moving average of the time that a request runs, in milliseconds. */
     serviceMs: number;
+    /** Rate limit that the upstream names. */
+    rate: UpstreamRate;
     /** Time since which the queue has not been empty, in milliseconds; undefined when it is empty. */
     waitingSince: number | undefined;
 }
@@ -90,6 +93,7 @@
         queue: createFairQueue(),
         throughput: { updatedAt: 0, busyMs: 0, tokens: 0 },
         serviceMs: 0,
+        rate: createUpstreamRate(),
         waitingSince: undefined,
     };
 }
@@ -114,7 +118,7 @@
     recordActivity(state, request, now);
     const waitMs = estimateWait(state, request.workspace, request.weight);
     enqueueRequest(state.queue, request);
-    if (pickEligible(state, now) === request && hasCapacity(state, request)) {
+    if (pickEligible(state, now) === request && hasCapacity(state, request, now)) {
         removeRequest(state.queue, request.id);
         startRequest(state, request, now);
         return { decision: "run", evicted: [] };
@@ -164,9 +168,16 @@
 }
 
 /**
- * Estimates how long a new request of a workspace would wait, in milliseconds; 0 before throughput has been measured.
+ * Estimates how long a new request of a workspace would wait, in milliseconds; without a rate limit 0 before throughput has
+ * been measured.
  */
 export function estimateWait(state: AdmissionState, workspace: string, weight: number): number {
+    const { updatedAt } = state.throughput;
+    const permitWaitMs = computePermitWaitMs(state.rate, countQueued(state) + 1, updatedAt) ?? 0;
+    return Math.max(permitWaitMs, estimateThroughputWait(state, workspace, weight));
+}
+
+function estimateThroughputWait(state: AdmissionState, workspace: string, weight: number): number {
     const { busyMs, tokens } = state.throughput;
     const workspaceQueue = state.queue.workspaces.get(workspace);
     if (busyMs < minThroughputMs || tokens === 0 || workspaceQueue === undefined) {
@@ -176,7 +187,11 @@
     return workspaceQueue.tokens / (share * tokens / busyMs);
 }
 
-function startQueued(state: AdmissionState, now: number): { started: QueuedRequest[]; expired: QueuedRequest[]; } {
+/** Starts the queued requests for which there is capacity now; returns them and those that have expired. */
+export function startQueued(
+    state: AdmissionState,
+    now: number,
+): { started: QueuedRequest[]; expired: QueuedRequest[]; } {
     const started: QueuedRequest[] = [];
     const expired: QueuedRequest[] = [];
     for (let next = pickEligible(state, now); next !== undefined; next = pickEligible(state, now)) {
@@ -185,7 +200,7 @@
             expired.push(next);
             continue;
         }
-        if (!hasCapacity(state, next)) {
+        if (!hasCapacity(state, next, now)) {
             break;
         }
         removeRequest(state.queue, next.id);
@@ -216,8 +231,11 @@
     return isStanding ? Math.min(limits.queue, Math.ceil(limits.concurrency * standingQueueShare)) : limits.queue;
 }
 
-function hasCapacity(state: AdmissionState, request: QueuedRequest): boolean {
+function hasCapacity(state: AdmissionState, request: QueuedRequest, now: number): boolean {
     const { concurrency, tokens } = state.limits;
+    if ((computePermitWaitMs(state.rate, 1, now) ?? 0) > 0) {
+        return false;
+    }
     return state.running.size === 0 ||
         (state.running.size < concurrency && state.tokensInFlight + request.tokens <= tokens);
 }
@@ -251,6 +269,7 @@
 }
 
 function startRequest(state: AdmissionState, request: QueuedRequest, now: number): void {
+    takeUpstreamPermit(state.rate, now);
     state.running.set(request.id, { workspace: request.workspace, tokens: request.tokens, startedAt: now });
     state.tokensInFlight += request.tokens;
     updateRunningCounts(state, request.workspace, 1, request.tokens);
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -117,7 +117,7 @@
     return { tokens: tokens / Math.max(1, reports), ownWorkFactor };
 }
 
-/** Lists the candidates: those of the entry's data centre, or of all data centres as `spill` allows. */
+/** Lists the candidates; see `ChoiceCriteria`. */
 function listCandidates(
     table: UpstreamTable,
     choice: ChoiceCriteria,
@@ -132,6 +132,22 @@
             usable.push(upstream);
         }
     }
+    return listWithinSpill(filterAdmitted(usable, now), choice, now, random);
+}
+
+/** Excludes upstreams whose rate limit admits no request yet; returns all if none is left. */
+function filterAdmitted(upstreams: UpstreamState[], now: number): UpstreamState[] {
+    const admitted = upstreams.filter(({ report, reportedAt }) => reportedAt + (report?.permitWaitMs ?? 0) <= now);
+    return admitted.length > 0 ? admitted : upstreams;
+}
+
+/** Lists the healthy upstreams of the entry's data centre, or of all data centres as `spill` allows. */
+function listWithinSpill(
+    usable: UpstreamState[],
+    choice: ChoiceCriteria,
+    now: number,
+    random: () => number,
+): UpstreamState[] {
     if (choice.spill === "always") {
         return filterHealthy(usable, now, random);
     }
--- a/src/routing/permitPool.ts
+++ b/src/routing/permitPool.ts
@@ -4,6 +4,7 @@
  * request. So the sum over all coordinators and entries never exceeds the rate, however the entries are cut off from one
  * another, and it is used in full wherever the requests come in.
  */
+import { computeBucketCapacity, type RateBucket, updateBucket } from "./rateBucket.js";
 import { computeAllowedRate, type RateLimit } from "./rateLimitTable.js";
 
 /** Time for which a coordinator counts an entry's share after the entry's last request, in milliseconds. */
@@ -22,9 +23,6 @@
 const seedSilenceMs = 10_000;
 /** Time for which the demand of an entry counts, in milliseconds; waiting entries repeat it more often. */
 const demandLifetimeMs = 300;
-/** Permits that may be granted at once after a pause, beyond one, as seconds of the rate. */
-const burstSeconds = 0.2;
-
 /** Requests of one pool that wait at an entry. */
 export interface PoolDemand {
     pool: string;
@@ -64,17 +62,12 @@
     demandedAt: number;
 }
 
-interface Bucket {
-    permits: number;
-    refilledAt: number;
-}
-
 export interface PermitPool {
     createdAt: number;
     members: Map<string, Member>;
     /** Hosts of the other seeds. */
     seeds: string[];
-    buckets: Map<string, Bucket>;
+    buckets: Map<string, RateBucket>;
     /** Highest number of entries that another coordinator has counted, and when it was reported. */
     reported: { count: number; at: number; };
 }
@@ -171,18 +164,14 @@
     return Math.min(1, enrolled / countEntries(pool, now));
 }
 
-function computeCapacity(rate: number): number {
-    return 1 + rate * burstSeconds;
-}
-
 function updateBuckets(pool: PermitPool, limits: RateLimit[], now: number): void {
     const share = computeShare(pool, now);
-    const buckets = new Map<string, Bucket>();
+    const buckets = new Map<string, RateBucket>();
     for (const limit of limits) {
         const rate = share * (computeAllowedRate(limit, now) ?? 0);
-        const known = pool.buckets.get(limit.upstream) ?? { permits: 0, refilledAt: now };
-        const permits = Math.min(computeCapacity(rate), known.permits + rate * (now - known.refilledAt) / 1000);
-        buckets.set(limit.upstream, { permits, refilledAt: now });
+        const bucket = pool.buckets.get(limit.upstream) ?? { permits: 0, refilledAt: now };
+        updateBucket(bucket, rate, now);
+        buckets.set(limit.upstream, bucket);
     }
     pool.buckets = buckets;
 }
@@ -190,7 +179,7 @@
 function takeBack({ buckets }: PermitPool, returned: Record<string, number>, limits: RateLimit[], now: number): void {
     for (const limit of limits) {
         const bucket = buckets.get(limit.upstream);
-        const capacity = computeCapacity(computeAllowedRate(limit, now) ?? 0);
+        const capacity = computeBucketCapacity(computeAllowedRate(limit, now) ?? 0);
         if (bucket !== undefined) {
             bucket.permits = Math.min(capacity, bucket.permits + Math.max(0, returned[limit.upstream] ?? 0));
         }
--- a/src/routing/quarantine.ts
+++ b/src/routing/quarantine.ts
@@ -73,21 +73,19 @@
 /** Evidence that condemns a part; `rounds` is 1 if the upstreams may have crashed at once, for a common cause. */
 interface RequiredEvidence {
     crashes: number;
-    /** Number of different requests. */
-    requests: number;
     /** Number of crashes in a row of which each was known when a request was sent that crashed the next upstream. */
     rounds: number;
 }
 
 const requiredEvidence = {
     /** For a part that no reporter has seen answered, though reporters know the usual parts. */
-    unusual: { crashes: 3, requests: 3, rounds: 1 },
+    unusual: { crashes: 3, rounds: 1 },
     /** For a part that no reporter has seen answered. */
-    unanswered: { crashes: 3, requests: 3, rounds: 2 },
+    unanswered: { crashes: 3, rounds: 2 },
     /** For a part of all lost requests of which no reporter has seen any part answered. */
-    unknown: { crashes: 5, requests: 5, rounds: 3 },
+    unknown: { crashes: 5, rounds: 3 },
     /** For a part that was answered before. */
-    answered: { crashes: 8, requests: 8, rounds: 3 },
+    answered: { crashes: 8, rounds: 3 },
 } satisfies Record<string, RequiredEvidence>;
 /** Maximum number of records that are kept, by kind. */
 const maxRecords: Record<QuarantineRecord["kind"], number> = { crash: 256, answered: 256, alive: 64 };
@@ -313,8 +311,7 @@
 }
 
 function isSufficient(evidence: Evidence, required: RequiredEvidence): boolean {
-    return evidence.crashes.length >= required.crashes && countDistinctRequests(evidence) >= required.requests &&
-        countRounds(evidence) >= required.rounds;
+    return evidence.crashes.length >= required.crashes && countRounds(evidence) >= required.rounds;
 }
 
 /** Counts the rounds of crashes: the most of them of which each was known when a request of the next one was sent. */
--- a/src/slot/execute.ts
+++ b/src/slot/execute.ts
@@ -24,6 +24,8 @@
     emit: (run: ActiveRun, frame: FrameBody) => void;
     /** Returns the current load of the slot. */
     report: () => LoadReport;
+    /** Records the rate limit that a response names, or that it names none. */
+    observeRateLimit: (values: string[]) => void;
     /** Wake the runs that wait for space in their buffers. */
     resumeCallbacks: Set<() => void>;
 }
@@ -41,6 +43,7 @@
     try {
         idleTimer.start(upstream.timeouts.headersTimeoutMs);
         const response = await upstream.run(params, abortController.signal);
+        context.observeRateLimit(response.rateLimitValues);
         emit(run, { kind: "head", status: response.status, headers: response.headers });
         const contentType = [response.headers["content-type"]].flat()[0];
         const scanner = isEventStreamType(contentType) ? createEventScanner() : undefined;
--- a/src/slot/metrics.ts
+++ b/src/slot/metrics.ts
@@ -9,6 +9,7 @@
     claims: Counter<"verdict">;
     /** Requests to the upstream that were aborted by an idle timeout. */
     upstreamTimeouts: Counter<string>;
+    rateLimitChanges: Counter<"named">;
 }
 
 /** Registers the metrics of a slot; gauges are read from the store when the metrics are collected. */
@@ -37,5 +38,11 @@
             help: "Upstream connections given up for silence.",
             registers,
         }),
+        rateLimitChanges: new Counter({
+            name: "beechdock_upstream_rate_limit_changes_total",
+            help: "Changes of the rate limit that the upstream names.",
+            labelNames: ["named"],
+            registers,
+        }),
     };
 }
--- a/src/slot/runner.ts
+++ b/src/slot/runner.ts
@@ -8,10 +8,13 @@
     computeRetryAfter,
     countQueued,
     releaseRequest,
+    startQueued,
     sumTokens,
 } from "../routing/admission.js";
 import type { QueuedRequest } from "../routing/fairQueue.js";
+import { computePermitWaitMs, computeUpstreamRate, recordUpstreamRate } from "../routing/upstreamRate.js";
 import type { FrameBody, RunParams } from "../wire/messages.js";
+import { type NamedRateLimit, parseRateLimit } from "../wire/rateLimitField.js";
 import type { ClaimsDriver } from "./driverClaims.js";
 import { type ActiveRun, executeRun, type RunContext } from "./execute.js";
 import { executeKeyedRun, type KeyedRunContext } from "./executeKeyed.js";
@@ -37,16 +40,20 @@
     drain: () => Promise<void>;
 }
 
-/** Creates the runner of one upstream. */
+/** Creates the runner of one upstream; `onRateLimit` is called when the rate limit that the upstream names has changed. */
 export function createRunner(
     store: RunStore,
     admission: AdmissionState,
     upstream: UpstreamClient,
     claims: ClaimsDriver,
+    onRateLimit: (named: NamedRateLimit, values: string[]) => void = () => undefined,
 ): Runner {
     const activeRuns = new Map<string, ActiveRun>();
     const drainWaiters: (() => void)[] = [];
     let serviceMs = 0;
+    let permitTimer: NodeJS.Timeout | undefined;
+    /** Latest invalid rate limit that the upstream has named. */
+    let invalidText: string | undefined;
 
     const emit = (run: ActiveRun, body: FrameBody) => {
         const { requestId, attempt, next: sequence } = run.record;
@@ -60,16 +67,43 @@
     };
     const finishRun = (id: string) => {
         activeRuns.delete(id);
-        const { started, expired } = releaseRequest(admission, id, Date.now());
+        startAdmitted(releaseRequest(admission, id, Date.now()));
+        resolveDrain();
+    };
+    const startAdmitted = ({ started, expired }: ReturnType<typeof startQueued>) => {
         expired.forEach(queued => refuseQueuedRun(queued, "The request waited too long"));
         started.forEach(queued => void startRun(queued.id));
-        resolveDrain();
+        schedulePermit();
+    };
+    /** Starts the next queued run when the rate limit of the upstream admits it. */
+    const schedulePermit = () => {
+        clearTimeout(permitTimer);
+        const waitMs = countQueued(admission) === 0 ? undefined : computePermitWaitMs(admission.rate, 1, Date.now());
+        permitTimer = waitMs === undefined || waitMs === 0 ?
+            undefined :
+            setTimeout(() => startAdmitted(startQueued(admission, Date.now())), Math.ceil(waitMs)).unref();
+    };
+    const observeRateLimit = (values: string[]) => {
+        const named = parseRateLimit(values);
+        const text = values.join(", ");
+        const requestsPerSecond = named.kind === "limit" ? named.requestsPerSecond : undefined;
+        const hasChanged = named.kind === "invalid" ?
+            text !== invalidText :
+            recordUpstreamRate(admission.rate, requestsPerSecond, Date.now());
+        invalidText = named.kind === "invalid" ? text : invalidText;
+        if (hasChanged) {
+            onRateLimit(named, values);
+        }
     };
     const refuseQueuedRun = (queued: QueuedRequest, title: string) => {
         const retryAfter = computeRetryAfter(admission, queued.workspace, queued.weight, Math.random());
         recordRefusal(activeRuns, queued, emit, title, retryAfter);
         resolveDrain();
     };
+    const describeLimit = () => {
+        const rate = computeUpstreamRate(admission.rate, Date.now());
+        return rate === undefined ? "The upstream is at its limit" : "The upstream is at its rate limit";
+    };
     /** Refuses a run that is still queued when it expires. */
     const scheduleExpiry = (queued: QueuedRequest) => {
         const expire = () => {
@@ -97,13 +131,14 @@
         queued: countQueued(admission),
         state: store.leaving ? "leaving" : "live",
         serviceMs,
+        permitWaitMs: computePermitWaitMs(admission.rate, countQueued(admission) + 1, Date.now()),
     });
     const subscribe = (record: RunRecord, listener: () => void) => {
         const run = activeRuns.get(formatRunId(record));
         run?.listeners.add(listener);
         return () => run?.listeners.delete(listener);
     };
-    const context: RunContext = { store, upstream, emit, report, resumeCallbacks: new Set() };
+    const context: RunContext = { store, upstream, emit, report, observeRateLimit, resumeCallbacks: new Set() };
     const keyedContext: KeyedRunContext = { keyedRuns: createKeyedRuns(), claims, subscribe };
 
     return {
@@ -123,12 +158,13 @@
                 void startRun(id);
             }
             else if (decision === "refuse") {
-                refuseQueuedRun(queued, "The upstream is at its limit");
+                refuseQueuedRun(queued, describeLimit());
             }
             else {
                 scheduleExpiry(queued);
             }
-            evicted.forEach(evictedRequest => refuseQueuedRun(evictedRequest, "The upstream is at its limit"));
+            evicted.forEach(evictedRequest => refuseQueuedRun(evictedRequest, describeLimit()));
+            schedulePermit();
         },
         cancel: record => {
             const id = formatRunId(record);
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -59,6 +59,9 @@
             slotMetrics.claims.inc({ verdict });
             return verdict;
         },
+    }, (named, values) => {
+        logger.info("The rate limit of the upstream has changed.", { named: named.kind, values });
+        slotMetrics.rateLimitChanges.inc({ named: named.kind });
     });
     let activeConfig: ActiveConfig = createInitialConfig(environment);
 
--- a/src/slot/upstream.ts
+++ b/src/slot/upstream.ts
@@ -10,11 +10,16 @@
 /** Headers that are not forwarded; the client sets the last two itself. */
 const droppedHeaders = new Set<string>([...hopByHopHeaders, "content-length", "host"]);
 
+/** Header in which an upstream names the requests per second that it accepts, in lower case. */
+const rateLimitHeader = "request-rate-limit";
+
 /** Response of the upstream; the headers are already filtered. */
 export interface UpstreamResponse {
     status: number;
     headers: ResponseHeaders;
     framing: ResponseFraming;
+    /** Values of the header in which the upstream names its rate limit; see `parseRateLimit`. */
+    rateLimitValues: string[];
     body: AsyncIterable<Buffer>;
 }
 
@@ -129,7 +134,8 @@
     });
     const { statusCode: status, headers, body } = response;
     const framing = classifyFraming(params.method, status, headers);
-    return { status, headers: filterResponseHeaders(headers), framing, body };
+    const rateLimitValues = [headers[rateLimitHeader] ?? []].flat();
+    return { status, headers: filterResponseHeaders(headers), framing, rateLimitValues, body };
 }
 
 /** Removes connection headers of a response and joins repeated ones, except cookies, which cannot be joined. */
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -88,6 +88,7 @@
     queued: z.number(),
     state: z.enum(["live", "leaving"]),
     serviceMs: z.number(),
+    permitWaitMs: z.optional(z.number()),
 });
 export const FrameSchema = z.discriminatedUnion("kind", [
     z.object({ ...base, kind: z.literal("accepted"), incarnation: z.string() }),
