--- a/src/direct/rateLimiter.ts
+++ b/src/direct/rateLimiter.ts
@@ -4,7 +4,7 @@
  */
 import type { Logger } from "../observe/logger.js";
 import type { UpstreamRecord } from "../peers/mirror.js";
-import type { PermitGrantMessage, PermitRequestMessage, TableVersion, WireRateLimit } from "../peers/permitMessages.js";
+import type { PermitGrantMessage, PermitRequestMessage, TableVersion } from "../peers/permitMessages.js";
 import {
     type AdmissionPace,
     admitWaiting,
@@ -58,6 +58,7 @@
 } from "../routing/rateLimitTable.js";
 import { listCandidates, UpstreamAdmission, type UpstreamTracker } from "../routing/upstreamTracker.js";
 import { parseRateLimit } from "../wire/rateLimitField.js";
+import { decodeRateLimits, encodeRateLimit } from "./rateLimitMessages.js";
 
 /** Rate limit that kept a request from an upstream, as it appears in the log line of the request. */
 export interface AppliedRateLimit {
@@ -240,7 +241,7 @@
     };
     const encodeLimitsSince = (since: number) => {
         const { limits, version } = listLimitsSince(table, since, maxLimitsPerMessage);
-        return { limits: limits.map(encodeLimit), version };
+        return { limits: limits.map(limit => encodeRateLimit(limit, now())), version };
     };
     const createPoolDemand = (pool: string) => {
         const usable = listUsable(pool);
@@ -249,24 +250,6 @@
         const share = usable.length === limited.length ? 0 : limited.length / usable.length;
         return { pool, ...computeDemand(getMeter(pool), options.listWaiting(pool), { share, held }, now(), random()) };
     };
-    const encodeLimit = (limit: RateLimit): WireRateLimit => ({
-        upstream: limit.upstream,
-        startedAt: limit.startedAt,
-        pool: limit.pool,
-        requestsPerSecond: limit.requestsPerSecond,
-        namedAgeMs: now() - limit.namedAt,
-        unnamedAgeMs: limit.unnamedAt === undefined ? undefined : now() - limit.unnamedAt,
-        source: limit.source,
-    });
-    const applyWireLimits = (limits: WireRateLimit[], delayMs: number) => {
-        for (const { namedAgeMs, unnamedAgeMs, ...limit } of limits) {
-            const base = { ...limit, startedAt: limit.startedAt };
-            apply({ ...base, observedAt: now() - namedAgeMs - delayMs });
-            if (unnamedAgeMs !== undefined) {
-                apply({ ...base, requestsPerSecond: undefined, observedAt: now() - unnamedAgeMs - delayMs });
-            }
-        }
-    };
     const createResponse = (knownTable: TableVersion | undefined): PermitGrantMessage => {
         const { limits, version } = encodeLimitsSince(knownTable?.startedAt === startedAt ? knownTable.version : 0);
         return {
@@ -290,7 +273,7 @@
     };
     const receiveRequest = (message: PermitRequestMessage, delayMs: number) => {
         recordMember(permitPool, message.from, now());
-        applyWireLimits(message.limits, delayMs);
+        decodeRateLimits(message.limits, now() - delayMs).forEach(apply);
         const { sentAt, version, purpose } = message;
         const grant = requestHandlers[purpose](message);
         if (grant === undefined) {
@@ -312,7 +295,7 @@
         const { from, request } = message;
         known.set(from, message.table);
         if (from !== host) {
-            applyWireLimits(message.limits, delayMs);
+            decodeRateLimits(message.limits, now() - delayMs).forEach(apply);
         }
         if (request?.startedAt !== startedAt) {
             return;
