Do not pass on an assumed number of entries as a known one

A coordinator that has just started assumes 128 entries; it told that number in its grants, entries that changed their coordinator reported it as known, and it kept coming back: three entries got 3/128 of the rate, not enough for one response that would have shown the end of the limit.

--- a/src/direct/rateLimiter.ts
+++ b/src/direct/rateLimiter.ts
@@ -40,7 +40,7 @@
 } from "../routing/permitHolder.js";
 import {
     allocatePermits,
-    countEntries,
+    countKnownEntries,
     createPermitPool,
     type PermitGrant,
     type PermitRequest,
@@ -257,7 +257,7 @@
             from: host,
             sentAt: toWireTime(now()),
             permits: {},
-            entryCount: countEntries(permitPool, now()),
+            entryCount: countKnownEntries(permitPool, now()),
             pools: {},
             limits,
             table: { startedAt, version },
--- a/src/peers/permitMessages.ts
+++ b/src/peers/permitMessages.ts
@@ -58,7 +58,7 @@
         z.object({ startedAt: number, sentAt: number, version: number, purpose: z.enum(PermitRequestKind) }),
     ),
     permits: counts,
-    entryCount: number,
+    entryCount: z.optional(number),
     pools: z.record(z.string(), z.object({ rate: number, arrivals: number })),
     limits: z.array(WireRateLimitSchema),
     table: TableVersionSchema,
--- a/src/routing/permitHolder.ts
+++ b/src/routing/permitHolder.ts
@@ -156,7 +156,7 @@
         return;
     }
     holder.unansweredSince = holder.lastRequestAt > sentAt ? holder.lastRequestAt : undefined;
-    holder.entryCount = { count: grant.entryCount, source: from };
+    holder.entryCount = grant.entryCount === undefined ? holder.entryCount : { count: grant.entryCount, source: from };
     const expiresAt = sentAt + permitLifetimeMs;
     if (expiresAt > now) {
         for (const [upstream, count] of Object.entries(grant.permits)) {
--- a/src/routing/permitPool.ts
+++ b/src/routing/permitPool.ts
@@ -48,7 +48,8 @@
 export interface PermitGrant {
     /** Permits by upstream. */
     permits: Record<string, number>;
-    entryCount: number;
+    /** Undefined while the coordinator does not know it: an assumed number must not be passed on as a known one. */
+    entryCount?: number;
     /** Rates that are granted, and requests that arrive, per second and pool. */
     pools: Record<string, { rate: number; arrivals: number; }>;
 }
@@ -95,8 +96,8 @@
     return member;
 }
 
-/** Counts the entries that share the rates; an entry that has not been seen for some time no longer counts. */
-export function countEntries(pool: PermitPool, now: number): number {
+/** Counts the entries that share the rates; undefined until they can be known. */
+export function countKnownEntries(pool: PermitPool, now: number): number | undefined {
     const { members, seeds, reported, createdAt } = pool;
     const isSilent = (host: string) => now - (members.get(host)?.seenAt ?? -Infinity) > seedSilenceMs;
     const lifetimeMs = seeds.some(isSilent) ? memberLifetimeInCutMs : memberLifetimeMs;
@@ -107,7 +108,12 @@
     }
     const known = now - reported.at > lifetimeMs ? 0 : reported.count;
     const isUnknown = now - createdAt < countingMs || (seeds.length > 0 && seeds.every(host => !members.has(host)));
-    return Math.max(1, members.size, known, isUnknown && known === 0 ? assumedEntryCount : 0);
+    return isUnknown && known === 0 ? undefined : Math.max(1, members.size, known);
+}
+
+/** Counts the entries that share the rates, or assumes a number until they can be known. */
+function countEntries(pool: PermitPool, now: number): number {
+    return countKnownEntries(pool, now) ?? Math.max(assumedEntryCount, pool.members.size);
 }
 
 /** Ends the enrolment of an entry that has chosen another coordinator. */
@@ -127,13 +133,13 @@
     now: number,
 ): PermitGrant | undefined {
     const member = getMember(pool, request.from);
+    member.seenAt = now;
     if (member.startedAt === request.startedAt && request.sentAt <= member.lastSentAt) {
         return undefined;
     }
     // The rates up to now are those of the entries that were enrolled until now.
     updateBuckets(pool, limits, now);
     Object.assign(member, {
-        seenAt: now,
         enrolledUntil: now + enrolmentMs,
         startedAt: request.startedAt,
         lastSentAt: request.sentAt,
@@ -145,7 +151,7 @@
     }
     takeBack(pool, request.returned, limits, now);
     const share = computeShare(pool, now);
-    const grant: PermitGrant = { permits: {}, entryCount: countEntries(pool, now), pools: {} };
+    const grant: PermitGrant = { permits: {}, entryCount: countKnownEntries(pool, now), pools: {} };
     for (const demand of request.demands) {
         const poolLimits = limits.filter(limit => limit.pool === demand.pool);
         for (const wanted of [...demand.wanted].sort((a, b) => a.rank - b.rank)) {
