--- a/review/lib/harness.js
+++ b/review/lib/harness.js
@@ -237,17 +237,16 @@
 
 /** Runs a case; exits with 1 if it returns true (the rule was broken), with 0 if not, with 2 if it could not run. */
 export async function runCase(record, play) {
-    let code = 2;
-    try {
-        code = await play() ? 1 : 0;
-    }
-    catch (error) {
-        record.add(`the case could not run: ${error.stack}`);
-    }
-    for (const close of closers.reverse()) {
-        close();
-    }
-    record.add(`exit ${code}`);
-    record.save();
-    process.exit(code);
+    const finish = (code, text) => {
+        if (text !== undefined) {
+            record.add(text);
+        }
+        closers.splice(0).reverse().forEach(close => close());
+        record.add(`exit ${code}`);
+        record.save();
+        process.exit(code);
+    };
+    process.on("uncaughtException", error => finish(2, `the case could not run: ${error.stack}`));
+    ["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal => process.on(signal, () => finish(2, `stopped by ${signal}`)));
+    finish(await play() ? 1 : 0);
 }
