Let only a run that continues a stream add to its response

Cause: once the head of a stream had been sent, the response of the next upstream was taken for the rest of the stream whatever it was. Neither its status and type nor the id of its first event were checked, and a response without any event ended the stream as complete.

Fix: streamContinuity.ts decides on each event. A run that continues a stream is a success with events whose first id follows the last one; anything else ends the attempt, which is tried elsewhere within the limits of the route, or the response is broken off visibly.

--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -13,19 +13,10 @@
     recordSent,
     type TrackedUpstream,
 } from "../routing/upstreamTracker.js";
-import {
-    createEventScanner,
-    createEventSplitter,
-    type EventScanner,
-    type EventSplitter,
-    isEventStreamType,
-} from "../wire/eventStream.js";
 import { interruptResponse } from "../wire/interruptResponse.js";
-import { findTruncation } from "../wire/responseCompletion.js";
 import type { ResponseFraming } from "../wire/responseFraming.js";
 import { type AttemptObserver, observeAttempt } from "./attemptObserver.js";
 import type { DirectContext } from "./context.js";
-import { isNextEvent } from "./eventOrder.js";
 import type { AppliedRateLimit } from "./rateLimiter.js";
 import {
     advanceDirectRequest,
@@ -36,6 +27,7 @@
     type DirectRequestEvent,
     upstreamFailureEnds,
 } from "./requestState.js";
+import { ResponseRelay } from "./responseRelay.js";
 import type { AttemptRecord, DirectRequest, ResponseHead } from "./types.js";
 import { callUpstream, type UpstreamCall } from "./upstreamCall.js";
 
@@ -43,8 +35,7 @@
 const streamIdleTimeoutMs = 1000;
 /** Time from sending a request to its first event, in milliseconds, with a margin for the way back to the caller. */
 const firstEventLatencyMs = 250;
-/** Maximum size of a response that is buffered until it is complete, in bytes; longer ones are relayed in chunks. */
-const maxBufferedBytes = 256 * 1024;
+
 type ActionHandlers = {
     [K in DirectRequestAction["kind"]]: (action: Extract<DirectRequestAction, { kind: K; }>) => void;
 };
@@ -65,13 +56,7 @@
     private upstream: TrackedUpstream | undefined;
     private observer: AttemptObserver | undefined;
     private quarantined: QuarantinedParts | undefined;
-    private responseHead: ResponseHead | undefined;
-    private status = 0;
-    private bufferedChunks: Buffer[] = [];
-    private bufferedBytes = 0;
-    private scanner: EventScanner | undefined;
-    private splitter: EventSplitter | undefined;
-    private lastEventId: string | undefined;
+    private readonly relay: ResponseRelay;
     private deadlineTimer: NodeJS.Timeout | undefined;
     private idleTimer: NodeJS.Timeout | undefined;
     private outcome = "";
@@ -99,7 +84,13 @@
         this.urgency = workspace?.urgency ?? route.urgency;
         this.targetAt = receivedAt + route.targetMs;
         this.latestSendAt = this.computeLatestSendAt(receivedAt);
-        this.lastEventId = head.lastEventId;
+        this.relay = new ResponseRelay({
+            response,
+            isStreaming: route.kind === RouteKind.streaming,
+            lastEventId: head.lastEventId,
+            onBegan: () => this.applyEvent({ kind: "began" }),
+            onFull: () => this.call?.pause(),
+        });
         this.state = createDirectRequestState({
             isRepeatable: isRepeatable(route),
             isResumable: route.isResumable,
@@ -156,11 +147,7 @@
         this.triedUpstreams.add(record.id);
         this.upstream = upstream;
         this.observer = observeAttempt(context, request, record);
-        this.responseHead = undefined;
-        this.bufferedChunks = [];
-        this.bufferedBytes = 0;
-        this.scanner = undefined;
-        this.splitter = undefined;
+        this.relay.beginAttempt();
         this.attempts.push({
             upstream: record.id,
             estimated,
@@ -172,7 +159,7 @@
             timeoutMs: request.deadlineAt - now,
             workspace: request.workspace?.name,
             urgency: context.computeUrgency(request, now),
-            lastEventId: this.lastEventId,
+            lastEventId: this.relay.getLastEventId(),
             bodyLength: hasBody ? request.body.length : undefined,
         });
         this.recordEnd = recordSent(context.upstreamTracker, record.id, now);
@@ -206,8 +193,6 @@
     private handleHead(status: number, raw: string[], framing: ResponseFraming): void {
         const head = this.context.codec.decodeResponseHead(raw);
         Object.assign(this.attempts.at(-1)!, { framing, rateLimit: head.rateLimitValues.join(", ") || undefined });
-        this.responseHead = head;
-        this.status = status;
         if (head.requestId !== undefined && head.requestId !== this.request.id) {
             this.endAttempt(AttemptEnd.lost, "the answer belongs to another request");
             return;
@@ -216,24 +201,19 @@
             this.handleRefusal(status, head);
             return;
         }
-        if (this.isSuccess() && (!head.isSigned || head.isEncoded)) {
+        const fault = this.relay.acceptHead(status, head, framing);
+        if (this.relay.isSuccess() && (!head.isSigned || head.isEncoded)) {
             this.endAttempt(AttemptEnd.lost, "the answer is not the upstream's");
             return;
         }
+        if (fault !== undefined) {
+            this.endAttempt(this.relay.isSuccess() ? AttemptEnd.lost : AttemptEnd.failed, fault);
+            return;
+        }
         recordResponse(this.context.upstreamTracker, this.upstream!.record.id);
         this.recordReports(head);
-        this.prepareEvents(head.contentType);
-    }
-
-    /** Prepares to scan the body for events; on a streaming route, events are relayed as soon as they are complete. */
-    private prepareEvents(contentType: string | undefined): void {
-        const isStreamExpected = this.request.route.kind === RouteKind.streaming && this.isSuccess();
-        if (isEventStreamType(contentType) || (contentType === undefined && isStreamExpected)) {
-            this.scanner = createEventScanner();
-            if (isStreamExpected) {
-                this.splitter = createEventSplitter(this.scanner);
-                this.restartIdleTimer();
-            }
+        if (this.relay.isStream()) {
+            this.restartIdleTimer();
         }
     }
 
@@ -261,119 +241,48 @@
         }
     }
 
-    private isSuccess(): boolean {
-        return this.status >= 200 && this.status < 300;
-    }
-
-    private ensureStreamStarted(): void {
-        if (!this.state.hasSentHead) {
-            const { relayedHeaders } = this.responseHead!;
-            this.response.writeHead(this.status, removeHeader(relayedHeaders, "content-length"));
-            this.response.flushHeaders();
-            this.applyEvent({ kind: "began" });
-        }
-    }
-
     private handleChunk(chunk: Buffer): void {
-        if (this.responseHead === undefined) {
-            return;
-        }
-        if (this.splitter !== undefined) {
-            this.relayEvents(this.splitter, chunk);
-            return;
-        }
-        this.scanner?.push(chunk);
-        this.bufferedChunks.push(chunk);
-        this.bufferedBytes += chunk.length;
-        if (this.state.hasSentHead || this.bufferedBytes > maxBufferedBytes) {
-            this.relayBuffered();
+        if (this.relay.isStream()) {
+            this.restartIdleTimer();
+            this.context.recordStreamProgress(this.request.pool);
+            this.observer!.recordData();
         }
-    }
-
-    private relayEvents(splitter: EventSplitter, chunk: Buffer): void {
-        this.restartIdleTimer();
-        this.context.recordStreamProgress(this.request.pool);
-        this.observer!.recordData();
-        const attempt = this.attempts.at(-1)!;
-        for (const event of splitter.push(chunk)) {
-            if (!isNextEvent(event.id, this.lastEventId)) {
-                if (event.id !== undefined && Number(event.id) <= Number(this.lastEventId)) {
-                    continue;
-                }
-                this.endAttempt(AttemptEnd.lost, `event ${event.id} follows ${this.lastEventId ?? "the start"}`);
-                return;
-            }
-            this.lastEventId = event.id ?? this.lastEventId;
-            attempt.events = (attempt.events ?? 0) + 1;
-            this.ensureStreamStarted();
+        const { events, fault } = this.relay.push(chunk);
+        if (events > 0) {
+            const attempt = this.attempts.at(-1)!;
+            attempt.events = (attempt.events ?? 0) + events;
             this.latestSendAt = this.computeLatestSendAt(this.context.now());
-            this.write(event.bytes);
         }
-        if (splitter.isEventTooLong()) {
-            this.endAttempt(AttemptEnd.lost, "an event is too long");
-        }
-    }
-
-    private relayBuffered(): void {
-        if (!this.state.hasSentHead) {
-            this.response.writeHead(this.status, this.responseHead!.relayedHeaders);
-            this.applyEvent({ kind: "began" });
-        }
-        this.bufferedChunks.splice(0).forEach(bytes => this.write(bytes));
-    }
-
-    private write(bytes: Buffer): void {
-        if (!this.response.write(bytes)) {
-            this.call?.pause();
+        if (fault !== undefined) {
+            this.endAttempt(AttemptEnd.lost, fault);
         }
     }
 
     private handleEnd(): void {
-        if (this.status >= 500 && !this.state.hasSentHead) {
-            this.endAttempt(AttemptEnd.failed, `status ${this.status}`);
+        const status = this.relay.getStatus();
+        if (status >= 500 && !this.state.hasSentHead) {
+            this.endAttempt(AttemptEnd.failed, `status ${status}`);
             return;
         }
-        const attempt = this.attempts.at(-1)!;
-        const truncation = findTruncation(attempt.framing!, this.scanner);
+        const truncation = this.relay.findTruncation();
         if (truncation !== undefined) {
             this.observer!.recordBreak();
             this.endAttempt(AttemptEnd.lost, truncation);
             return;
         }
-        if (this.isSuccess()) {
+        if (this.relay.isSuccess()) {
             this.observer!.recordCompletion();
         }
         this.clearCall();
-        attempt.end = `status ${this.status}`;
-        if (this.splitter !== undefined) {
-            this.ensureStreamStarted();
-            this.write(this.splitter.getRemainder());
-            this.response.end();
-        }
-        else if (this.state.hasSentHead) {
-            this.response.end();
-        }
-        else {
-            this.sendBufferedResponse();
-        }
+        this.attempts.at(-1)!.end = `status ${status}`;
+        this.relay.finish();
         this.outcome = "answered";
         this.applyEvent({ kind: "completed" });
     }
 
-    /** Sends the upstream's complete response, which has been buffered. */
-    private sendBufferedResponse(): void {
-        const body = Buffer.concat(this.bufferedChunks.splice(0), this.bufferedBytes);
-        const { relayedHeaders, contentLength } = this.responseHead!;
-        const headers = contentLength === undefined ?
-            [...relayedHeaders, "Content-Length", String(body.length)] :
-            relayedHeaders;
-        this.response.writeHead(this.status, headers);
-        this.response.end(body);
-    }
-
     private relayUpstreamFailure(): void {
-        this.outcome = `the upstream failed with ${this.status}`;
-        this.sendBufferedResponse();
+        this.outcome = `the upstream failed with ${this.relay.getStatus()}`;
+        this.relay.finish();
     }
 
     private endAttempt(end: AttemptEnd, reason: string): void {
@@ -388,7 +297,7 @@
         }
         this.cancel();
         const hasRetryBudget = budgetedRetryEnds.has(end) && context.acquireRetry(this.request, now);
-        this.applyEvent({ kind: "ended", end, hasRetryBudget });
+        this.applyEvent({ kind: "ended", end, hasRetryBudget, canContinue: this.relay.canContinue() });
     }
 
     private restartIdleTimer(): void {
@@ -435,8 +344,9 @@
     /** Forgets the current call and records its end for the load estimate. */
     private clearCall(): void {
         clearTimeout(this.idleTimer);
-        if (this.scanner?.isInsideEvent()) {
-            this.attempts.at(-1)!.unfinishedBytes = this.scanner.countTrailingBytes();
+        const unfinishedBytes = this.relay.countUnfinishedBytes();
+        if (unfinishedBytes !== undefined) {
+            this.attempts.at(-1)!.unfinishedBytes = unfinishedBytes;
         }
         this.call = undefined;
         this.recordEnd?.(this.context.now());
@@ -449,8 +359,3 @@
         this.context.logRequest(this.request, this.outcome || "the caller has gone", this.attempts, this.rateLimits);
     }
 }
-
-/** Returns headers, given as alternating names and values, without those of a name in lower case. */
-function removeHeader(headers: string[], name: string): string[] {
-    return headers.filter((ignored, i) => headers[i - i % 2].toLowerCase() !== name);
-}
--- a/src/direct/requestState.ts
+++ b/src/direct/requestState.ts
@@ -47,6 +47,14 @@
     isFinished: boolean;
 }
 
+/** What a retry after the end of an attempt depends on, besides the state of the request. */
+export interface RetryConditions {
+    /** Whether the retry budget allows one more attempt. */
+    hasRetryBudget: boolean;
+    /** Whether another run can go on where the response to the caller ends now; irrelevant before its head is sent. */
+    canContinue: boolean;
+}
+
 export type DirectRequestEvent =
     /** A connection was made, and the request is being sent on it. */
     | { kind: "sent"; }
@@ -54,8 +62,8 @@
     | { kind: "began"; }
     /** The complete response has been sent to the caller. */
     | { kind: "completed"; }
-    /** The attempt ended without a complete response; `hasRetryBudget` is whether the budget allows a retry. */
-    | { kind: "ended"; end: AttemptEnd; hasRetryBudget: boolean; }
+    /** The attempt ended without a complete response. */
+    | ({ kind: "ended"; end: AttemptEnd; } & RetryConditions)
     /** No upstream can serve the request before its deadline. */
     | { kind: "expired"; }
     /** The prompt contains quarantined parts, so that the request must not be sent (again). */
@@ -121,7 +129,7 @@
         state.isFinished = true;
         return [{ kind: "finish" }];
     },
-    ended: (state, event) => endHandlers[event.end](state, event.hasRetryBudget),
+    ended: (state, event) => endHandlers[event.end](state, event),
     expired: state => abandon(state),
     quarantined: state => abandon(state).map(action => action.kind === "refuse" ? { kind: "reject" } : action),
     timeout: state => [{ kind: "cancel" }, ...abandon(state, 504)],
@@ -131,25 +139,27 @@
     },
 };
 
-type EndHandler = (state: DirectRequestState, hasRetryBudget: boolean) => DirectRequestAction[];
+type EndHandler = (state: DirectRequestState, conditions: RetryConditions) => DirectRequestAction[];
 
 const endHandlers: Record<AttemptEnd, EndHandler> = {
     unconnected: () => [{ kind: "place" }],
-    full: (state, hasRetryBudget) => retryRefused(state, hasRetryBudget),
-    misdirected: (state, hasRetryBudget) => retryRefused(state, hasRetryBudget),
+    full: (state, { hasRetryBudget }) => retryRefused(state, hasRetryBudget),
+    misdirected: (state, { hasRetryBudget }) => retryRefused(state, hasRetryBudget),
     "group-broken": state => {
         state.runs -= 1;
         return state.sentAttempts < maxSentAttempts ? [{ kind: "wait-for-group" }] : abandon(state);
     },
-    lost: (state, hasRetryBudget) => isRetryAllowed(state, hasRetryBudget) ? [{ kind: "place" }] : abandon(state),
-    failed: (state, hasRetryBudget) => {
-        if (!state.hasSentHead && isRetryAllowed(state, hasRetryBudget)) {
+    lost: (state, conditions) => isRetryAllowed(state, conditions) ? [{ kind: "place" }] : abandon(state),
+    failed: (state, conditions) => {
+        if (isRetryAllowed(state, conditions)) {
             return [{ kind: "place" }];
         }
+        // An error response cannot be relayed behind the head of another response.
+        if (state.hasSentHead) {
+            return abandon(state);
+        }
         state.isFinished = true;
-        return state.hasSentHead ?
-            [{ kind: "cut" }, { kind: "finish" }] :
-            [{ kind: "relay-failure" }, { kind: "finish" }];
+        return [{ kind: "relay-failure" }, { kind: "finish" }];
     },
 };
 
@@ -164,9 +174,14 @@
     return hasRetryBudget && state.sentAttempts < maxSentAttempts ? [{ kind: "place" }] : abandon(state);
 }
 
-function isRetryAllowed(state: DirectRequestState, hasRetryBudget: boolean): boolean {
-    const isAllowed = state.isRepeatable && (!state.hasSentHead || state.isResumable);
-    return isAllowed && hasRetryBudget && state.runs < state.maxRuns && state.sentAttempts < maxSentAttempts;
+function isRetryAllowed(state: DirectRequestState, { hasRetryBudget, canContinue }: RetryConditions): boolean {
+    return hasRetryBudget && isRunAllowed(state, canContinue);
+}
+
+/** Whether the request may run once more after it may have run, provided that the retry budget allows it. */
+export function isRunAllowed(state: DirectRequestState, canContinue: boolean): boolean {
+    const isAllowed = state.isRepeatable && (!state.hasSentHead || (state.isResumable && canContinue));
+    return isAllowed && state.runs < state.maxRuns && state.sentAttempts < maxSentAttempts;
 }
 
 /** Ends the request without a response from an upstream; `status` is used if the request may have run. */
--- /dev/null
+++ b/src/direct/responseRelay.ts
@@ -0,0 +1,209 @@
+/**
+ * Relays the responses of one request's attempts to its caller: whole if they are short, in chunks if they are long, and
+ * event by event if they are streams. Once the head of a response has been sent, only a run that continues its stream
+ * adds to it.
+ */
+import type { ServerResponse } from "node:http";
+import {
+    createEventScanner,
+    createEventSplitter,
+    type EventScanner,
+    type EventSplitter,
+    isEventStreamType,
+} from "../wire/eventStream.js";
+import { findTruncation } from "../wire/responseCompletion.js";
+import { ResponseFraming } from "../wire/responseFraming.js";
+import {
+    beginStreamRun,
+    createStreamContinuity,
+    decideEvent,
+    EventDecision,
+    type StreamContinuity,
+} from "./streamContinuity.js";
+import type { ResponseHead } from "./types.js";
+
+/** Maximum size of a response that is buffered until it is complete, in bytes; longer ones are relayed in chunks. */
+const maxBufferedBytes = 256 * 1024;
+
+export interface ResponseRelayOptions {
+    response: ServerResponse;
+    /** Whether successful responses are streams of events. */
+    isStreaming: boolean;
+    /** Id of the event after which the caller resumes the stream. */
+    lastEventId: string | undefined;
+    /** Called when the head of a response has been sent. */
+    onBegan: () => void;
+    /** Called when the caller reads more slowly than the upstream sends. */
+    onFull: () => void;
+}
+
+/** What a chunk of a response led to. */
+export interface RelayedChunk {
+    /** Number of events that were relayed. */
+    events: number;
+    /** Why the response must not be relayed any further; undefined if it may. */
+    fault?: string;
+}
+
+export class ResponseRelay {
+    private readonly continuity: StreamContinuity;
+    private hasSentHead = false;
+    private status = 0;
+    private head: ResponseHead | undefined;
+    private framing: ResponseFraming = ResponseFraming.none;
+    private bufferedChunks: Buffer[] = [];
+    private bufferedBytes = 0;
+    private scanner: EventScanner | undefined;
+    private splitter: EventSplitter | undefined;
+
+    constructor(private readonly options: ResponseRelayOptions) {
+        this.continuity = createStreamContinuity(options.lastEventId);
+    }
+
+    /** Discards what is buffered of the previous attempt. */
+    beginAttempt(): void {
+        this.status = 0;
+        this.head = undefined;
+        this.bufferedChunks = [];
+        this.bufferedBytes = 0;
+        this.scanner = undefined;
+        this.splitter = undefined;
+        beginStreamRun(this.continuity);
+    }
+
+    /** Takes the head of the attempt's response; returns why it cannot be relayed, or undefined if it can. */
+    acceptHead(status: number, head: ResponseHead, framing: ResponseFraming): string | undefined {
+        Object.assign(this, { status, head, framing });
+        const isStreamExpected = this.options.isStreaming && this.isSuccess();
+        const isEventStream = isEventStreamType(head.contentType) ||
+            (head.contentType === undefined && isStreamExpected);
+        const canContinue = isStreamExpected && isEventStream && framing !== ResponseFraming.none;
+        if (this.hasSentHead && !canContinue) {
+            return `status ${status} does not continue the stream`;
+        }
+        if (isEventStream) {
+            this.scanner = createEventScanner();
+            this.splitter = isStreamExpected ? createEventSplitter(this.scanner) : undefined;
+        }
+        return undefined;
+    }
+
+    /** Whether the response of the attempt is relayed event by event. */
+    isStream(): boolean {
+        return this.splitter !== undefined;
+    }
+
+    isSuccess(): boolean {
+        return this.status >= 200 && this.status < 300;
+    }
+
+    /** Returns the status of the attempt's response, 0 before its head. */
+    getStatus(): number {
+        return this.status;
+    }
+
+    /** Returns the id of the last event that the caller has. */
+    getLastEventId(): string | undefined {
+        return this.continuity.lastEventId;
+    }
+
+    /** Whether another run can go on where the response to the caller ends now. */
+    canContinue(): boolean {
+        return this.continuity.hasResumePoint;
+    }
+
+    /** Adds a chunk of the attempt's response. */
+    push(chunk: Buffer): RelayedChunk {
+        if (this.splitter !== undefined) {
+            return this.relayEvents(this.splitter, chunk);
+        }
+        this.scanner?.push(chunk);
+        this.bufferedChunks.push(chunk);
+        this.bufferedBytes += chunk.length;
+        if (this.hasSentHead || this.bufferedBytes > maxBufferedBytes) {
+            this.sendHead(this.head!.relayedHeaders);
+            this.bufferedChunks.splice(0).forEach(bytes => this.write(bytes));
+        }
+        return { events: 0 };
+    }
+
+    /** Describes why the response, whose transport has ended, is incomplete; undefined if it is complete. */
+    findTruncation(): string | undefined {
+        const isContinued = !this.hasSentHead || this.continuity.isRunConfirmed;
+        return findTruncation(this.framing, this.scanner) ??
+            (isContinued ? undefined : "the stream ended without continuing");
+    }
+
+    /** Sends what remains of the attempt's complete response, and ends the caller's response. */
+    finish(): void {
+        const { response } = this.options;
+        if (this.splitter !== undefined) {
+            this.sendStreamHead();
+            this.write(this.splitter.getRemainder());
+            response.end();
+        }
+        else if (this.hasSentHead) {
+            response.end();
+        }
+        else {
+            this.sendBuffered();
+        }
+    }
+
+    /** Counts the bytes of an incomplete event at the end of a stream; undefined if there is none. */
+    countUnfinishedBytes(): number | undefined {
+        return this.scanner?.isInsideEvent() === true ? this.scanner.countTrailingBytes() : undefined;
+    }
+
+    private relayEvents(splitter: EventSplitter, chunk: Buffer): RelayedChunk {
+        let events = 0;
+        for (const event of splitter.push(chunk)) {
+            const { lastEventId } = this.continuity;
+            const decision = decideEvent(this.continuity, event);
+            if (decision === EventDecision.reject) {
+                const fault = `event ${event.id ?? "without id"} follows ${lastEventId ?? "the start"}`;
+                return { events, fault };
+            }
+            if (decision === EventDecision.relay) {
+                events += 1;
+                this.sendStreamHead();
+                this.write(event.bytes);
+            }
+        }
+        return splitter.isEventTooLong() ? { events, fault: "an event is too long" } : { events };
+    }
+
+    private sendStreamHead(): void {
+        this.sendHead(removeHeader(this.head!.relayedHeaders, "content-length"));
+    }
+
+    private sendHead(headers: string[]): void {
+        if (!this.hasSentHead) {
+            this.hasSentHead = true;
+            this.options.response.writeHead(this.status, headers);
+            this.options.response.flushHeaders();
+            this.options.onBegan();
+        }
+    }
+
+    private sendBuffered(): void {
+        const body = Buffer.concat(this.bufferedChunks.splice(0), this.bufferedBytes);
+        const { relayedHeaders, contentLength } = this.head!;
+        const headers = contentLength === undefined ?
+            [...relayedHeaders, "Content-Length", String(body.length)] :
+            relayedHeaders;
+        this.options.response.writeHead(this.status, headers);
+        this.options.response.end(body);
+    }
+
+    private write(bytes: Buffer): void {
+        if (!this.options.response.write(bytes)) {
+            this.options.onFull();
+        }
+    }
+}
+
+/** Returns headers, given as alternating names and values, without those of a name in lower case. */
+function removeHeader(headers: string[], name: string): string[] {
+    return headers.filter((ignored, i) => headers[i - i % 2].toLowerCase() !== name);
+}
--- a/src/direct/tests/attempt.test.ts
+++ b/src/direct/tests/attempt.test.ts
@@ -16,7 +16,12 @@
 const began: DirectRequestEvent = { kind: "began" };
 const timeout: DirectRequestEvent = { kind: "timeout" };
 const completed: DirectRequestEvent = { kind: "completed" };
-const ended = (end: AttemptEnd, hasRetryBudget = true): DirectRequestEvent => ({ kind: "ended", end, hasRetryBudget });
+const ended = (end: AttemptEnd, hasRetryBudget = true, canContinue = true): DirectRequestEvent => ({
+    kind: "ended",
+    end,
+    hasRetryBudget,
+    canContinue,
+});
 
 /** Applies the events in order and returns the actions after each, separated by spaces. */
 function applyEvents(kind: keyof typeof kinds, events: DirectRequestEvent[]): string[] {
@@ -51,6 +56,18 @@
     ["failed by the upstream", "once", [sent, ended(AttemptEnd.failed)], "relay-failure finish"],
     ["failed by the upstream", "idempotent", [sent, ended(AttemptEnd.failed)], "place"],
     ["broken off midway", "resumable", [sent, began, ended(AttemptEnd.lost)], "place"],
+    ["broken off midway where no run can go on", "resumable", [
+        sent,
+        began,
+        ended(AttemptEnd.lost, true, false),
+    ], "cut finish"],
+    ["failed by a second upstream midway", "resumable", [
+        sent,
+        began,
+        ended(AttemptEnd.lost),
+        sent,
+        ended(AttemptEnd.failed),
+    ], "cut finish"],
     ["broken off midway", "once", [sent, began, ended(AttemptEnd.lost)], "cut finish"],
     ["refused by a broken group", "resumable", [sent, ended(AttemptEnd.groupBroken)], "wait-for-group"],
     ["out of time before it was sent", "once", [timeout], "cancel refuse finish"],
--- a/src/standin/brokenUpstream.ts
+++ b/src/standin/brokenUpstream.ts
@@ -11,6 +11,8 @@
 export type BodyFraming = Exclude<ResponseFraming, "none">;
 
 export interface PreparedResponse {
+    /** 200 if it is undefined. */
+    status?: number;
     framing: BodyFraming;
     /** Header lines besides those of the framing. */
     headers: string[];
@@ -50,11 +52,11 @@
     reset: socket => socket.resetAndDestroy(),
 };
 
-/** Writes a response with status 200 and ends the connection. */
+/** Writes a response and ends the connection. */
 export function sendPreparedResponse(socket: Socket, response: PreparedResponse): void {
-    const { framing, headers, body, sentBytes, ending } = response;
+    const { status = 200, framing, headers, body, sentBytes, ending } = response;
     const { header, encode } = framingWriters[framing];
-    const head = ["HTTP/1.1 200 OK", ...headers, ...header(body)].join("\r\n");
+    const head = [`HTTP/1.1 ${status} `, ...headers, ...header(body)].join("\r\n");
     const part = sentBytes === undefined ? body : body.slice(0, sentBytes);
     socket.write(`${head}\r\n\r\n${encode(part, sentBytes === undefined)}`, () => endConnection[ending](socket));
 }
--- a/src/wire/eventStream.ts
+++ b/src/wire/eventStream.ts
@@ -20,6 +20,8 @@
 export interface StreamEvent {
     /** Value of the event's `id` field. */
     id?: string;
+    /** Whether the event has any field; a block of comments has none. */
+    hasFields: boolean;
     /** The whole event, including the blank line at its end. */
     bytes: Buffer;
 }
@@ -128,6 +130,8 @@
 }
 
 function parseEvent(bytes: Buffer): StreamEvent {
-    const match = /^id:[ ]?([^\r\n]*)/m.exec(bytes.toString("latin1"));
-    return match ? { id: match[1], bytes } : { bytes };
+    const text = bytes.toString("latin1");
+    const hasFields = /^[^:\r\n]/m.test(text);
+    const match = /^id:[ ]?([^\r\n]*)/m.exec(text);
+    return match ? { id: match[1], hasFields, bytes } : { hasFields, bytes };
 }
