Check what comes from outside where it enters, and let errors end one request

One response with status 000 or 099, one header line without a name, a header named __proto__ or a TAB in a path was enough.

Cause: Node.js accepts this text on receipt and throws when it is to be sent; decoders of headers were looked up in plain objects; and no listener, timer or promise of the direct path caught anything.

What a step of a request throws ends that request alone, with a truthful response, is logged with its cause and counted.

--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -56,6 +56,8 @@
     sendRejection: (response: ServerResponse, quarantined: QuarantinedParts) => void;
     /** Responds with `status` that the request failed and may have run. */
     sendFailure: (response: ServerResponse, status: number) => void;
+    /** Counts and logs an error that ended a request in this process, with its cause. */
+    reportFault: (error: Error, requestId?: string) => void;
     /** Counts and logs a finished request. */
     logRequest: (
         request: DirectRequest,
--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -13,7 +13,7 @@
     recordSent,
     type TrackedUpstream,
 } from "../routing/upstreamTracker.js";
-import { interruptResponse } from "../wire/interruptResponse.js";
+import { interruptResponse, resetConnection } from "../wire/interruptResponse.js";
 import type { ResponseFraming } from "../wire/responseFraming.js";
 import { type AttemptObserver, observeAttempt } from "./attemptObserver.js";
 import type { DirectContext } from "./context.js";
@@ -60,6 +60,7 @@
     private deadlineTimer: NodeJS.Timeout | undefined;
     private idleTimer: NodeJS.Timeout | undefined;
     private outcome = "";
+    private isReleased = false;
 
     private readonly actionHandlers: ActionHandlers = {
         place: () => this.context.scheduler.place(this),
@@ -100,19 +101,46 @@
 
     /** Starts the deadline timer and sends or queues the request. */
     begin(): void {
-        this.deadlineTimer = setTimeout(
-            () => this.applyEvent({ kind: "timeout" }),
-            this.request.deadlineAt - this.context.now(),
-        );
-        this.response.on("close", () => this.applyEvent({ kind: "caller-gone" }));
+        const leftMs = this.request.deadlineAt - this.context.now();
+        this.deadlineTimer = setTimeout(this.contain(() => this.applyEvent({ kind: "timeout" })), leftMs);
+        this.response.on("close", this.contain(() => this.applyEvent({ kind: "caller-gone" })));
         this.response.on("drain", () => this.call?.resume());
-        this.context.recordFirstAttempt(this.request);
-        this.context.scheduler.place(this);
+        this.contain(() => {
+            this.context.recordFirstAttempt(this.request);
+            this.context.scheduler.place(this);
+        })();
     }
 
     /** Ends the request because no upstream can serve it in time. */
     expire(): void {
-        this.applyEvent({ kind: "expired" });
+        this.contain(() => this.applyEvent({ kind: "expired" }))();
+    }
+
+    /** Ends the request because a step of it has thrown `error`, which concerns no other request. */
+    endWithFault(error: Error): void {
+        this.context.reportFault(error, this.request.id);
+        try {
+            this.applyEvent({ kind: "fault" });
+        }
+        catch (secondError) {
+            this.context.reportFault(secondError as Error, this.request.id);
+        }
+        if (!this.response.writableEnded && !this.response.destroyed) {
+            resetConnection(this.response);
+        }
+        this.finish();
+    }
+
+    /** Wraps a step of the request so that an error which it throws ends this request alone. */
+    private contain<Args extends unknown[]>(step: (...args: Args) => void): (...args: Args) => void {
+        return (...args) => {
+            try {
+                step(...args);
+            }
+            catch (error) {
+                this.endWithFault(error as Error);
+            }
+        };
     }
 
     /** Ends the request if its prompt contains quarantined parts; returns whether it did. */
@@ -170,16 +198,11 @@
             headers,
             body: request.body,
             listener: {
-                onConnected: () => this.applyEvent({ kind: "sent" }),
-                onHead: (status, raw, framing) => this.handleHead(status, raw, framing),
-                onChunk: chunk => this.handleChunk(chunk),
-                onEnd: () => this.handleEnd(),
-                onFailure: (isConnected, reason) => {
-                    if (isConnected) {
-                        this.observer!.recordBreak();
-                    }
-                    this.endAttempt(isConnected ? AttemptEnd.lost : AttemptEnd.unconnected, reason);
-                },
+                onConnected: this.contain(() => this.applyEvent({ kind: "sent" })),
+                onHead: this.contain((status, raw, framing) => this.handleHead(status, raw, framing)),
+                onChunk: this.contain(chunk => this.handleChunk(chunk)),
+                onEnd: this.contain(() => this.handleEnd()),
+                onFailure: this.contain((isConnected, reason) => this.handleFailure(isConnected, reason)),
             },
         });
     }
@@ -190,6 +213,13 @@
         }
     }
 
+    private handleFailure(isConnected: boolean, reason: string): void {
+        if (isConnected) {
+            this.observer!.recordBreak();
+        }
+        this.endAttempt(isConnected ? AttemptEnd.lost : AttemptEnd.unconnected, reason);
+    }
+
     private handleHead(status: number, raw: string[], framing: ResponseFraming): void {
         const head = this.context.codec.decodeResponseHead(raw);
         Object.assign(this.attempts.at(-1)!, { framing, rateLimit: head.rateLimitValues.join(", ") || undefined });
@@ -302,7 +332,7 @@
 
     private restartIdleTimer(): void {
         clearTimeout(this.idleTimer);
-        this.idleTimer = setTimeout(() => this.handleIdleTimeout(), streamIdleTimeoutMs);
+        this.idleTimer = setTimeout(this.contain(() => this.handleIdleTimeout()), streamIdleTimeoutMs);
     }
 
     /** A stream that is idle while others of its pool progress has lost its connection; otherwise the group stalls. */
@@ -354,7 +384,12 @@
     }
 
     private finish(): void {
+        if (this.isReleased) {
+            return;
+        }
+        this.isReleased = true;
         clearTimeout(this.deadlineTimer);
+        this.cancel();
         this.context.scheduler.remove(this);
         this.context.logRequest(this.request, this.outcome || "the caller has gone", this.attempts, this.rateLimits);
     }
--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -2,7 +2,9 @@
  * Helpers that entries and slots of the direct path share: heartbeats, calls between peers, hand-overs (log records
  * that one process sends to a peer that lacks them) and reloaded settings.
  */
+import { z } from "zod/mini";
 import type { DirectEntryMetrics } from "../observe/directMetrics.js";
+import { containFaults, type FaultReporter } from "../observe/faults.js";
 import type { Logger } from "../observe/logger.js";
 import type { Feed, PeerRecords } from "../peers/feed.js";
 import {
@@ -11,6 +13,7 @@
     handOverMethod,
     type HandOverParams,
     type HandOverResult,
+    parseHandOverParams,
 } from "../peers/handOver.js";
 import { decodeDatagram, type Heartbeat } from "../peers/heartbeat.js";
 import type { PermitGrantMessage, PermitRequestMessage } from "../peers/permitMessages.js";
@@ -30,6 +33,15 @@
     pendingQuarantine?: PendingRecord[];
 }
 
+/** Maximum length of a record's key in the log, in bytes. */
+const maxKeyBytes = 255;
+const PendingRecordsSchema = z.object({
+    records: z.array(z.object({
+        key: z.string().check(z.refine(key => key !== "" && Buffer.byteLength(key) <= maxKeyBytes)),
+        value: z.optional(z.string()),
+    })),
+});
+
 /** RPC method that passes quarantine records to a process that may reach the log. */
 export const quarantineMethod = "quarantine";
 /** Timeout of a call that passes quarantine records, in milliseconds. */
@@ -61,7 +73,13 @@
         timeoutMs: handOverTimeoutMs,
         stallTimeoutMs: handOverTimeoutMs,
     });
-    return { ...decodeHandOver(result), pendingQuarantine: result.pendingQuarantine };
+    const { pendingQuarantine = [] } = result;
+    return { ...decodeHandOver(result), pendingQuarantine: parsePendingRecords({ records: pendingQuarantine }) };
+}
+
+/** Parses the parameters of a call that passes quarantine records; throws if they are invalid. */
+export function parsePendingRecords(params: unknown): PendingRecord[] {
+    return PendingRecordsSchema.parse(params).records;
 }
 
 /** Fetches the quarantine records of `peer` that the log has not accepted yet; rejects if the call fails. */
@@ -72,6 +90,8 @@
 
 /** Receives the datagrams of other processes; `delayMs` is the time that one was under way beyond the usual time. */
 export interface DatagramListener {
+    /** Called with what the other functions throw; the datagram is dropped. */
+    reportFault: FaultReporter;
     onHeartbeat: (heartbeat: Heartbeat, delayMs: number) => void;
     onPermitMessage?: (message: PermitRequestMessage | PermitGrantMessage, delayMs: number) => void;
 }
@@ -87,7 +107,7 @@
     listener: DatagramListener,
 ): Promise<DatagramSocket> {
     const delays = createTransitDelays(() => performance.now());
-    return bindDatagramSocket(address, bytes => {
+    const receive = containFaults(listener.reportFault, (bytes: Buffer) => {
         const datagram = decodeDatagram(bytes);
         if (datagram === undefined) {
             return;
@@ -98,7 +118,9 @@
         }
         const peer = datagram.kind === "presence" ? datagram.host : datagram.from;
         listener.onHeartbeat(datagram, recordPeerPositions(feed, datagram.positions, peer, delays));
-    }, error => failures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" }));
+    });
+    const countFailure = (error: Error) => failures.inc({ code: (error as NodeJS.ErrnoException).code ?? "unknown" });
+    return bindDatagramSocket(address, receive, countFailure);
 }
 
 /**
@@ -112,8 +134,8 @@
     listPending: () => PendingRecord[] = () => [],
 ): ReturnType<typeof createPeerHandler> {
     return createPeerHandler({
-        [handOverMethod]: (params: HandOverParams): HandOverResult & PendingQuarantine => ({
-            ...createHandOver(feed, params, performance.now()),
+        [handOverMethod]: (params: unknown): HandOverResult & PendingQuarantine => ({
+            ...createHandOver(feed, parseHandOverParams(params), performance.now()),
             pendingQuarantine: listPending(),
         }),
         ...methods,
--- a/src/direct/requestState.ts
+++ b/src/direct/requestState.ts
@@ -71,7 +71,9 @@
     /** The deadline has passed. */
     | { kind: "timeout"; }
     /** The caller has disconnected. */
-    | { kind: "caller-gone"; };
+    | { kind: "caller-gone"; }
+    /** A step of the request has failed in this process. */
+    | { kind: "fault"; };
 
 export type DirectRequestAction =
     /** Selects an upstream and sends the request, for the first time or as a retry. */
@@ -133,6 +135,7 @@
     expired: state => abandon(state),
     quarantined: state => abandon(state).map(action => action.kind === "refuse" ? { kind: "reject" } : action),
     timeout: state => [{ kind: "cancel" }, ...abandon(state, 504)],
+    fault: state => [{ kind: "cancel" }, ...abandon(state)],
     "caller-gone": state => {
         state.isFinished = true;
         return [{ kind: "cancel" }, { kind: "finish" }];
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -79,7 +79,17 @@
         capacityShares.set(pool, share);
         return share;
     };
+    /** Sends a request if possible; returns whether it does not have to wait, also because an error has ended it. */
     const trySend = (dispatch: DirectDispatch): boolean => {
+        try {
+            return sendIfPossible(dispatch);
+        }
+        catch (error) {
+            dispatch.endWithFault(error as Error);
+            return true;
+        }
+    };
+    const sendIfPossible = (dispatch: DirectDispatch): boolean => {
         const { upstreamTracker, dataCentre, random, findPool, groupTracker, rateLimiter } = options;
         const { request } = dispatch;
         if (dispatch.endIfQuarantined()) {
--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -6,6 +6,7 @@
 import { findServingRoute, pickPool, type ServingIndex } from "../config/serving.js";
 import type { QuarantinedParts } from "../routing/quarantine.js";
 import { readBody } from "../wire/body.js";
+import { findInvalidField, isRequestTarget } from "../wire/httpSyntax.js";
 import { interruptResponse } from "../wire/interruptResponse.js";
 import type { DirectContext } from "./context.js";
 import { DirectDispatch } from "./directDispatch.js";
@@ -46,7 +47,11 @@
         response.sendDate = false;
         response.shouldKeepAlive = response.shouldKeepAlive && !options.isStopping();
         response.on("close", () => inFlight.delete(response));
-        void handleRequest(options, message, response, arrivalCount);
+        response.on("error", options.context.reportFault);
+        handleRequest(options, message, response, arrivalCount).catch((error: Error) => {
+            options.context.reportFault(error);
+            options.context.sendRefusal(response, startupRetryAfterMs);
+        });
     });
     return {
         server,
@@ -105,8 +110,11 @@
     body: Buffer,
     receivedAt: number,
 ): DirectRequest | number {
-    const head = context.codec.decodeRequestHead(message.rawHeaders);
     const target = message.url ?? "/";
+    if (!isRequestTarget(target) || findInvalidField(message.rawHeaders) !== undefined) {
+        return 400;
+    }
+    const head = context.codec.decodeRequestHead(message.rawHeaders);
     const route = findServingRoute(index, head.host, target);
     if (route === undefined) {
         return 404;
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -6,8 +6,8 @@
 import { buildServingIndex, type ServingIndex } from "../config/serving.js";
 import type { ServingDocument } from "../config/serving.js";
 import { createDirectEntryMetrics } from "../observe/directMetrics.js";
+import { containFaults } from "../observe/faults.js";
 import { createLoggerFactory, LogPrefix } from "../observe/logger.js";
-import { createLogRateLimiter } from "../observe/logRateLimiter.js";
 import { createFeed, type FeedSource, FeedTopic } from "../peers/feed.js";
 import { createHandOverParams } from "../peers/handOver.js";
 import { encodeDatagram, type LeaderHeartbeat, unpackRankLoads } from "../peers/heartbeat.js";
@@ -40,6 +40,7 @@
     createSettingsHandlers,
     fetchHandOver,
     fetchPendingQuarantine,
+    parsePendingRecords,
     quarantineMethod,
     relayQuarantine,
 } from "./peerLink.js";
@@ -47,11 +48,11 @@
 import { createPresenceTracker } from "./presenceTracker.js";
 import type { PendingRecord } from "./quarantineSharing.js";
 import { createRateLimiter, type RateLimiter } from "./rateLimiter.js";
+import { createRequestLog } from "./requestLog.js";
 import { createRequestQuarantine } from "./requestQuarantine.js";
-import { AttemptEnd } from "./requestState.js";
 import { createScheduler, type DirectScheduler } from "./scheduler.js";
 import { applyLimits, createDirectServer, sendEmptyResponse, sendQuarantineRejection } from "./server.js";
-import type { AttemptRecord, DirectRequest, HeadCodec } from "./types.js";
+import type { DirectRequest, HeadCodec } from "./types.js";
 
 export interface DirectEntryOptions {
     instance: string;
@@ -127,7 +128,6 @@
     const logger = createLogger(LogPrefix.entry);
     const peersLogger = createLogger(LogPrefix.peers);
     const metrics = createDirectEntryMetrics();
-    const logRateLimiter = createLogRateLimiter();
     const now = () => performance.now();
     const startedAt = now();
     const random = Math.random;
@@ -237,6 +237,7 @@
         return budget;
     };
     const findEngine = (request: DirectRequest) => index?.pools.get(request.pool)?.engine;
+    const requestLog = createRequestLog({ logger, metrics, now, getRevision: () => index?.document.revision });
     const context: DirectContext = {
         codec: options.codec,
         upstreamTracker,
@@ -302,35 +303,7 @@
             sendQuarantineRejection(response, quarantined);
         },
         sendFailure: (response, status) => sendEmptyResponse(response, status, []),
-        logRequest: (request, outcome, attempts, rateLimits) => {
-            const ms = Math.round(now() - request.receivedAt);
-            metrics.requests.inc({ outcome: outcome.split(",")[0] });
-            metrics.responseSeconds.observe(ms / 1000);
-            for (const { end, framing, unfinishedBytes, rateLimit } of attempts) {
-                metrics.attempts.inc({ end: end?.split(":")[0] ?? "open" });
-                if (rateLimit !== undefined) {
-                    metrics.rateLimitedResponses.inc();
-                }
-                if (unfinishedBytes !== undefined) {
-                    metrics.unfinishedStreams.inc({ framing });
-                }
-            }
-            if (!logRateLimiter.admit(now())) {
-                metrics.logLinesDropped.inc();
-                return;
-            }
-            logger.info("The request has finished.", {
-                requestId: request.id,
-                route: request.route.name,
-                pool: request.pool,
-                revision: index?.document.revision,
-                outcome,
-                ms,
-                attempts,
-                rateLimits: rateLimits.length === 0 ? undefined : rateLimits,
-                promptParts: isAnyLost(attempts) ? request.head.sharedPromptParts : undefined,
-            });
-        },
+        ...requestLog,
     };
     const { server, countInFlight, interruptResponses } = createDirectServer({
         context,
@@ -341,8 +314,8 @@
     const isReady = () => !isStopping && index !== undefined && upstreamTracker.upstreams.size > 0;
     const readiness = createServer((message, response) => sendEmptyResponse(response, isReady() ? 200 : 503, []));
     const handleInternalRequest = createInternalHandler(feed, metrics.registry, {
-        [quarantineMethod]: ({ records }: { records: PendingRecord[]; }) => {
-            quarantine.acceptRecords(records);
+        [quarantineMethod]: (params: unknown) => {
+            quarantine.acceptRecords(parsePendingRecords(params));
             return true;
         },
     }, quarantine.listPending);
@@ -388,6 +361,7 @@
         receivers.forEach(host => host !== undefined && datagrams.send(presence, host, options.internal.port));
     };
     const datagrams = await bindDatagrams(options.internal, feed, metrics.sendFailures, {
+        reportFault: requestLog.reportFault,
         onHeartbeat: (heartbeat, delayMs) => {
             if (heartbeat.kind === "vector") {
                 applyLeaderHeartbeat(heartbeat, delayMs);
@@ -413,7 +387,7 @@
         isExpired: hasQuarantineWaitExpired,
     }).then(() => hasCollectedPending = true);
     sendPresence();
-    setInterval(sendPresence, presenceIntervalMs);
+    setInterval(containFaults(requestLog.reportFault, sendPresence), presenceIntervalMs);
     logger.info("The entry listens.", { port: options.callers.port });
 
     const { applySettings, handleInvalidSettings } = createSettingsHandlers(options, logger);
@@ -441,11 +415,6 @@
     };
 }
 
-/** Whether an upstream broke the connection of an attempt, which may have ended with it. */
-function isAnyLost(attempts: AttemptRecord[]): boolean {
-    return attempts.some(({ end }) => end?.startsWith(AttemptEnd.lost));
-}
-
 function waitFor(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/src/direct/startDirectSlot.ts
+++ b/src/direct/startDirectSlot.ts
@@ -16,6 +16,7 @@
 import { createRebalancer, type OrderResult } from "../group/rebalancer.js";
 import { lockRank } from "../group/rollout.js";
 import { createDirectSlotMetrics } from "../observe/directMetrics.js";
+import { containFaults, createFaultReporter } from "../observe/faults.js";
 import { createLoggerFactory, LogPrefix } from "../observe/logger.js";
 import { createFeed, type FeedSource } from "../peers/feed.js";
 import { createHandOverParams, type HandOverParams } from "../peers/handOver.js";
@@ -99,6 +100,7 @@
     const groupLogger = createLogger(LogPrefix.group);
     const metrics = createDirectSlotMetrics();
     const now = () => performance.now();
+    const reportFault = createFaultReporter(logger, metrics.faults, now);
     const localRank = options.createRankClient(engine);
     const planCache = createPlanCache();
     const slotAgent = new Agent({ keepAlive: true, timeout: slotConnectionIdleMs });
@@ -331,6 +333,7 @@
         },
     };
     const datagrams = await bindDatagrams(internal, feed, metrics.sendFailures, {
+        reportFault,
         onHeartbeat: heartbeat => heartbeatHandlers[heartbeat.kind](heartbeat as never),
     });
     const server = createServer(createInternalHandler(feed, metrics.registry, {
@@ -342,19 +345,21 @@
     feed.start();
     logger.info("The slot listens.", { engine: `${engine.host}:${engine.port}` });
     let isSendingHeartbeat = false;
+    const sendDueRankHeartbeat = async () => {
+        if (!isSendingHeartbeat) {
+            isSendingHeartbeat = true;
+            await sendRankHeartbeat().finally(() => isSendingHeartbeat = false);
+        }
+    };
+    const advanceRebalancer = () => {
+        if (leaderState.leader === internal.host) {
+            rebalancer.advance(hosts, pool?.engine?.experts);
+        }
+    };
     const timers = [
-        setInterval(() => {
-            if (!isSendingHeartbeat) {
-                isSendingHeartbeat = true;
-                void sendRankHeartbeat().finally(() => isSendingHeartbeat = false);
-            }
-        }, heartbeatIntervalMs),
-        setInterval(sendLeaderHeartbeat, heartbeatIntervalMs),
-        setInterval(() => {
-            if (leaderState.leader === internal.host) {
-                rebalancer.advance(hosts, pool?.engine?.experts);
-            }
-        }, rebalanceIntervalMs),
+        setInterval(containFaults(reportFault, sendDueRankHeartbeat), heartbeatIntervalMs),
+        setInterval(containFaults(reportFault, sendLeaderHeartbeat), heartbeatIntervalMs),
+        setInterval(containFaults(reportFault, advanceRebalancer), rebalanceIntervalMs),
     ];
     return {
         ...createSettingsHandlers(options, logger),
--- a/src/direct/upstreamCall.ts
+++ b/src/direct/upstreamCall.ts
@@ -1,5 +1,6 @@
 /** Sends one request to one upstream on a new connection, so that no response to another request can arrive on it. */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import { findInvalidHead } from "../wire/httpSyntax.js";
 import { ResetDetectingSocket } from "../wire/resetDetectingSocket.js";
 import { classifyFraming, type ResponseFraming } from "../wire/responseFraming.js";
 
@@ -39,7 +40,10 @@
     resume: () => void;
 }
 
-/** Sends a request; `options.listener` receives the response or the failure. */
+/**
+ * Sends a request; `options.listener` receives the response or the failure. Throws if the request cannot be written as
+ * HTTP/1.1; a response that is no HTTP/1.1 is a failure.
+ */
 export function callUpstream(options: UpstreamCallOptions): UpstreamCall {
     const { target, method, path, headers, body, listener } = options;
     let isConnected = false;
@@ -78,6 +82,12 @@
     clientRequest.on("error", error => fail(error.message));
     clientRequest.on("close", () => fail("closed without an answer"));
     clientRequest.on("response", message => {
+        const status = message.statusCode ?? 0;
+        const fault = findInvalidHead(status, message.rawHeaders);
+        if (fault !== undefined) {
+            fail(fault);
+            return;
+        }
         response = message;
         message.on("data", (chunk: Buffer) => {
             if (!isSettled) {
@@ -94,7 +104,6 @@
         message.on("error", error => fail(error.message));
         message.on("aborted", () => fail("the answer was cut"));
         if (!isSettled) {
-            const status = message.statusCode ?? 0;
             listener.onHead(status, message.rawHeaders, classifyFraming(method, status, message.headers));
         }
     });
--- a/src/group/rankTypes.ts
+++ b/src/group/rankTypes.ts
@@ -3,6 +3,9 @@
  * others) that change the group's expert map.
  */
 
+/** Maximum number of ranks in a group; a larger number in a report or message is invalid. */
+export const maxRanks = 4096;
+
 /** Map version that a rank switches to when `step` begins. */
 export interface ArmedMap {
     version: number;
--- a/src/observe/directMetrics.ts
+++ b/src/observe/directMetrics.ts
@@ -24,6 +24,7 @@
     logLinesDropped: Counter<string>;
     logReads: Counter<"topic" | "reason" | "outcome">;
     sendFailures: Counter<"code">;
+    faults: Counter<string>;
 }
 
 /** Creates the metrics of an entry of the direct path. */
@@ -90,6 +91,7 @@
         logLinesDropped: createCounter("beechdock_log_lines_dropped_total", "Log lines over the rate limit."),
         logReads: createLogReadCounter(registry),
         sendFailures: createSendFailureCounter(registry),
+        faults: createFaultCounter(registry),
     };
 }
 
@@ -100,6 +102,7 @@
     moves: Counter<string>;
     logReads: Counter<"topic" | "reason" | "outcome">;
     sendFailures: Counter<"code">;
+    faults: Counter<string>;
 }
 
 /** Creates the metrics of a slot of the direct path. */
@@ -118,9 +121,18 @@
         moves: new Counter({ name: "beechdock_map_moves_total", help: "Experts moved by planned maps.", registers }),
         logReads: createLogReadCounter(registry),
         sendFailures: createSendFailureCounter(registry),
+        faults: createFaultCounter(registry),
     };
 }
 
+function createFaultCounter(registry: Registry): Counter<string> {
+    return new Counter({
+        name: "beechdock_faults_total",
+        help: "Errors in this process that ended one request, message or interval early.",
+        registers: [registry],
+    });
+}
+
 function createLogReadCounter(registry: Registry): Counter<"topic" | "reason" | "outcome"> {
     return new Counter({
         name: "beechdock_log_reads_total",
--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -357,15 +357,17 @@
         }
         isFetchingFromPeer = true;
         const { documentEnd, listEnd, quarantineEnd = 0 } = state;
-        const records = await options.fetchFromPeer(documentEnd, listEnd, quarantineEnd).catch((error: Error) => {
-            logger.warn("Fetching records from a peer failed.", { error: error.message });
-            return undefined;
-        });
-        isFetchingFromPeer = false;
-        if (records !== undefined) {
-            recordServed(FeedTopic.list, now() - (records.listServedAgeMs ?? Infinity));
-            applyPeerRecords(records);
+        try {
+            const records = await options.fetchFromPeer(documentEnd, listEnd, quarantineEnd);
+            if (records !== undefined) {
+                recordServed(FeedTopic.list, now() - (records.listServedAgeMs ?? Infinity));
+                applyPeerRecords(records);
+            }
         }
+        catch (error) {
+            logger.warn("Fetching records from a peer failed.", { error: (error as Error).message });
+        }
+        isFetchingFromPeer = false;
     };
     const applyPeerRecords = (records: PeerRecords) => {
         const { documents, documentEnd, list, listEnd, isListComplete, quarantine = [], quarantineEnd } = records;
--- a/src/peers/handOver.ts
+++ b/src/peers/handOver.ts
@@ -2,30 +2,40 @@
  * Hand-over: sends a peer the log records that its mirror of the configuration document and the instance list lacks,
  * for peers that cannot read the log.
  */
+import { z } from "zod/mini";
 import type { Feed, PeerRecords } from "./feed.js";
-import { decodeLogPosition, encodeLogPosition, type WirePosition } from "./logPosition.js";
+import { decodeLogPosition, encodeLogPosition, type WirePosition, WirePositionSchema } from "./logPosition.js";
 import { listRecordsSince, type MirrorRecord } from "./mirror.js";
 
+const HandOverParamsSchema = z.object({
+    documentEnd: z.optional(WirePositionSchema),
+    listEnd: z.optional(WirePositionSchema),
+    quarantineEnd: z.optional(WirePositionSchema),
+});
 /** Parameters of the call: the next offsets that the peer would read. Nothing is sent of a topic whose end is missing. */
-export interface HandOverParams {
-    documentEnd?: WirePosition;
-    listEnd?: WirePosition;
-    quarantineEnd?: WirePosition;
-}
+export type HandOverParams = z.infer<typeof HandOverParamsSchema>;
 
-type WireRecord = Omit<MirrorRecord, "offset"> & { offset: WirePosition; };
+const WireRecordSchema = z.object({
+    key: z.string(),
+    offset: WirePositionSchema,
+    value: z.optional(z.string()),
+    graceMs: z.optional(z.number()),
+    isLost: z.optional(z.literal(true)),
+});
+type WireRecord = z.infer<typeof WireRecordSchema>;
 
+const HandOverResultSchema = z.object({
+    documents: z.array(WireRecordSchema),
+    documentEnd: WirePositionSchema,
+    list: z.array(WireRecordSchema),
+    listEnd: WirePositionSchema,
+    isListComplete: z.optional(z.boolean()),
+    quarantine: z.optional(z.array(WireRecordSchema)),
+    quarantineEnd: z.optional(WirePositionSchema),
+    listServedAgeMs: z.optional(z.number()),
+});
 /** Response to the call; see `PeerRecords`. */
-export interface HandOverResult {
-    documents: WireRecord[];
-    documentEnd: WirePosition;
-    list: WireRecord[];
-    listEnd: WirePosition;
-    isListComplete?: boolean;
-    quarantine?: WireRecord[];
-    quarantineEnd?: WirePosition;
-    listServedAgeMs?: number;
-}
+export type HandOverResult = z.infer<typeof HandOverResultSchema>;
 
 /** RPC method name. */
 export const handOverMethod = "handOver";
@@ -77,10 +87,15 @@
     };
 }
 
-/** Decodes the response of a peer. */
-export function decodeHandOver(result: HandOverResult): PeerRecords {
+/** Parses the parameters of a call; throws if they are invalid. */
+export function parseHandOverParams(params: unknown): HandOverParams {
+    return HandOverParamsSchema.parse(params);
+}
+
+/** Decodes the response of a peer; throws if it is invalid. */
+export function decodeHandOver(result: unknown): PeerRecords {
     const { documents, documentEnd, list, listEnd, isListComplete, quarantine, quarantineEnd, listServedAgeMs } =
-        result;
+        HandOverResultSchema.parse(result);
     return {
         documents: documents.map(decodeRecord),
         documentEnd: decodeLogPosition(documentEnd),
--- a/src/peers/heartbeat.ts
+++ b/src/peers/heartbeat.ts
@@ -4,10 +4,10 @@
  * subscribe to it (`presence`).
  */
 import { z } from "zod/mini";
+import { maxRanks } from "../group/rankTypes.js";
+import { WirePositionSchema } from "./logPosition.js";
 import { PermitGrantSchema, PermitRequestSchema } from "./permitMessages.js";
 
-const WirePositionSchema = z.union([z.number(), z.tuple([z.number(), z.number()])]);
-
 /** Next position of a topic that a process would read, and milliseconds since it was known to be the end of the topic. */
 const LogPositionSchema = z.tuple([WirePositionSchema, z.number()]);
 
@@ -25,10 +25,13 @@
 const number = z.number();
 const optional = z.optional(z.number());
 
+/** Number of a rank within its group. */
+const RankSchema = z.int().check(z.gte(0), z.lt(maxRanks));
+
 const RankReportSchema = z.object({
     epoch: number,
-    rank: number,
-    size: number,
+    rank: RankSchema,
+    size: z.int().check(z.gte(1), z.lte(maxRanks)),
     isOpen: z.boolean(),
     step: number,
     mapVersion: number,
--- a/src/peers/logPosition.ts
+++ b/src/peers/logPosition.ts
@@ -5,6 +5,7 @@
  * Eras may begin anywhere, for example as a time, so the number holds the ordinal of the era within this process instead
  * of the era itself. Numbers are therefore compared only within a process; between processes a `WirePosition` is sent.
  */
+import { z } from "zod/mini";
 import { CallError } from "../core/errors.js";
 
 /** Offsets of one era; no log of the system has as many records. */
@@ -50,15 +51,22 @@
     return ordinal;
 }
 
+/** Offsets of one era, and highest era, in positions that are sent as a number. */
+const numericOffsetsPerEra = 2 ** 40;
+const maxNumericEra = 2 ** 11 - 1;
+
+/** Schema of a number within bounds, both included. */
+const createRangeSchema = (min: number, max: number) => z.number().check(z.gte(min), z.lte(max));
+
 /**
  * Position as processes send it: era and offset or, for eras that processes of earlier versions know, the number that
  * they expect.
  */
-export type WirePosition = number | [era: number, offset: number];
-
-/** Offsets of one era, and highest era, in positions that are sent as a number. */
-const numericOffsetsPerEra = 2 ** 40;
-const maxNumericEra = 2 ** 11 - 1;
+export const WirePositionSchema = z.union([
+    createRangeSchema(0, (maxNumericEra + 1) * numericOffsetsPerEra),
+    z.tuple([createRangeSchema(0, Number.MAX_SAFE_INTEGER), createRangeSchema(0, offsetsPerEra)]),
+]);
+export type WirePosition = z.infer<typeof WirePositionSchema>;
 
 /** Encodes a position for another process. */
 export function encodeLogPosition(position: number): WirePosition {
--- a/src/wire/peerRpc.ts
+++ b/src/wire/peerRpc.ts
@@ -66,7 +66,7 @@
             const rpcResponse = text === undefined ? undefined : await server.receiveJSON(text);
             response.writeHead(rpcResponse === undefined ? 400 : 200, { "content-type": "application/json" });
             response.end(rpcResponse === undefined ? undefined : JSON.stringify(rpcResponse));
-        });
+        }).catch(() => response.destroy());
     };
 }
 
