Stop by a schedule of the platform's bounds, and do not cut a stream for silence

Cause: an entry took every request until 3.2 s after the signal, longer than the platform excuses what cannot end in time, and ended the rest 0.4 s before the grace period was over. A second of silence ended a run also where no other run was allowed.

What is left then is refused if it has not run. A silent stream moves only if another run is allowed and the entry does not stop.

--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -42,6 +42,8 @@
     recordStreamProgress: (pool: string) => void;
     /** Whether no stream of the pool has received data recently. */
     isPoolStalled: (pool: string) => boolean;
+    /** Whether this entry stops, so that responses must not be given up only because they are slow. */
+    isStopping: () => boolean;
     /** Records that the pool's group does not run because of `faultyServer`. */
     markGroupBroken: (pool: string, faultyServer: string) => void;
     /** Estimates how long an upstream needs for the request, in milliseconds; 0 if the pool has no engine settings. */
--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -25,13 +25,14 @@
     createDirectRequestState,
     type DirectRequestAction,
     type DirectRequestEvent,
+    isRunAllowed,
     upstreamFailureEnds,
 } from "./requestState.js";
 import { ResponseRelay } from "./responseRelay.js";
 import type { AttemptRecord, DirectRequest, ResponseHead } from "./types.js";
 import { callUpstream, type UpstreamCall } from "./upstreamCall.js";
 
-/** Time without data until a stream's connection counts as lost, in milliseconds; half of what callers tolerate. */
+/** Time without data until a stream may go on elsewhere, in milliseconds; half of what callers tolerate. */
 const streamIdleTimeoutMs = 1000;
 /** Time from sending a request to its first event, in milliseconds, with a margin for the way back to the caller. */
 const firstEventLatencyMs = 250;
@@ -315,7 +316,8 @@
         this.relay.finish();
     }
 
-    private endAttempt(end: AttemptEnd, reason: string): void {
+    /** Ends the current attempt; `isRetryAcquired` is whether the retry budget has already allowed another one. */
+    private endAttempt(end: AttemptEnd, reason: string, isRetryAcquired = false): void {
         const { context, upstream } = this;
         const now = context.now();
         this.attempts.at(-1)!.end = `${end}: ${reason}`;
@@ -326,7 +328,8 @@
             recordFailure(context.upstreamTracker, upstream!.record.id, now);
         }
         this.cancel();
-        const hasRetryBudget = budgetedRetryEnds.has(end) && context.acquireRetry(this.request, now);
+        const hasRetryBudget = isRetryAcquired ||
+            (budgetedRetryEnds.has(end) && context.acquireRetry(this.request, now));
         this.applyEvent({ kind: "ended", end, hasRetryBudget, canContinue: this.relay.canContinue() });
     }
 
@@ -335,13 +338,19 @@
         this.idleTimer = setTimeout(this.contain(() => this.handleIdleTimeout()), streamIdleTimeoutMs);
     }
 
-    /** A stream that is idle while others of its pool progress has lost its connection; otherwise the group stalls. */
+    /**
+     * A stream that is idle while others of its pool progress may have lost its connection, and goes on elsewhere if another
+     * run is allowed. Otherwise it waits: the upstream may be at work, and its silence alone must not end the response.
+     */
     private handleIdleTimeout(): void {
-        if (this.context.isPoolStalled(this.request.pool)) {
-            this.restartIdleTimer();
+        const { context, request } = this;
+        const canMove = !context.isPoolStalled(request.pool) && !context.isStopping() &&
+            isRunAllowed(this.state, this.relay.canContinue());
+        if (canMove && context.acquireRetry(request, context.now())) {
+            this.endAttempt(AttemptEnd.lost, "the stream went silent", true);
         }
         else {
-            this.endAttempt(AttemptEnd.lost, "the stream went silent");
+            this.restartIdleTimer();
         }
     }
 
--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -18,12 +18,16 @@
 const idleMarginMs = 1000;
 /** Retry-After of responses while there is no active document or the quarantine is not known, in milliseconds. */
 const startupRetryAfterMs = 500;
+/** Retry-After of responses while this entry stops, in milliseconds: another entry can take the request at once. */
+const stoppingRetryAfterMs = 0;
 
 export interface DirectServerOptions {
     context: DirectContext;
     /** Returns the index of the active document; undefined before the first one. */
     getIndex: () => ServingIndex | undefined;
     isStopping: () => boolean;
+    /** Whether a request may be taken that ends by `deadlineAt`, in milliseconds; not if this entry stops before. */
+    isTaken: (deadlineAt: number) => boolean;
     /** Returns a random number in [0, 1). */
     random: () => number;
 }
@@ -32,23 +36,29 @@
     server: Server;
     /** Returns the number of requests whose response has not ended. */
     countInFlight: () => number;
-    /** Interrupts the responses that have begun and closes the other callers' connections. */
-    interruptResponses: () => void;
+    /** Ends the requests in flight: refuses those that have not run, and breaks off responses that have begun. */
+    endRequests: () => void;
 }
 
 /** Creates the server without starting to listen. */
 export function createDirectServer(options: DirectServerOptions): DirectServer {
-    const inFlight = new Set<ServerResponse>();
+    /** Responses that have not ended, with their dispatch once it has begun. */
+    const inFlight = new Map<ServerResponse, DirectDispatch | undefined>();
     let arrivalCount = 0;
     const server = createServer({ maxHeaderSize: maxHeaderBytes, requireHostHeader: false, requestTimeout: 0 });
     server.on("request", (message: IncomingMessage, response: ServerResponse) => {
         arrivalCount += 1;
-        inFlight.add(response);
+        inFlight.set(response, undefined);
         response.sendDate = false;
         response.shouldKeepAlive = response.shouldKeepAlive && !options.isStopping();
         response.on("close", () => inFlight.delete(response));
         response.on("error", options.context.reportFault);
-        handleRequest(options, message, response, arrivalCount).catch((error: Error) => {
+        handleRequest(options, message, response, arrivalCount).then(dispatch => {
+            if (dispatch !== undefined && inFlight.has(response)) {
+                inFlight.set(response, dispatch);
+            }
+            dispatch?.begin();
+        }).catch((error: Error) => {
             options.context.reportFault(error);
             options.context.sendRefusal(response, startupRetryAfterMs);
         });
@@ -56,7 +66,10 @@
     return {
         server,
         countInFlight: () => inFlight.size,
-        interruptResponses: () => [...inFlight].forEach(interruptResponse),
+        endRequests: () =>
+            [...inFlight].forEach(([response, dispatch]) =>
+                dispatch === undefined ? interruptResponse(response) : dispatch.expire()
+            ),
     };
 }
 
@@ -67,39 +80,44 @@
     server.headersTimeout = headerTimeoutMs + idleMarginMs;
 }
 
+/** Reads a request; returns its dispatch, or undefined once it has been answered or its caller has gone. */
 async function handleRequest(
     options: DirectServerOptions,
     message: IncomingMessage,
     response: ServerResponse,
     arrivalNumber: number,
-): Promise<void> {
+): Promise<DirectDispatch | undefined> {
     const { context } = options;
     const receivedAt = context.now();
     const maxBodyBytes = options.getIndex()?.document.limits.maxBodyBytes ?? Infinity;
     const body = await readBody(message, maxBodyBytes);
     if (response.destroyed) {
-        return;
+        return undefined;
     }
     if (body === undefined) {
         response.shouldKeepAlive = false;
         sendEmptyResponse(response, 413);
-        return;
+        return undefined;
     }
     const index = options.getIndex();
     if (index === undefined) {
         context.sendRefusal(response, startupRetryAfterMs);
-        return;
+        return undefined;
     }
     const request = resolveRequest(options, index, message, body, receivedAt);
     if (typeof request === "number") {
         sendEmptyResponse(response, request);
-        return;
+        return undefined;
     }
     if (!context.isQuarantineKnown() && (request.head.sharedPromptParts?.length ?? 0) > 0) {
         context.sendRefusal(response, startupRetryAfterMs);
-        return;
+        return undefined;
     }
-    new DirectDispatch(context, request, response, arrivalNumber).begin();
+    if (!options.isTaken(request.deadlineAt)) {
+        context.sendRefusal(response, stoppingRetryAfterMs);
+        return undefined;
+    }
+    return new DirectDispatch(context, request, response, arrivalNumber);
 }
 
 /** Resolves the route, the workspace and the pool of a request; returns the HTTP status if the request is rejected. */
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -33,6 +33,7 @@
 } from "../routing/windowedRetryBudget.js";
 import { type Address, listenOn } from "../wire/listen.js";
 import type { DirectContext } from "./context.js";
+import { type Drain, startDrain } from "./drainServer.js";
 import { computeLogPositions, pickPeer } from "./logPositions.js";
 import {
     bindDatagrams,
@@ -67,8 +68,9 @@
     control?: Address;
     /** Control addresses of other entries. */
     seeds: Address[];
-    /** Time from the signal to stop until the process is killed, in milliseconds. */
+    /** Time from the signal to stop until the process is killed, in milliseconds; see `StopBounds`. */
     graceMs: number;
+    lastExcusedMs: number;
     retries: WindowedRetryBudgetSettings;
     source: FeedSource & { appendQuarantine: (records: PendingRecord[]) => Promise<number>; };
     codec: HeadCodec;
@@ -86,15 +88,6 @@
     handleInvalidSettings: (error: Error) => void;
 }
 
-/**
- * Time for which new connections still arrive after the entry stops being ready, in milliseconds; the load balancer
- * needs two failed readiness checks, one second apart.
- */
-const balancerLagMs = 3200;
-/** Share of the grace period in which requests are finished; the rest is for the process to exit. */
-const drainShare = 0.95;
-/** Interval at which a stopping entry checks whether all requests are finished, in milliseconds. */
-const drainPollMs = 50;
 /** Lowest urgency that upstreams support; 0 is the highest. */
 const lowestUrgency = 9;
 /** Time without stream data until a pool's group counts as stalled, in milliseconds; several steps of the group. */
@@ -137,7 +130,7 @@
     /** Time of the latest stream data, by pool, in milliseconds. */
     const lastProgressAt = new Map<string, number>();
     let index: ServingIndex | undefined;
-    let isStopping = false;
+    let drain: Drain | undefined;
     /** Number of entries that share the retry budget, as last sent by a leader. */
     let entryCount = initialEntryCount;
     let leader: { host: string; lastHeartbeatAt: number; } | undefined;
@@ -261,6 +254,7 @@
             updateLoad(upstreamTracker, upstream, { running, waiting, observedAt: now() }),
         observeRateLimit: rateLimiter.observeResponse,
         recordStreamProgress: pool => lastProgressAt.set(pool, now()),
+        isStopping: () => drain !== undefined,
         isPoolStalled: pool => now() - (lastProgressAt.get(pool) ?? -Infinity) > stallAfterMs,
         markGroupBroken: pool => markGroupBroken(groupTracker, pool, now()),
         estimateServiceMs: request => {
@@ -305,13 +299,15 @@
         sendFailure: (response, status) => sendEmptyResponse(response, status, []),
         ...requestLog,
     };
-    const { server, countInFlight, interruptResponses } = createDirectServer({
+    const directServer = createDirectServer({
         context,
         getIndex: () => index,
-        isStopping: () => isStopping,
+        isStopping: () => drain !== undefined,
+        isTaken: deadlineAt => drain?.isTaken(deadlineAt) ?? true,
         random,
     });
-    const isReady = () => !isStopping && index !== undefined && upstreamTracker.upstreams.size > 0;
+    const { server } = directServer;
+    const isReady = () => drain === undefined && index !== undefined && upstreamTracker.upstreams.size > 0;
     const readiness = createServer((message, response) => sendEmptyResponse(response, isReady() ? 200 : 503, []));
     const handleInternalRequest = createInternalHandler(feed, metrics.registry, {
         [quarantineMethod]: (params: unknown) => {
@@ -398,23 +394,10 @@
         },
         handleInvalidSettings,
         stop: async () => {
-            isStopping = true;
-            const startedAt = now();
-            logger.info("The entry is leaving.", { inFlight: countInFlight() });
-            await waitFor(balancerLagMs);
-            // A request accepted later might not finish within the grace period.
-            server.close();
-            server.closeIdleConnections();
-            while (countInFlight() > 0 && now() - startedAt < options.graceMs * drainShare) {
-                await waitFor(drainPollMs);
-                server.closeIdleConnections();
-            }
-            logger.info("The entry has stopped.", { inFlight: countInFlight() });
-            interruptResponses();
+            logger.info("The entry is leaving.", { inFlight: directServer.countInFlight() });
+            drain = startDrain(directServer, options, now);
+            await drain.finished;
+            logger.info("The entry has stopped.", { inFlight: directServer.countInFlight() });
         },
     };
 }
-
-function waitFor(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
