Ignore entries of the instance list that are not whole and well formed

What is ignored replaces and removes nothing; an entry for a pool that no document names waits for the document.

--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -157,13 +157,9 @@
             index = buildServingIndex(document);
             metrics.revision.set(document.revision);
             applyLimits(server, index);
+            updateUpstreams();
         },
-        onList: () => {
-            const upstreams = listUpstreams(feed.state);
-            setUpstreams(upstreamTracker, upstreams);
-            metrics.upstreams.set(upstreams.length);
-            scheduler.dispatchPending();
-        },
+        onList: () => updateUpstreams(),
         onQuarantine: records => quarantine.applyRecords(records),
         onQuarantineLost: records =>
             quarantine.restoreRecords(records, key => {
@@ -179,6 +175,13 @@
         isContinuousReader: topic => topic === FeedTopic.quarantine && quarantine.isAlert() && !hasRecentLeader(),
         onRead: (topic, reason, outcome) => metrics.logReads.inc({ topic, reason, outcome }),
     });
+    const updateUpstreams = () => {
+        // A pool that the document does not name has no upstreams: its record must not replace one at the same address.
+        const upstreams = listUpstreams(feed.state, name => index?.pools.has(name) ?? true);
+        setUpstreams(upstreamTracker, upstreams);
+        metrics.upstreams.set(upstreams.length);
+        scheduler.dispatchPending();
+    };
     const quarantine = createRequestQuarantine({
         instance: options.instance,
         now,
--- a/src/direct/startDirectSlot.ts
+++ b/src/direct/startDirectSlot.ts
@@ -135,8 +135,12 @@
         isContinuousReader: () => leaderState.leader === internal.host,
         onRead: (topic, reason, outcome) => metrics.logReads.inc({ topic, reason, outcome }),
     });
+    const listServed = () => {
+        const names = feed.state.document?.pools.map(({ name }) => name);
+        return listUpstreams(feed.state, name => names?.includes(name) ?? true);
+    };
     const updateGroup = () => {
-        const upstreams = listUpstreams(feed.state);
+        const upstreams = listServed();
         const localUpstream = upstreams.find(u => u.host === engine.host && u.port === engine.port);
         pool = feed.state.document?.pools.find(({ name }) => name === (localUpstream?.pool ?? pool?.name));
         hosts = sortSlots(upstreams.filter(u => u.pool === pool?.name));
@@ -182,7 +186,7 @@
     const callSlot = <T>(host: string, method: string, params: unknown, agent?: Agent) =>
         callPeer<T>({ host, port: internal.port, method, params, timeoutMs: slotCallTimeoutMs, agent });
     const createRemoteRankClient = (host: string) => {
-        const port = listUpstreams(feed.state).find(u => u.host === host && u.pool === pool?.name)?.port ?? engine.port;
+        const port = listServed().find(u => u.host === host && u.pool === pool?.name)?.port ?? engine.port;
         return options.createRankClient({ host, port });
     };
     const orderLocalRank = async (packed: RankOrder | DeltaPrepare, epoch: number): Promise<SlotOrderResult> => {
@@ -272,7 +276,7 @@
         const previousLeader = leaderState.leader;
         const isLeader = updateLeadership(leaderState, hosts, now());
         if (isLeader && previousLeader !== internal.host) {
-            lostRank = listUpstreams(feed.state).find(u => u.host === previousLeader && u.pool === pool?.name)?.rank;
+            lostRank = listServed().find(u => u.host === previousLeader && u.pool === pool?.name)?.rank;
             groupLogger.info("This slot has become the leader.", { before: previousLeader, lostRank });
         }
         if (isLeader) {
--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -178,7 +178,8 @@
 
 /** Creates a feed with an empty mirror; `start` begins to read. */
 export function createFeed(options: FeedOptions): Feed {
-    const { source, decoders, now, random, logger, timing } = options;
+    const { source, now, random, logger, timing } = options;
+    const decoders = reportInvalidEntries(options.decoders, logger);
     const state = createMirror<ServingDocument>();
     const verifiedAt: Record<FeedTopic, number> = { document: -Infinity, list: -Infinity, quarantine: -Infinity };
     const followedTopics = Object.values(FeedTopic).filter(topic =>
@@ -438,6 +439,28 @@
     };
 }
 
+/** Maximum number of keys whose invalid entries are logged. */
+const maxReportedKeys = 100;
+
+/** Wraps decoders so that the first invalid entry of the list under each key is logged. */
+function reportInvalidEntries(
+    decoders: MirrorDecoders<ServingDocument>,
+    logger: Logger,
+): MirrorDecoders<ServingDocument> {
+    const reportedKeys = new Set<string>();
+    return {
+        ...decoders,
+        decodeUpstream: (id, text) => {
+            const upstream = decoders.decodeUpstream(id, text);
+            if (upstream === undefined && !reportedKeys.has(id) && reportedKeys.size < maxReportedKeys) {
+                reportedKeys.add(id);
+                logger.warn("An entry of the instance list is not valid and is ignored.", { upstream: id });
+            }
+            return upstream;
+        },
+    };
+}
+
 /**
  * Whether a snapshot of a topic is smaller than its newest `count` records. The document's topic has a single key, so
  * that the newest record replaces all others; a snapshot of it is a third larger than the record.
--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -36,8 +36,10 @@
 
 interface ListEntry {
     record: MirrorRecord;
-    /** Undefined if the record is a tombstone without grace period, or not valid. */
+    /** Undefined if the record is a tombstone without grace period. */
     upstream: UpstreamRecord | undefined;
+    /** The upstream of the last record that named another pool, which holds while no document names the newer pool. */
+    fallback: UpstreamRecord | undefined;
     /** Time until which an upstream is kept after a tombstone, in milliseconds; 0 if it is not kept. */
     graceUntil: number;
     /** Whether a peer set the grace period, so that failed reads of this process do not extend it. */
@@ -64,7 +66,10 @@
     quarantineRecords: Map<string, MirrorRecord>;
 }
 
-/** Decoders of records' values; they return undefined for values that are not valid. */
+/**
+ * Decoders of records' values; they return undefined for values that are not valid. A record of the list that is not valid is
+ * ignored: it may come from another writer and says nothing of the upstream whose key it has.
+ */
 export interface MirrorDecoders<Document> {
     decodeDocument: (text: string) => Document | undefined;
     getRevision: (document: Document) => number;
@@ -246,27 +251,37 @@
 }
 
 /**
- * Lists the upstreams, including those that are leaving. Of several at one address it returns the one that was started
- * last; the others are gone, but their records have not expired yet.
+ * Lists the upstreams of the pools for which `isPool` holds, including those that are leaving. Of several at one address it
+ * returns the one that was started last; the others are gone, but their records have not expired yet.
  */
-export function listUpstreams<Document>(state: MirrorState<Document>): UpstreamRecord[] {
-    const byAddress = new Map<string, ListEntry>();
-    for (const entry of state.entries.values()) {
-        const { upstream } = entry;
+export function listUpstreams<Document>(
+    state: MirrorState<Document>,
+    isPool: (name: string) => boolean = () => true,
+): UpstreamRecord[] {
+    const byAddress = new Map<string, ListedUpstream>();
+    for (const { record: { offset }, upstream: newest, fallback } of state.entries.values()) {
+        const upstream = newest === undefined ?
+            undefined :
+            [newest, fallback].find(known => known && isPool(known.pool));
         if (upstream !== undefined) {
             const address = `${upstream.host}:${upstream.port}`;
             const other = byAddress.get(address);
-            if (other === undefined || compareStartOrder(entry, other) > 0) {
-                byAddress.set(address, entry);
+            if (other === undefined || compareStartOrder({ upstream, offset }, other) > 0) {
+                byAddress.set(address, { upstream, offset });
             }
         }
     }
-    return [...byAddress.values()].map(({ upstream }) => upstream!);
+    return [...byAddress.values()].map(({ upstream }) => upstream);
+}
+
+interface ListedUpstream {
+    upstream: UpstreamRecord;
+    offset: number;
 }
 
 /** Compares two upstreams at one address by start time, then by offset; positive if `a` is the later one. */
-function compareStartOrder(a: ListEntry, b: ListEntry): number {
-    return (a.upstream?.startedAt ?? 0) - (b.upstream?.startedAt ?? 0) || a.record.offset - b.record.offset;
+function compareStartOrder(a: ListedUpstream, b: ListedUpstream): number {
+    return (a.upstream.startedAt ?? 0) - (b.upstream.startedAt ?? 0) || a.offset - b.offset;
 }
 
 /**
@@ -301,7 +316,12 @@
     }
     if (record.value !== undefined) {
         const upstream = decoders.decodeUpstream(record.key, record.value);
-        state.entries.set(record.key, { record, upstream, graceUntil: 0, isGraceFixed: false });
+        if (upstream === undefined) {
+            return false;
+        }
+        const previous = known?.upstream;
+        const fallback = previous === undefined || previous.pool === upstream.pool ? known?.fallback : previous;
+        state.entries.set(record.key, { record, upstream, fallback, graceUntil: 0, isGraceFixed: false });
         return true;
     }
     const { graceMs } = record;
@@ -311,6 +331,7 @@
     state.entries.set(record.key, {
         record,
         upstream: isInGracePeriod ? known.upstream : undefined,
+        fallback: isInGracePeriod ? known.fallback : undefined,
         graceUntil: isInGracePeriod ? graceEnd : 0,
         isGraceFixed,
     });
