--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -6,6 +6,7 @@
 import type { QuarantinedParts } from "../routing/quarantine.js";
 import type { UpstreamTracker } from "../routing/upstreamTracker.js";
 import type { DirectDispatch } from "./directDispatch.js";
+import type { AppliedNotice, NoticeRecorder } from "./noticeRecorder.js";
 import type { AppliedRateLimit, RateLimiter } from "./rateLimiter.js";
 import type { RequestQuarantine } from "./requestQuarantine.js";
 import type { AttemptRecord, DirectRequest, HeadCodec, ReportedLoad } from "./types.js";
@@ -38,6 +39,8 @@
     updateLoad: (upstream: string, load: ReportedLoad) => void;
     /** Records the rate limit that an upstream names in a response, or that it names none. */
     observeRateLimit: RateLimiter["observeResponse"];
+    /** Records what the head of a response of the upstream itself says of the upstream. */
+    observeNotices: NoticeRecorder["observe"];
     /** Records that an upstream of the pool has sent part of a stream. */
     recordStreamProgress: (pool: string) => void;
     /** Whether no stream of the pool has received data recently. */
@@ -67,5 +70,7 @@
         attempts: AttemptRecord[],
         /** Rate limits that kept the request from upstreams when it was last placed. */
         rateLimits: AppliedRateLimit[],
+        /** Notices of upstreams that kept the request from them when it was last placed. */
+        notices: AppliedNotice[],
     ) => void;
 }
--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -17,6 +17,7 @@
 import type { ResponseFraming } from "../wire/responseFraming.js";
 import { type AttemptObserver, observeAttempt } from "./attemptObserver.js";
 import type { DirectContext } from "./context.js";
+import type { AppliedNotice } from "./noticeRecorder.js";
 import type { AppliedRateLimit } from "./rateLimiter.js";
 import {
     advanceDirectRequest,
@@ -49,6 +50,8 @@
     latestSendAt: number;
     /** Rate limits that kept the request from upstreams when it was last placed. */
     rateLimits: AppliedRateLimit[] = [];
+    /** Notices of upstreams that kept the request from them when it was last placed. */
+    notices: AppliedNotice[] = [];
     private readonly state;
     private readonly triedUpstreams = new Set<string>();
     private readonly attempts: AttemptRecord[] = [];
@@ -228,7 +231,14 @@
             this.endAttempt(AttemptEnd.lost, "the answer belongs to another request");
             return;
         }
-        if (head.isRefusal || status === 421) {
+        if (status === 421) {
+            this.endAttempt(AttemptEnd.misdirected, "another upstream has the address");
+            return;
+        }
+        if (head.isSigned || status >= 300) {
+            this.context.observeNotices(this.upstream!.record, this.request.id, status, head);
+        }
+        if (head.isRefusal) {
             this.handleRefusal(status, head);
             return;
         }
@@ -249,10 +259,6 @@
     }
 
     private handleRefusal(status: number, head: ResponseHead): void {
-        if (status === 421) {
-            this.endAttempt(AttemptEnd.misdirected, "another upstream has the address");
-            return;
-        }
         this.recordReports(head);
         if (head.faultyServer !== undefined) {
             this.context.markGroupBroken(this.request.pool, head.faultyServer);
@@ -400,6 +406,7 @@
         clearTimeout(this.deadlineTimer);
         this.cancel();
         this.context.scheduler.remove(this);
-        this.context.logRequest(this.request, this.outcome || "the caller has gone", this.attempts, this.rateLimits);
+        const outcome = this.outcome || "the caller has gone";
+        this.context.logRequest(this.request, outcome, this.attempts, this.rateLimits, this.notices);
     }
 }
--- a/src/direct/requestLog.ts
+++ b/src/direct/requestLog.ts
@@ -23,7 +23,7 @@
     const logRateLimiter = createLogRateLimiter();
     return {
         reportFault: createFaultReporter(logger, metrics.faults, now),
-        logRequest: (request, outcome, attempts, rateLimits) => {
+        logRequest: (request, outcome, attempts, rateLimits, notices) => {
             const ms = Math.round(now() - request.receivedAt);
             metrics.requests.inc({ outcome: outcome.split(",")[0] });
             metrics.responseSeconds.observe(ms / 1000);
@@ -41,6 +41,7 @@
                 ms,
                 attempts,
                 rateLimits: rateLimits.length === 0 ? undefined : rateLimits,
+                notices: notices.length === 0 ? undefined : notices,
                 promptParts: isAnyLost(attempts) ? request.head.sharedPromptParts : undefined,
             });
         },
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -19,9 +19,16 @@
     removeExpired,
 } from "../routing/pendingQueue.js";
 import { placeRequest } from "../routing/requestPlacement.js";
-import { estimateRequests, type TrackedUpstream, type UpstreamTracker } from "../routing/upstreamTracker.js";
+import { recordNoticedSend } from "../routing/upstreamNotices.js";
+import {
+    estimateRequests,
+    estimateSendableAt,
+    type TrackedUpstream,
+    type UpstreamTracker,
+} from "../routing/upstreamTracker.js";
 import type { Scheduler } from "./context.js";
 import type { DirectDispatch } from "./directDispatch.js";
+import type { NoticeRecorder } from "./noticeRecorder.js";
 import type { RateLimiter } from "./rateLimiter.js";
 
 /** Interval at which queued requests are tried again, in milliseconds; a tenth of the interval of the load reports. */
@@ -44,6 +51,9 @@
     /** Returns a random number in [0, 1). */
     random: () => number;
     findPool: (name: string) => ServingPool | undefined;
+    /** Time for which callers may still send requests after an upstream has said that it leaves, in milliseconds. */
+    drainMs: number;
+    noticeRecorder: Pick<NoticeRecorder, "listApplied">;
     rateLimiter: Pick<
         RateLimiter,
         | "getAdmission"
@@ -103,7 +113,9 @@
         const maxQueued = dispatch.targetAt > now ? maxQueuedOnTime : maxQueuedLate;
         const maxRequests = engine === undefined ? Infinity : engine.slots + maxQueued;
         const getAdmission = ({ record }: TrackedUpstream) => rateLimiter.getAdmission(record);
-        const placementOptions = { pool: request.pool, dataCentre, maxRequests, getAdmission };
+        const leaving = { receivedAt: request.receivedAt, drainMs: options.drainMs };
+        const placementOptions = { pool: request.pool, dataCentre, maxRequests, getAdmission, leaving };
+        dispatch.notices = options.noticeRecorder.listApplied(request.pool);
         dispatch.rateLimits = rateLimiter.listApplied(request.pool);
         const upstream = placeRequest(
             upstreamTracker,
@@ -116,6 +128,7 @@
             return false;
         }
         rateLimiter.takePermit(upstream.record, pendingQueue.waiting.has(dispatch));
+        recordNoticedSend(upstreamTracker.notices, upstream.record, now);
         dispatch.sendTo(upstream, estimateRequests(upstream, now));
         return true;
     };
@@ -146,11 +159,16 @@
         clearTimeout(dispatchTimer);
         dispatchTimer = pendingQueue.waiting.size === 0 ? undefined : setTimeout(dispatchPending, dispatchIntervalMs);
     };
-    /** Returns the earliest time at which a request can be sent, in milliseconds: later than now while its group is broken. */
-    const getEarliestSendAt = ({ request: { pool } }: DirectDispatch) => {
+    /**
+     * Returns the earliest time at which a request can be sent, in milliseconds: later than now while its group is broken or
+     * all upstreams ask for a pause, Infinity if all of them leave.
+     */
+    const getEarliestSendAt = ({ request: { pool, receivedAt } }: DirectDispatch) => {
         const now = options.now();
         const isGroup = options.findPool(pool)?.engine !== undefined;
-        return (isGroup ? estimateOpenAt(options.groupTracker, pool, now) : undefined) ?? now;
+        const openAt = (isGroup ? estimateOpenAt(options.groupTracker, pool, now) : undefined) ?? now;
+        const { upstreamTracker, drainMs } = options;
+        return Math.max(openAt, estimateSendableAt(upstreamTracker, pool, now, { receivedAt, drainMs }));
     };
     const enqueue = (dispatch: DirectDispatch) => {
         if (dispatch.latestSendAt < getEarliestSendAt(dispatch)) {
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -22,8 +22,15 @@
     markGroupBroken,
     updateGroupState,
 } from "../routing/groupTracker.js";
-import { computeRetryAfterMs } from "../routing/retryAfter.js";
-import { createUpstreamTracker, findRanks, setUpstreams, updateLoad } from "../routing/upstreamTracker.js";
+import { computePauseReturnMs, computeRetryAfterMs } from "../routing/retryAfter.js";
+import { updateListed } from "../routing/upstreamNotices.js";
+import {
+    createUpstreamTracker,
+    estimateSendableAt,
+    findRanks,
+    setUpstreams,
+    updateLoad,
+} from "../routing/upstreamTracker.js";
 import {
     acquireRetry,
     createWindowedRetryBudget,
@@ -35,6 +42,7 @@
 import type { DirectContext } from "./context.js";
 import { type Drain, startDrain } from "./drainServer.js";
 import { computeLogPositions, pickPeer } from "./logPositions.js";
+import { createNoticeRecorder } from "./noticeRecorder.js";
 import {
     bindDatagrams,
     createInternalHandler,
@@ -71,6 +79,8 @@
     /** Time from the signal to stop until the process is killed, in milliseconds; see `StopBounds`. */
     graceMs: number;
     lastExcusedMs: number;
+    /** Time for which callers may still send requests after an upstream has said that it leaves, in milliseconds. */
+    drainMs: number;
     retries: WindowedRetryBudgetSettings;
     source: FeedSource & { appendQuarantine: (records: PendingRecord[]) => Promise<number>; };
     codec: HeadCodec;
@@ -179,6 +189,7 @@
         // A pool that the document does not name has no upstreams: its record must not replace one at the same address.
         const upstreams = listUpstreams(feed.state, name => index?.pools.has(name) ?? true);
         setUpstreams(upstreamTracker, upstreams);
+        updateListed(upstreamTracker.notices, upstreamTracker.upstreams, now());
         metrics.upstreams.set(upstreams.length);
         scheduler.dispatchPending();
     };
@@ -218,8 +229,11 @@
         onPermits: () => scheduler.dispatchPending(),
         onLimitsChanged: count => metrics.rateLimitedUpstreams.set(count),
     });
+    const noticeRecorder = createNoticeRecorder({ logger: peersLogger, metrics, upstreamTracker, now, random });
     const scheduler: DirectScheduler = createScheduler({
         upstreamTracker,
+        drainMs: options.drainMs,
+        noticeRecorder,
         groupTracker,
         dataCentre: options.dataCentre,
         now,
@@ -256,6 +270,7 @@
         updateLoad: (upstream, { running, waiting }) =>
             updateLoad(upstreamTracker, upstream, { running, waiting, observedAt: now() }),
         observeRateLimit: rateLimiter.observeResponse,
+        observeNotices: noticeRecorder.observe,
         recordStreamProgress: pool => lastProgressAt.set(pool, now()),
         isStopping: () => drain !== undefined,
         isPoolStalled: pool => now() - (lastProgressAt.get(pool) ?? -Infinity) > stallAfterMs,
@@ -284,6 +299,12 @@
             if (rateLimiter.isPoolLimited(request.pool)) {
                 return rateLimiter.computeReturnMs(request.pool);
             }
+            const { pool, receivedAt } = request;
+            const leaving = { receivedAt, drainMs: options.drainMs };
+            const sendableInMs = estimateSendableAt(upstreamTracker, pool, now(), leaving) - now();
+            if (sendableInMs > 0 && sendableInMs < Infinity) {
+                return computePauseReturnMs(sendableInMs, random());
+            }
             const openAt = estimateOpenAt(groupTracker, request.pool, now());
             return computeRetryAfterMs({
                 leftMs: request.deadlineAt - now(),
--- a/src/direct/tests/scheduler.test.ts
+++ b/src/direct/tests/scheduler.test.ts
@@ -26,6 +26,8 @@
         now: () => time,
         random: () => 0,
         findPool: () => ({ name: pool, engine: { slots: 8 } }) as ServingPool,
+        drainMs: 2000,
+        noticeRecorder: { listApplied: () => [] },
         rateLimiter: {
             getAdmission: () => UpstreamAdmission.unlimited,
             takePermit: () => undefined,
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -63,6 +63,10 @@
     load?: ReportedLoad;
     /** Values of the field in which the upstream names its rate limit; see `parseRateLimit`. */
     rateLimitValues: string[];
+    /** Whether the upstream says that it leaves. */
+    isLeaving: boolean;
+    /** Values of the field in which the upstream says when to return; see `parsePause`. */
+    retryAfterValues: string[];
     /** Server that keeps the upstream's group from running. */
     faultyServer?: string;
     /** Headers that are relayed to the caller, as alternating names and values. */
--- a/src/observe/directMetrics.ts
+++ b/src/observe/directMetrics.ts
@@ -11,6 +11,8 @@
     unfinishedStreams: Counter<"framing">;
     rateLimitedResponses: Counter<string>;
     rateLimitedUpstreams: Gauge<string>;
+    leavingNotices: Counter<string>;
+    pauseNotices: Counter<string>;
     refusals: Counter<string>;
     quarantineRejections: Counter<string>;
     upstreamCrashes: Counter<string>;
@@ -61,6 +63,14 @@
             "beechdock_direct_rate_limited_upstreams",
             "Upstreams with a rate limit in force.",
         ),
+        leavingNotices: createCounter(
+            "beechdock_direct_leaving_notices_total",
+            "Upstreams that have said in a response that they leave.",
+        ),
+        pauseNotices: createCounter(
+            "beechdock_direct_pause_notices_total",
+            "Responses in which an upstream asks for a pause that ends later than the one before.",
+        ),
         refusals: createCounter("beechdock_direct_refusals_total", "Requests answered as not run."),
         quarantineRejections: createCounter(
             "beechdock_direct_quarantine_rejections_total",
--- a/src/routing/requestPlacement.ts
+++ b/src/routing/requestPlacement.ts
@@ -4,7 +4,9 @@
  */
 import {
     estimateRequests,
+    type LeavingOptions,
     listCandidates,
+    listLeavingCandidates,
     type TrackedUpstream,
     UpstreamAdmission,
     type UpstreamTracker,
@@ -15,6 +17,8 @@
     dataCentre: string;
     /** Ids of the upstreams that earlier attempts have tried. */
     excluded: ReadonlySet<string>;
+    /** If the pool has no other candidates, upstreams that leave may take the request under these conditions. */
+    leaving?: LeavingOptions;
     /** Upper bound of an upstream's running and waiting requests; `Infinity` for no bound. */
     maxRequests: number;
     /** Returns whether an upstream's rate limit admits a request; all upstreams are unlimited without it. */
@@ -36,7 +40,7 @@
     random: () => number,
 ): TrackedUpstream | undefined {
     const { getAdmission = () => UpstreamAdmission.unlimited } = options;
-    const withCapacity = listCandidates(tracker, options.pool, now, options.excluded).filter(upstream =>
+    const withCapacity = listOptions(tracker, options, now).filter(upstream =>
         estimateRequests(upstream, now) < options.maxRequests
     );
     const permitted = withCapacity.filter(upstream => getAdmission(upstream) === UpstreamAdmission.permitted);
@@ -55,6 +59,16 @@
     return best;
 }
 
+function listOptions(
+    tracker: UpstreamTracker,
+    { pool, excluded, leaving }: PlacementOptions,
+    now: number,
+): TrackedUpstream[] {
+    const candidates = listCandidates(tracker, pool, now, excluded);
+    const hasOthers = candidates.length > 0 || listCandidates(tracker, pool, now).length > 0;
+    return hasOthers || leaving === undefined ? candidates : listLeavingCandidates(tracker, pool, now, leaving);
+}
+
 function takeSample<T>(items: T[], count: number, random: () => number): T[] {
     const shuffled = [...items];
     const size = Math.min(count, shuffled.length);
--- a/src/routing/retryAfter.ts
+++ b/src/routing/retryAfter.ts
@@ -23,3 +23,12 @@
     const minMs = Math.min(openInMs ?? shareMs, shareMs);
     return minMs + random * (maxMs - minMs);
 }
+
+/** Share of a pause over which the callers' return is spread, and its minimum in milliseconds. */
+const returnSpreadShare = 0.5;
+const minReturnSpreadMs = 200;
+
+/** Computes the Retry-After for a pool whose upstreams all ask for a pause of `pauseMs` more; `random` is in [0, 1). */
+export function computePauseReturnMs(pauseMs: number, random: number): number {
+    return pauseMs + random * Math.max(minReturnSpreadMs, pauseMs * returnSpreadShare);
+}
--- a/src/routing/upstreamTracker.ts
+++ b/src/routing/upstreamTracker.ts
@@ -4,6 +4,14 @@
  * each other's requests only through the reported load.
  */
 import type { UpstreamRecord } from "../peers/mirror.js";
+import {
+    createNoticeTable,
+    findNotice,
+    getAvailability,
+    getSendableAt,
+    type NoticeTable,
+    UpstreamAvailability,
+} from "./upstreamNotices.js";
 
 /** Load of one upstream, as reported by its slot or in one of its responses. */
 export interface UpstreamLoad {
@@ -34,6 +42,8 @@
 
 export interface UpstreamTracker {
     upstreams: Map<string, TrackedUpstream>;
+    /** What upstreams say of themselves in responses; kept when an upstream is not listed for some time. */
+    notices: NoticeTable;
 }
 
 /**
@@ -50,7 +60,7 @@
 
 /** Creates a tracker without upstreams. */
 export function createUpstreamTracker(): UpstreamTracker {
-    return { upstreams: new Map() };
+    return { upstreams: new Map(), notices: createNoticeTable() };
 }
 
 /** Replaces the set of upstreams and keeps the state of those that remain. */
@@ -151,9 +161,74 @@
     now: number,
     excluded: ReadonlySet<string> = new Set(),
 ): TrackedUpstream[] {
-    const usable = [...tracker.upstreams.values()].filter(({ record, isReplaced }) =>
-        record.pool === pool && !record.isLeaving && !isReplaced && !excluded.has(record.id)
+    const usable = listServing(tracker, pool).filter(({ record }) =>
+        !excluded.has(record.id) && getAvailability(tracker.notices, record, now) === UpstreamAvailability.available
     );
+    return filterReachable(usable, now);
+}
+
+/** When a request arrived and for how long upstreams that leave take requests, in milliseconds. */
+export interface LeavingOptions {
+    receivedAt: number;
+    /** Time for which requests may still be sent by callers after an upstream has said that it leaves. */
+    drainMs: number;
+}
+
+/**
+ * Lists the upstreams of a pool that have said that they leave and may still take a request, for a pool without other
+ * candidates.
+ */
+export function listLeavingCandidates(
+    tracker: UpstreamTracker,
+    pool: string,
+    now: number,
+    options: LeavingOptions,
+): TrackedUpstream[] {
+    const usable = listServing(tracker, pool).filter(({ record }) =>
+        getAvailability(tracker.notices, record, now) === UpstreamAvailability.leaving &&
+        isWithinDrain(tracker, record, options)
+    );
+    return filterReachable(usable, now);
+}
+
+/**
+ * Estimates the earliest time at which an upstream of the pool takes a request, with regard to what the upstreams say of
+ * themselves, in milliseconds: `now` if one does or none is listed, Infinity if all of them leave.
+ */
+export function estimateSendableAt(
+    tracker: UpstreamTracker,
+    pool: string,
+    now: number,
+    options: LeavingOptions,
+): number {
+    if (tracker.notices.notices.size === 0) {
+        return now;
+    }
+    const serving = listServing(tracker, pool);
+    const times = serving.map(({ record }) => {
+        const notice = findNotice(tracker.notices, record);
+        if (notice === undefined) {
+            return now;
+        }
+        const isOver = notice.leavingAt !== undefined && !isWithinDrain(tracker, record, options);
+        return isOver ? Infinity : getSendableAt(notice, now);
+    });
+    return times.length === 0 ? now : Math.min(...times);
+}
+
+function isWithinDrain({ notices }: UpstreamTracker, record: UpstreamRecord, options: LeavingOptions): boolean {
+    const { leavingAt } = findNotice(notices, record) ?? {};
+    return leavingAt === undefined || options.receivedAt <= leavingAt + options.drainMs;
+}
+
+/** Lists the upstreams of a pool that serve according to the instance list. */
+function listServing(tracker: UpstreamTracker, pool: string): TrackedUpstream[] {
+    return [...tracker.upstreams.values()].filter(({ record, isReplaced }) =>
+        record.pool === pool && !record.isLeaving && !isReplaced
+    );
+}
+
+function filterReachable(usable: TrackedUpstream[], now: number): TrackedUpstream[] {
     const reachable = usable.filter(({ avoidedUntil }) => avoidedUntil <= now);
     return reachable.length > 0 ? reachable : usable;
 }
