Entries: send a request again when a probe overtakes the refusal of a restarted slot

Callers saw 503 "No upstream is available" (outcome not-run) for the first request after a restart of the only slot of a pool, although the slot was up.

Cause: a restarted slot refuses a run that names its earlier incarnation. The entry took the refusal for a restart only if the incarnation differed from the one of the last load report. If a probe brought the report of the new incarnation between the choice of the slot and the refusal, the two were equal, the slot stayed excluded and no candidate was left. The entry now compares with the incarnation that the attempt named.

--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -261,17 +261,20 @@
     }
 
     /**
-     * A failed frame from another incarnation than the reported one shows that the slot has restarted and is idle.
-     * Resets its load report and allows another attempt at it.
+     * A failed frame from another incarnation than the attempt named shows that the slot has restarted and is idle.
+     * Resets its load report, unless a probe has already brought one of the new incarnation, and allows another attempt
+     * at it.
      */
     private handleSlotRestart(incarnation: string | undefined): void {
         const lastReport = this.upstream?.report;
-        if (incarnation === undefined || lastReport === undefined || incarnation === lastReport.incarnation) {
+        if (incarnation === undefined || lastReport === undefined || incarnation === this.incarnation) {
             return;
         }
         const { instance } = this.upstream!;
-        const report = { ...lastReport, incarnation, tokensInFlight: 0, requestsInFlight: 0, queued: 0 };
-        updateReport(this.context.table, instance, report, Date.now());
+        if (incarnation !== lastReport.incarnation) {
+            const report = { ...lastReport, incarnation, tokensInFlight: 0, requestsInFlight: 0, queued: 0 };
+            updateReport(this.context.table, instance, report, Date.now());
+        }
         this.triedInstances.delete(instance);
     }
 
