Entries: keep the load report of a slot whose address changes

Callers saw 503 "No upstream is available" for single requests although all slots were up.

Cause: a slot that gossip tells of before the list does is known by the address that it names itself. When the list named another address for it, the entry began its state anew, without a load report, and slots without one get no requests. If that concerned all slots of a pool, requests within the next milliseconds, until the probes were answered, were refused. A run names its slot and the incarnation, so that another process at the address refuses it; the report can stay.

--- a/src/routing/upstreamTable.ts
+++ b/src/routing/upstreamTable.ts
@@ -60,12 +60,14 @@
         }
         listed.add(record.instance);
         const known = table.upstreams.get(record.instance);
-        if (known === undefined || known.url !== record.url) {
+        if (known === undefined) {
             table.upstreams.set(record.instance, createUpstreamState(record, record.pool));
+            continue;
         }
-        else {
-            known.leaving = record.state === "leaving" || known.report?.state === "leaving";
+        if (known.url !== record.url) {
+            updateAddress(known, record.url);
         }
+        known.leaving = record.state === "leaving" || known.report?.state === "leaving";
     }
     for (const [instance, upstream] of table.upstreams) {
         if (!listed.has(instance) && upstream.ownTokens === 0) {
@@ -134,6 +136,16 @@
     return recordOutcome(upstream.health, peers.map(peer => peer.health), outcome, now);
 }
 
+/**
+ * Changes the address of an upstream, at which it has not failed yet. Its report stays: a run names the slot and its
+ * incarnation, so that another process at the address refuses it.
+ */
+function updateAddress(upstream: UpstreamState, url: string): void {
+    upstream.url = url;
+    upstream.unreachableUntil = 0;
+    upstream.health = createHealth();
+}
+
 function setOwnTokens(upstream: UpstreamState, tokens: number, now: number): void {
     upstream.ownTokens = tokens;
     const { ownHistory } = upstream;
