--- a/src/slot/tests/notices.test.ts
+++ b/src/slot/tests/notices.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, test, vi } from "vitest";
 import { createAdmission } from "../../routing/admission.js";
 import type { RunParams } from "../../wire/messages.js";
+import type { Claim } from "../claims.js";
 import { createRunner } from "../runner.js";
 import { beginRun, createRunStore, type RunRecord } from "../runStore.js";
 import { watchUpstreamRestart } from "../upstreamRestart.js";
@@ -59,7 +60,14 @@
             };
         },
     };
-    const claims = { settle: () => expect.unreachable(), submit: () => Promise.resolve("won" as const) };
+    const claimed: string[] = [];
+    const claims = {
+        settle: () => expect.unreachable(),
+        submit: ({ key }: Claim) => {
+            claimed.push(key.hash);
+            return Promise.resolve("won" as const);
+        },
+    };
     const runner = createRunner(store, admission, upstream, claims, {
         onRateLimit: () => undefined,
         onLeaving: () => void logged.push("leaving"),
@@ -87,7 +95,7 @@
         }
         runner.subscribe(record, () => describeEnd(record) !== undefined && recordEnd());
     };
-    return { runner, admission, arrivals, logged, outcomes, begin };
+    return { runner, admission, arrivals, logged, outcomes, begin, claimed };
 }
 
 function describeEnd({ frames }: RunRecord): string | number | undefined {
@@ -226,6 +234,19 @@
         expect(outcomes[1]).toEqual({ end: "The upstream is at its limit", at: 100 });
     });
 
+    it("gets no run with an idempotency key, whose key stays free for another slot", async () => {
+        const { arrivals, claimed, outcomes, begin } = startRunner([pause("2")]);
+        begin();
+        await vi.advanceTimersByTimeAsync(100);
+        begin({ idempotent: false, idempotencyKey: "0199c82c-c930-7abc-8abc-0123456789ab" });
+        await vi.advanceTimersByTimeAsync(100);
+        expect({ arrivals, claimed, end: outcomes[1].end }).toEqual({
+            arrivals: [0],
+            claimed: [],
+            end: "The upstream asks for a pause",
+        });
+    });
+
     it("passes its response on if the request must not be repeated", async () => {
         const { outcomes, begin } = startRunner([pause("2")]);
         begin({ idempotent: false });
