Entries: an error in a step of a request ends that request alone

On the path with slots, an error that a step of a request threw in a callback or timer (a resumption to an address that is none, for example) ended the entry; thrown while the request was sent for the first time it was answered 500, but the request stayed open in the entry, and its caller's close threw once more.

--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -2,6 +2,7 @@
  * Last filter of an entry: sends a request to slots (the upstreams' sidecars) and relays the response, as the state
  * machine of attempts directs.
  */
+import { RunOutcome } from "../core/types.js";
 import type { Metrics } from "../observe/metrics.js";
 import { hashPromptPrefix } from "../routing/affinity.js";
 import { chooseUpstream, estimateCost, isPaused } from "../routing/choose.js";
@@ -57,9 +58,12 @@
     onEjection?: (instance: string, reason: string) => void;
 }
 
-/** Dispatches a request; resolves when its response was written or has failed, or the caller has disconnected. */
+/**
+ * Dispatches a request; resolves when its response was written or has failed, or the caller has disconnected. Rejects with an
+ * error that a step of the request has thrown, which ends this request alone.
+ */
 export function dispatchRequest(context: DispatchContext, exchange: Exchange): Promise<void> {
-    return new Promise(resolve => new Dispatch(context, exchange, resolve).begin());
+    return new Promise((resolve, reject) => new Dispatch(context, exchange, resolve, reject).begin());
 }
 
 type ActionHandlers = {
@@ -103,6 +107,7 @@
         private readonly context: DispatchContext,
         private readonly exchange: Exchange,
         private readonly resolve: () => void,
+        private readonly reject: (error: Error) => void,
     ) {
         const { route, message, receivedAt, requestId } = exchange;
         this.prompt = parsePromptHead(requestId, message);
@@ -122,10 +127,33 @@
             return;
         }
         countRequest(this.context.retryBudget, Date.now());
-        this.deadlineTimer = setTimeout(() => this.handleDeadline(), this.state.deadline - Date.now());
-        this.exchange.response.on("close", () => this.handleCallerClose());
+        this.deadlineTimer = setTimeout(this.contain(() => this.handleDeadline()), this.state.deadline - Date.now());
+        this.exchange.response.on("close", this.contain(() => this.handleCallerClose()));
         this.exchange.response.on("drain", () => this.handleCallerDrain());
-        this.choose();
+        this.contain(() => this.choose())();
+    }
+
+    /** Wraps a step of the request so that an error which it throws ends this request alone. */
+    private contain<Args extends unknown[]>(step: (...args: Args) => void): (...args: Args) => void {
+        return (...args) => {
+            try {
+                step(...args);
+            }
+            catch (error) {
+                this.endWithFault(error as Error);
+            }
+        };
+    }
+
+    private endWithFault(error: Error): void {
+        if (!this.ended) {
+            this.ended = true;
+            this.state.phase = "done";
+            endAttempt(this.record, error.message, Date.now());
+            endRecord(this.context.journal, this.record, RunOutcome.unknown, false);
+            this.releaseAttempt();
+        }
+        this.reject(error);
     }
 
     private apply(event: AttemptEvent): void {
@@ -191,7 +219,7 @@
         const { resumes } = this.state;
         this.context.metrics.resumes.inc();
         this.stream?.abandon();
-        setTimeout(() => this.resume(nextSequence), resumes === 1 ? 0 : resumeBackoffMs * resumes);
+        setTimeout(this.contain(() => this.resume(nextSequence)), resumes === 1 ? 0 : resumeBackoffMs * resumes);
     }
 
     private resume(nextSequence: number): void {
@@ -207,7 +235,7 @@
     private createListener() {
         const { attempt } = this.state;
         return {
-            onFrame: (frame: Frame) => {
+            onFrame: this.contain((frame: Frame) => {
                 const isOwn = frame.requestId === this.exchange.requestId && frame.attempt === this.state.attempt;
                 if (isOwn && frame.kind === "accepted") {
                     this.incarnation = frame.incarnation;
@@ -219,12 +247,12 @@
                     this.observePrompt(frame);
                 }
                 this.apply({ kind: "frame", frame });
-            },
-            onBroken: (sent: boolean) => {
+            }),
+            onBroken: this.contain((sent: boolean) => {
                 if (attempt === this.state.attempt && !this.ended) {
                     this.apply({ kind: sent ? "broken" : "unreachable" });
                 }
-            },
+            }),
         };
     }
 
