--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -1,16 +1,17 @@
 /** Messages between peers, with the schemas that validate them on receipt. */
 import { z } from "zod";
 import { InstanceState, Role } from "../core/types.js";
+import { InstanceIdSchema, InstanceUrlSchema } from "./instanceSchema.js";
 
 /** Member information that gossip spreads; small, because each message carries several. */
 const MemberInfoSchema = z.object({
-    instance: z.string().max(100),
+    instance: InstanceIdSchema,
     /** Start time of the process, Unix time in milliseconds; a restart increases it. */
     incarnation: z.number(),
     state: z.enum(InstanceState),
     role: z.enum(Role),
     dataCentre: z.string().max(100),
-    url: z.string().max(200),
+    url: InstanceUrlSchema,
     /** Upstream pool of a slot. */
     pool: z.string().max(64).optional(),
 });
--- a/src/peers/tests/silence.test.ts
+++ b/src/peers/tests/silence.test.ts
@@ -16,7 +16,14 @@
 afterEach(() => closers.splice(0).forEach(close => close()));
 
 function createTestPeers(instance: string, seeds: string[]) {
-    const self: MemberInfo = { instance, incarnation: 1, state: "live", role: "entry", dataCentre: "a", url: "" };
+    const self: MemberInfo = {
+        instance,
+        incarnation: 1,
+        state: "live",
+        role: "entry",
+        dataCentre: "a",
+        url: "http://127.0.0.1:1",
+    };
     const revision = { revision: 0, digest: "", author: "", document: undefined };
     const peers = createPeers({
         identity: { ...identity, instance },
