Configuration: leave out documents that are nested too deeply

A record of some kilobytes in the configuration's stream, whose document is nested 3,000 levels deep, made every reader throw "Maximum call stack size exceeded" when it computed the digest, instead of leaving the record out: entries and slots lost the batch of the read, and operators' commands failed (`beechdock promote` ended with 1 on the real processes, and the revision never came into force). The same held for a revision of a peer.

--- a/src/config/digest.ts
+++ b/src/config/digest.ts
@@ -6,6 +6,19 @@
     return createHash("sha256").update(JSON.stringify(sortKeys(document)) ?? "").digest("base64url");
 }
 
+/** Whether a document has the digest; false if it is nested too deeply to be read. */
+export function hasDigest(document: unknown, digest: string): boolean {
+    try {
+        return computeDigest(document) === digest;
+    }
+    catch (error) {
+        if (error instanceof RangeError) {
+            return false;
+        }
+        throw error;
+    }
+}
+
 function sortKeys(value: unknown): unknown {
     if (Array.isArray(value)) {
         return value.map(sortKeys);
--- a/src/config/records.ts
+++ b/src/config/records.ts
@@ -6,7 +6,7 @@
  */
 import { z } from "zod";
 import type { LogRecord } from "../log/types.js";
-import { computeDigest } from "./digest.js";
+import { hasDigest } from "./digest.js";
 
 /** Name of the log stream that holds the configuration of every environment. */
 export const configStream = "beechdock-config";
@@ -57,7 +57,7 @@
 /** Parses a record of the stream; undefined if its envelope is unknown or its digest does not match its document. */
 export function parseRecord(record: LogRecord): ConfigRecord | undefined {
     const result = ConfigRecordSchema.safeParse(record.data);
-    if (!result.success || computeDigest(result.data.document) !== result.data.digest) {
+    if (!result.success || !hasDigest(result.data.document, result.data.digest)) {
         return undefined;
     }
     return result.data;
--- a/src/config/revision.ts
+++ b/src/config/revision.ts
@@ -3,7 +3,7 @@
  * from the log and from peers. The revision never decreases. If this version of the program cannot parse the document
  * of a revision, the previous one stays active.
  */
-import { computeDigest } from "./digest.js";
+import { hasDigest } from "./digest.js";
 import {
     type ActiveConfig,
     createFoldState,
@@ -108,7 +108,7 @@
     { candidate }: Extract<RevisionEvent, { kind: "peer"; }>,
     now: number,
 ): RevisionAction[] {
-    if (computeDigest(candidate.document) !== candidate.digest) {
+    if (!hasDigest(candidate.document, candidate.digest)) {
         return [];
     }
     return handleRevisions(state, [candidate], RevisionSource.peer, now);
--- a/tests/integration/config.test.ts
+++ b/tests/integration/config.test.ts
@@ -147,3 +147,22 @@
     const kinds = (await readStream(auditStream)).map(record => record.kind);
     expect(kinds).toEqual(["start", "leaving", "stop"]);
 });
+
+it("goes on with the configuration after a record whose document is nested too deeply", async () => {
+    await startClusterWithDocument(["entry-1"], ["slot-1"]);
+    const depth = 3000;
+    const document = JSON.parse("[".repeat(depth) + "]".repeat(depth)) as unknown;
+    const data = {
+        kind: "promote",
+        id: "odd",
+        environment,
+        author: "a",
+        document,
+        base: 1,
+        baseDigest: "",
+        digest: "x",
+    };
+    await createLogClient(cluster.log.url).append(configStream, [{ id: "odd", data }]);
+    expect(await promote("--from", "1")).toBe(0);
+    await waitForRevision(2);
+});
