Configuration: count and log an error of what is told of a new configuration

With slots in the path, an error of a listener of the configuration was logged as a failed read of the log, was not counted, and the actions behind it (the audit record among them) were left out; a rejection of the two timers of the service ended the process.

--- a/src/config/loadConfig.ts
+++ b/src/config/loadConfig.ts
@@ -5,6 +5,7 @@
 import { tailStream } from "../log/tail.js";
 import type { LogClient } from "../log/types.js";
 import { type Audit, AuditKind, createAudit } from "../observe/audit.js";
+import { containFaults, createFaultReporter, type FaultReporter } from "../observe/faults.js";
 import { type Logger, LogPrefix } from "../observe/logger.js";
 import type { Metrics } from "../observe/metrics.js";
 import { createPeers, type Peers } from "../peers/loadPeers.js";
@@ -89,6 +90,7 @@
     revisions: RevisionState;
     audit: Audit;
     peers: Peers;
+    reportFault: FaultReporter;
     /** Earliest time of the next attempt to append a snapshot, in milliseconds since 1970. */
     nextSnapshotAttemptAt: number;
     /** Jitter of this process's snapshots, in [0, 1). */
@@ -102,10 +104,12 @@
     const log = createLogClient(settings.platform.log, createTrafficCounter(options, "log"));
     const onError = (error: Error) =>
         createLogger(LogPrefix.log).warn("Appending to the audit trail failed.", { error: error.message });
+    const logger = createLogger(LogPrefix.config);
     const context = {
         options,
         log,
-        logger: createLogger(LogPrefix.config),
+        logger,
+        reportFault: createFaultReporter(logger, options.metrics.faults, () => performance.now()),
         revisions: createRevisionState(environment, Date.now()),
         audit: createAudit({ log, environment, instance, onError }),
         nextSnapshotAttemptAt: 0,
@@ -140,15 +144,18 @@
 
 /** Starts to tail the log, to poll peers and to append snapshots; returns a function that stops all of it. */
 function startTasks(context: ConfigServiceContext): () => void {
-    const { log, logger } = context;
+    const { log, logger, reportFault } = context;
     const onError = (error: Error) => logger.warn("Reading the log failed.", { error: error.message });
     const tail = tailStream(log, configStream, onError).subscribe({
         next: event => handleEvent(context, { kind: "log", batch: event, atEnd: event.atEnd }),
         error: () => undefined,
         complete: () => undefined,
     });
-    const pollTimer = setInterval(() => void pollPeers(context), peerPollIntervalMs);
-    const snapshotTimer = setInterval(() => void appendDueSnapshot(context), snapshotCheckIntervalMs);
+    const pollTimer = setInterval(containFaults(reportFault, () => pollPeers(context)), peerPollIntervalMs);
+    const snapshotTimer = setInterval(
+        containFaults(reportFault, () => appendDueSnapshot(context)),
+        snapshotCheckIntervalMs,
+    );
     return () => {
         clearInterval(pollTimer);
         clearInterval(snapshotTimer);
@@ -213,10 +220,9 @@
 function handleEvent(context: ConfigServiceContext, event: RevisionEvent): void {
     const { revision } = context.revisions.newest;
     for (const action of handleRevisionEvent(context.revisions, event, Date.now())) {
-        (actionHandlers[action.kind] as (context: ConfigServiceContext, action: RevisionAction) => void)(
-            context,
-            action,
-        );
+        const handler = actionHandlers[action.kind] as (context: ConfigServiceContext, action: RevisionAction) => void;
+        // An error of one action must not keep the others from being executed.
+        containFaults(context.reportFault, handler)(context, action);
     }
     if (context.revisions.newest.revision > revision) {
         context.peers.announceRevision(context.revisions.newest);
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -7,6 +7,7 @@
 import type { EntrySettings } from "../config/settings.js";
 import { createLogClient } from "../log/client.js";
 import { AuditKind } from "../observe/audit.js";
+import { containFaults, createFaultReporter } from "../observe/faults.js";
 import { createLoggerFactory, LogPrefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadInstances.js";
@@ -42,6 +43,7 @@
     const peersLogger = createLogger(LogPrefix.peers);
     const metrics = createMetrics();
     const table = createUpstreamTable();
+    const reportFault = createFaultReporter(logger, metrics.faults, () => performance.now());
     const selectSlots = createSlotSelector(settings);
     const slotClient = createSlotClient(settings);
     let config: ActiveConfig = createInitialConfig(environment);
@@ -101,7 +103,7 @@
         platform.list,
         e => peersLogger.warn("Reading the instance list failed.", { error: e.message }),
     )
-        .observe(instances => configService.updateInstances(instances));
+        .observe(containFaults(reportFault, instances => configService.updateInstances(instances)));
     startProbing({ identity: settings, table, logger, listSlots: () => selectSlots(configService.listInstances()) });
     logger.info("The entry listens.", { port, internalPort });
 
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -13,6 +13,8 @@
     controlMessages: Counter<"kind">;
     revision: Gauge<string>;
     firstByteSeconds: Histogram<string>;
+    /** Errors that have ended one request, message or interval. */
+    faults: Counter<string>;
 }
 
 /** Creates the metrics of a process, including the default metrics of Node.js. */
@@ -34,6 +36,11 @@
             labelNames: ["reason"],
             registers,
         }),
+        faults: new Counter({
+            name: "beechdock_faults_total",
+            help: "Errors in this process that have ended one request, message or interval.",
+            registers,
+        }),
         droppedFrames: new Counter({
             name: "beechdock_dropped_frames_total",
             help: "Frames of abandoned attempts.",
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -4,9 +4,11 @@
 import { createConfigService } from "../config/loadConfig.js";
 import type { SlotSettings } from "../config/settings.js";
 import { pollEvery } from "../core/streams.js";
+import type { InstanceRecord } from "../core/types.js";
 import { isRefused } from "../direct/crashMonitor.js";
 import { startGroupService } from "../group/driverGroup.js";
 import { createLogClient } from "../log/client.js";
+import { containFaults, createFaultReporter } from "../observe/faults.js";
 import { createLoggerFactory, LogPrefix } from "../observe/logger.js";
 import { createMetrics } from "../observe/metrics.js";
 import { streamInstances } from "../peers/loadInstances.js";
@@ -43,6 +45,7 @@
     const createLogger = createLoggerFactory("beechdock-slot", instance, settings.logLevel);
     const logger = createLogger(LogPrefix.slot);
     const metrics = createMetrics();
+    const reportFault = createFaultReporter(logger, metrics.faults, () => performance.now());
     const store = createRunStore(randomUUID());
     const leavingState = createLeavingState(Date.now());
     const admission = createAdmission(defaultLimits);
@@ -117,7 +120,7 @@
 
     configService.start(port);
     void streamInstances(platform.list, e => logger.warn("Reading the instance list failed.", { error: e.message }))
-        .observe(instances => {
+        .observe(containFaults(reportFault, (instances: InstanceRecord[]) => {
             configService.updateInstances(instances);
             group?.setInstances(instances);
             appenderSlots = instances.filter(i =>
@@ -127,7 +130,7 @@
             if (observeListedState(leavingState, listedState, Date.now())) {
                 markLeaving("the instance list says so");
             }
-        });
+        }));
     const removeExpired = async () => {
         expireRecords(store, Date.now());
         runner.expireKeys();
