--- a/src/entry/tests/containedFaults.test.ts
+++ b/src/entry/tests/containedFaults.test.ts
@@ -1,20 +1,13 @@
 /** An error that a step of a request throws ends that request alone; a later one ended the process. */
-import { afterAll, afterEach, beforeAll, expect, test } from "vitest";
+import { afterAll, afterEach, expect, test } from "vitest";
 import { demoKeys } from "../../demo/document.js";
 import { type EntryWithFakeSlot, startEntryWithFakeSlot } from "../../standin/fakeSlot.js";
 import { formatRequest, openRawConnection } from "../../standin/rawConnection.js";
+import { collectUncaughtErrors } from "../../standin/uncaughtErrors.js";
 import { createSlotClient, type SlotClient } from "../slotClient.js";
 
-const unhandled: unknown[] = [];
-const recordUnhandled = (error: unknown) => unhandled.push(error);
-beforeAll(() => {
-    process.on("uncaughtException", recordUnhandled);
-    process.on("unhandledRejection", recordUnhandled);
-});
-afterAll(() => {
-    process.off("uncaughtException", recordUnhandled);
-    process.off("unhandledRejection", recordUnhandled);
-});
+const { errors: unhandled, stop: stopCollecting } = collectUncaughtErrors();
+afterAll(stopCollecting);
 
 let fake: EntryWithFakeSlot;
 afterEach(() => fake.close());
--- a/src/entry/tests/outsideBytes.test.ts
+++ b/src/entry/tests/outsideBytes.test.ts
@@ -1,6 +1,6 @@
 /** Random bytes at each boundary of the path with slots must not throw past the place where they enter. */
 import fc from "fast-check";
-import { afterAll, beforeAll, describe, expect, test } from "vitest";
+import { afterAll, describe, expect, test } from "vitest";
 import { demoKeys } from "../../demo/document.js";
 import { createAdmission } from "../../routing/admission.js";
 import { createRunner } from "../../slot/runner.js";
@@ -9,19 +9,12 @@
 import { startBrokenUpstream } from "../../standin/brokenUpstream.js";
 import { fakeLoadReport, type FakeSlotCall, startEntryWithFakeSlot } from "../../standin/fakeSlot.js";
 import { formatRequest, openRawConnection } from "../../standin/rawConnection.js";
+import { collectUncaughtErrors } from "../../standin/uncaughtErrors.js";
 
 const settings = { seed: 5, numRuns: 300 };
 const responseTimeoutMs = 300;
-const unhandled: unknown[] = [];
-const recordUnhandled = (error: unknown) => unhandled.push(error);
-beforeAll(() => {
-    process.on("uncaughtException", recordUnhandled);
-    process.on("unhandledRejection", recordUnhandled);
-});
-afterAll(() => {
-    process.off("uncaughtException", recordUnhandled);
-    process.off("unhandledRejection", recordUnhandled);
-});
+const { errors: unhandled, stop: stopCollecting } = collectUncaughtErrors();
+afterAll(stopCollecting);
 
 const outsideNames = ["__proto__", "constructor", "toString", "", " ", "x y", "\u00e9", "trailer", "te", "retry-after"];
 const bytes = fc.string({
--- a/src/routing/tests/noticeShapes.test.ts
+++ b/src/routing/tests/noticeShapes.test.ts
@@ -3,6 +3,7 @@
 import { createRandom } from "../../core/random.js";
 import type { InstanceRecord, LoadReport } from "../../core/types.js";
 import type { UpstreamRecord } from "../../peers/mirror.js";
+import { createUpstreamRecord } from "../../standin/upstreamRecord.js";
 import { hashPromptPrefix } from "../affinity.js";
 import { chooseUpstream } from "../choose.js";
 import { placeRequest } from "../requestPlacement.js";
@@ -18,16 +19,6 @@
 } from "../upstreamTracker.js";
 
 const drainMs = 2000;
-const createRecord = (id: string, changes: Partial<UpstreamRecord> = {}): UpstreamRecord => ({
-    id,
-    pool: "p",
-    host: id,
-    port: 1,
-    dataCentre: "a",
-    isLeaving: false,
-    startedAt: 5,
-    ...changes,
-});
 
 function createTracker(records: UpstreamRecord[]): UpstreamTracker {
     const tracker = createUpstreamTracker();
@@ -58,7 +49,7 @@
 }
 
 describe("beside rate limits", () => {
-    const [a, b] = [createRecord("a"), createRecord("b")];
+    const [a, b] = [createUpstreamRecord("a"), createUpstreamRecord("b")];
     const { limited, permitted } = UpstreamAdmission;
 
     test("a permit does not lead to an upstream that pauses or leaves", () => {
@@ -79,7 +70,7 @@
 });
 
 describe("in a group of ranks", () => {
-    const ranks = [0, 1, 2].map(rank => createRecord(`rank-${rank}`, { rank }));
+    const ranks = [0, 1, 2].map(rank => createUpstreamRecord(`rank-${rank}`, { rank }));
 
     test("the other ranks take the requests, and the group keeps all of its ranks", () => {
         const tracker = createTracker(ranks);
@@ -103,7 +94,7 @@
 });
 
 describe("beside the instance list", () => {
-    const [a, b] = [createRecord("a"), createRecord("b")];
+    const [a, b] = [createUpstreamRecord("a"), createUpstreamRecord("b")];
 
     test("a drain by the list and a pause are both kept", () => {
         const tracker = createTracker([a, { ...b, isLeaving: true }]);
@@ -189,7 +180,7 @@
     /** Bound of the requests in the first moment after the pauses, for which all entries return within 400 ms. */
     const firstReturnsMs = 40;
     const maxFirstReturns = entryCount / 4;
-    const upstreams = [createRecord("a"), createRecord("b"), createRecord("c")];
+    const upstreams = [createUpstreamRecord("a"), createUpstreamRecord("b"), createUpstreamRecord("c")];
 
     test.each([1, 2, 3, 4, 5])("an upstream refuses each a few requests and gets none later, seed %d", seed => {
         const random = createRandom(seed).next;
--- a/src/routing/tests/upstreamNotices.test.ts
+++ b/src/routing/tests/upstreamNotices.test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import { describe, expect, test } from "vitest";
 import type { UpstreamRecord } from "../../peers/mirror.js";
+import { createUpstreamRecord } from "../../standin/upstreamRecord.js";
 import { placeRequest } from "../requestPlacement.js";
 import { computePauseReturnMs } from "../retryAfter.js";
 import {
@@ -14,18 +15,8 @@
 } from "../upstreamNotices.js";
 import { createUpstreamTracker, estimateSendableAt, setUpstreams } from "../upstreamTracker.js";
 
-const createRecord = (id: string, changes: Partial<UpstreamRecord> = {}): UpstreamRecord => ({
-    id,
-    pool: "p",
-    host: id,
-    port: 1,
-    dataCentre: "a",
-    isLeaving: false,
-    startedAt: 5,
-    ...changes,
-});
-const a = createRecord("a");
-const b = createRecord("b");
+const a = createUpstreamRecord("a");
+const b = createUpstreamRecord("b");
 const origin = (upstream: UpstreamRecord, at: number) => ({ upstream, requestId: "r", at });
 const drainMs = 2000;
 
--- a/tests/integration/rateLimit.test.ts
+++ b/tests/integration/rateLimit.test.ts
@@ -1,10 +1,10 @@
 import { afterAll, beforeAll, expect, it } from "vitest";
-import { createDemoDocument, demoKeys } from "../../src/demo/document.js";
+import { demoKeys } from "../../src/demo/document.js";
 import { callChat, type CallResult } from "../../src/standin/caller.js";
-import { type Cluster, startCluster } from "../../src/standin/cluster.js";
+import type { Cluster } from "../../src/standin/cluster.js";
 import { type FakeUpstream, generateTokens, startFakeEngine } from "../../src/standin/engine.js";
+import { startEngineCluster } from "../../src/standin/engineCluster.js";
 import type { RequestHandler } from "../../src/standin/http.js";
-import { publishDocument } from "../../src/standin/publish.js";
 
 /** Bounds of the users' rule, from `settleMs` after an upstream has first named its limit. */
 const rule = { settleMs: 3000, windowMs: 4000, factor: 1.5, slack: 5 };
@@ -40,18 +40,7 @@
     const engines = await Promise.all(
         Array.from({ length: engineCount }, (ignored, engine) => startLimitedEngine(engine)),
     );
-    cluster = await startCluster(
-        ["entry-1", "entry-2"].map(instance => ({ instance, dataCentre: "dc-a" })),
-        engines.map((upstream, index) => ({
-            instance: `slot-${index}`,
-            dataCentre: "dc-a",
-            pool: "assistant",
-            kind: "engine" as const,
-            upstream,
-            isUpstreamDirect: true,
-        })),
-    );
-    await publishDocument(cluster, createDemoDocument());
+    cluster = await startEngineCluster(engines);
 });
 
 afterAll(async () => {
--- a/tests/integration/upstreamNotices.test.ts
+++ b/tests/integration/upstreamNotices.test.ts
@@ -1,11 +1,11 @@
 import type { ServerResponse } from "node:http";
 import { afterEach, describe, expect, it } from "vitest";
-import { createDemoDocument, demoKeys } from "../../src/demo/document.js";
+import { demoKeys } from "../../src/demo/document.js";
 import { callChat, type CallResult } from "../../src/standin/caller.js";
-import { type Cluster, startCluster } from "../../src/standin/cluster.js";
+import type { Cluster } from "../../src/standin/cluster.js";
 import { generateTokens, startFakeEngine } from "../../src/standin/engine.js";
+import { startEngineCluster } from "../../src/standin/engineCluster.js";
 import type { RequestHandler } from "../../src/standin/http.js";
-import { publishDocument } from "../../src/standin/publish.js";
 
 const intervalMs = 25;
 const serviceMs = 100;
@@ -47,18 +47,7 @@
         return startFakeEngine(0, { firstTokenMs: 20, tokenMs: 10 }, { "POST /v1": respond });
     };
     const upstreams = await Promise.all(arrivals.map((ignored, engine) => startEngine(engine)));
-    cluster = await startCluster(
-        ["entry-1", "entry-2"].map(instance => ({ instance, dataCentre: "dc-a" })),
-        upstreams.map((upstream, index) => ({
-            instance: `slot-${index}`,
-            dataCentre: "dc-a",
-            pool: "assistant",
-            kind: "engine" as const,
-            upstream,
-            isUpstreamDirect: true,
-        })),
-    );
-    await publishDocument(cluster, createDemoDocument());
+    cluster = await startEngineCluster(upstreams);
     const startedAt = performance.now();
     noticesFrom = startedAt + loadMs / 4;
     while (performance.now() - startedAt < loadMs) {
