--- a/src/peers/loadInstances.ts
+++ b/src/peers/loadInstances.ts
@@ -6,6 +6,7 @@
 import { readBodyWithProgress, startProgressTimeout } from "../core/progressTimeout.js";
 import { pollEvery } from "../core/streams.js";
 import type { InstanceRecord } from "../core/types.js";
+import { createFirstOccurrenceCheck } from "../observe/firstOccurrence.js";
 import { InstanceRecordSchema } from "./instanceSchema.js";
 
 const minIntervalMs = 2000;
@@ -43,12 +44,11 @@
 
 /** Creates a function that fetches the list and reports each invalid entry once; see `fetchInstances`. */
 export function createInstanceReader(url: string, onError: (error: Error) => void): () => Promise<FetchedList> {
-    const reported = new Set<string>();
+    const isNewEntry = createFirstOccurrenceCheck(maxReportedEntries);
     return async () => {
         const list = await fetchInstances(url);
         for (const entry of list.invalid) {
-            if (!reported.has(entry) && reported.size < maxReportedEntries) {
-                reported.add(entry);
+            if (isNewEntry(entry)) {
                 onError(new CallError(`the entry ${entry} is no valid instance`));
             }
         }
--- a/src/slot/runnerListener.ts
+++ b/src/slot/runnerListener.ts
@@ -1,4 +1,5 @@
 /** Logs and counts what responses say of the upstream of a slot. */
+import { createFirstOccurrenceCheck } from "../observe/firstOccurrence.js";
 import type { Logger } from "../observe/logger.js";
 import type { SlotMetrics } from "./metrics.js";
 import type { RunnerListener } from "./runner.js";
@@ -11,7 +12,7 @@
     logger: Logger,
     metrics: Pick<SlotMetrics, "rateLimitChanges" | "notices">,
 ): RunnerListener {
-    const loggedValues = new Set<string>();
+    const isNewValue = createFirstOccurrenceCheck(maxLoggedValues);
     return {
         onRateLimit: (named, values) => {
             logger.info("The rate limit of the upstream has changed.", { named: named.kind, values });
@@ -26,9 +27,7 @@
             metrics.notices.inc({ kind: "pause" });
         },
         onOddPause: (requestId, values) => {
-            const text = values.join(", ");
-            if (!loggedValues.has(text) && loggedValues.size < maxLoggedValues) {
-                loggedValues.add(text);
+            if (isNewValue(values.join(", "))) {
                 logger.warn("The upstream asks for a pause that is too long or no number of seconds.", {
                     requestId,
                     values,
