--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -224,7 +224,8 @@
 
     private handleHead(status: number, raw: string[], framing: ResponseFraming): void {
         const head = this.context.codec.decodeResponseHead(raw);
-        Object.assign(this.run!.record, { framing, rateLimit: head.rateLimitValues.join(", ") || undefined });
+        const headMs = Math.round(this.context.now() - this.run!.sentAt);
+        Object.assign(this.run!.record, { headMs, framing, rateLimit: head.rateLimitValues.join(", ") || undefined });
         if (head.requestId !== undefined && head.requestId !== this.request.id) {
             this.endAttempt(AttemptEnd.lost, "the answer belongs to another request");
             return;
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -103,6 +103,10 @@
     estimated: number;
     /** Age of the reported load behind the estimate, in milliseconds; undefined if there was none. */
     figuresAgeMs?: number;
+    /** Time from sending the request to the head of the response, in milliseconds; undefined before the head. */
+    headMs?: number;
+    /** Time from sending the request to the end of the attempt, in milliseconds; undefined while it is open. */
+    ms?: number;
     /** Rate limit that the response names, as it was received. */
     rateLimit?: string;
     /** How the end of the response body is determined; undefined before the response. */
--- a/src/direct/upstreamRun.ts
+++ b/src/direct/upstreamRun.ts
@@ -12,6 +12,8 @@
     readonly upstream: TrackedUpstream;
     readonly observer: AttemptObserver;
     readonly record: AttemptRecord;
+    /** Time at which the request was sent, in milliseconds. */
+    readonly sentAt: number;
     /** Records the end of the attempt for the load estimate. */
     readonly recordEnd: (endedAt: number) => void;
 }
@@ -37,14 +39,16 @@
         upstream,
         observer: observeAttempt(context, request, upstream.record),
         record: { upstream: id, estimated, figuresAgeMs },
+        sentAt: now,
         recordEnd: recordSent(context.upstreamTracker, id, now),
     };
 }
 
 /** Closes the connection of a run that is open and records its end, with the reason if there is one. */
-export function endRun({ call, record, recordEnd }: UpstreamRun, endedAt: number, reason?: string): void {
+export function endRun({ call, record, sentAt, recordEnd }: UpstreamRun, endedAt: number, reason?: string): void {
     call?.cancel();
     record.end ??= reason;
+    record.ms = Math.round(endedAt - sentAt);
     recordEnd(endedAt);
 }
 
