--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -27,9 +27,9 @@
 import {
     createUpstreamTracker,
     estimateSendableAt,
-    findRanks,
     setUpstreams,
     updateLoad,
+    updateRankLoads,
 } from "../routing/upstreamTracker.js";
 import {
     acquireRetry,
@@ -363,13 +363,7 @@
                 epoch: heartbeat.epoch,
             });
         }
-        const upstreamIdsByRank = findRanks(upstreamTracker, heartbeat.pool);
-        for (const { rank, running, waiting, ageMs } of unpackRankLoads(heartbeat.ranks)) {
-            const id = upstreamIdsByRank.get(rank);
-            if (id !== undefined) {
-                updateLoad(upstreamTracker, id, { running, waiting, observedAt: now() - ageMs - delayMs });
-            }
-        }
+        updateRankLoads(upstreamTracker, heartbeat.pool, unpackRankLoads(heartbeat.ranks), now() - delayMs);
         scheduler.updateCapacity(heartbeat.pool, entryCount);
     };
     const sendPresence = () => {
--- a/src/routing/upstreamTracker.ts
+++ b/src/routing/upstreamTracker.ts
@@ -3,6 +3,7 @@
  * report, the entry's own requests since that report, and recent failures. Entries do not query each other; they see
  * each other's requests only through the reported load.
  */
+import type { RankLoad } from "../peers/heartbeat.js";
 import type { UpstreamRecord } from "../peers/mirror.js";
 import {
     createNoticeTable,
@@ -103,6 +104,17 @@
     }
 }
 
+/** Updates the loads of a pool's ranks from a heartbeat of the group's leader, which was sent at `sentAt`, in milliseconds. */
+export function updateRankLoads(tracker: UpstreamTracker, pool: string, loads: RankLoad[], sentAt: number): void {
+    const upstreamIdsByRank = findRanks(tracker, pool);
+    for (const { rank, running, waiting, ageMs } of loads) {
+        const id = upstreamIdsByRank.get(rank);
+        if (id !== undefined) {
+            updateLoad(tracker, id, { running, waiting, observedAt: sentAt - ageMs });
+        }
+    }
+}
+
 /** Records a request as sent; the returned function records its end. */
 export function recordSent(tracker: UpstreamTracker, id: string, now: number): (endedAt: number) => void {
     const upstream = tracker.upstreams.get(id);
