Silent upstreams are avoided, and requests without a response leave them

Cause: nothing told an entry that an upstream had gone silent. The operating system of a suspended machine accepts connections. Its reports grew old, and after 1.5 s an entry counted only its own requests there, so that the silent upstream looked idle and was preferred. A run without a head had no idle timer, so it stayed although it might be repeated. A caller that leaves is no evidence.

Fix: an upstream is silent when its last sign of life (report or part of a response) is 0.6 s older than those of half of its group. Half of the group bounds what can be avoided at once; the comparison holds while a leader is replaced. Silent upstreams get no requests and have no free capacity while others are heard of; a run there without a response moves as a silent stream does: a second run beside it, within the route's attempts and the retry budget, and the first response wins. A late head alone moves nothing.

--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -6,6 +6,7 @@
 import { isRepeatable, RouteKind } from "../config/serving.js";
 import type { PendingRequest } from "../routing/pendingQueue.js";
 import type { QuarantinedParts } from "../routing/quarantine.js";
+import { recordSignOfLife } from "../routing/upstreamSilence.js";
 import { markReplaced, recordFailure, recordResponse, type TrackedUpstream } from "../routing/upstreamTracker.js";
 import { interruptResponse, resetConnection } from "../wire/interruptResponse.js";
 import type { ResponseFraming } from "../wire/responseFraming.js";
@@ -22,15 +23,17 @@
     isRunAllowed,
     upstreamFailureEnds,
 } from "./requestState.js";
+import { findForeignEnd, isOwnSuccess } from "./responseOrigin.js";
 import { ResponseRelay } from "./responseRelay.js";
+import { computeLatestSendAt } from "./sendDeadline.js";
 import type { AttemptRecord, DirectRequest, ResponseHead } from "./types.js";
 import { callUpstream } from "./upstreamCall.js";
-import { beginRun, encodeRequestHead, endRun, type HeldRun, type UpstreamRun } from "./upstreamRun.js";
+import { beginRun, encodeRequestHead, endRun, type HeldRun, isRunSilent, type UpstreamRun } from "./upstreamRun.js";
 
 /** Time without data until a stream may go on elsewhere, in milliseconds; half of what callers tolerate. */
 const streamIdleTimeoutMs = 1000;
-/** Time from sending a request to its first event, in milliseconds, with a margin for the way back to the caller. */
-const firstEventLatencyMs = 250;
+/** Interval at which a run without a response is checked for a silent upstream, in milliseconds. */
+const silenceCheckIntervalMs = 200;
 
 type ActionHandlers = {
     [K in DirectRequestAction["kind"]]: (action: Extract<DirectRequestAction, { kind: K; }>) => void;
@@ -82,7 +85,7 @@
         this.arrivalNumber = arrivalNumber;
         this.urgency = workspace?.urgency ?? route.urgency;
         this.targetAt = receivedAt + route.targetMs;
-        this.latestSendAt = this.computeLatestSendAt(receivedAt);
+        this.latestSendAt = computeLatestSendAt(context, request, receivedAt);
         this.relay = new ResponseRelay({
             response,
             isStreaming: route.kind === RouteKind.streaming,
@@ -158,16 +161,6 @@
         return this.quarantined !== undefined;
     }
 
-    /** Computes the latest time to send the request if the caller received its last output at `lastOutputAt`. */
-    private computeLatestSendAt(lastOutputAt: number): number {
-        const { request, context } = this;
-        const { patienceMs } = request.route;
-        const latestForCompletion = request.deadlineAt - context.estimateServiceMs(request);
-        return patienceMs === undefined ?
-            latestForCompletion :
-            Math.min(latestForCompletion, lastOutputAt + patienceMs - firstEventLatencyMs);
-    }
-
     /** Returns the ids of the upstreams that the request was sent to. */
     getTriedUpstreams(): ReadonlySet<string> {
         return this.triedUpstreams;
@@ -189,9 +182,22 @@
             headers: encodeRequestHead(context, request, record.id, this.relay.getLastEventId()),
             body: request.body,
             listener: {
-                onConnected: this.contain(() => this.applyEvent({ kind: "sent" })),
-                onHead: this.contain((status, raw, framing) => this.handleHead(status, raw, framing)),
+                onConnected: this.contain(() => {
+                    this.applyEvent({ kind: "sent" });
+                    this.restartIdleTimer(silenceCheckIntervalMs);
+                }),
+                onHead: this.contain((status, raw, framing) => {
+                    recordSignOfLife(upstream, context.now());
+                    const head = context.codec.decodeResponseHead(raw);
+                    if (run === this.held?.run && !isOwnSuccess(status, head, request.id)) {
+                        this.endHeld(AttemptEnd.failed, `status ${status}`, head.isRefusal);
+                        return;
+                    }
+                    this.returnTo(run);
+                    this.handleHead(status, head, framing);
+                }),
                 onChunk: this.contain(chunk => {
+                    recordSignOfLife(upstream, context.now());
                     this.returnTo(run);
                     this.handleChunk(chunk);
                 }),
@@ -215,23 +221,23 @@
             run.observer.recordBreak();
         }
         if (run === this.held?.run) {
-            run.record.end = `${AttemptEnd.lost}: ${reason}`;
-            this.applyEvent({ kind: "held-ended" });
+            this.endHeld(AttemptEnd.lost, reason, false);
             return;
         }
         this.endAttempt(isConnected ? AttemptEnd.lost : AttemptEnd.unconnected, reason);
     }
 
-    private handleHead(status: number, raw: string[], framing: ResponseFraming): void {
-        const head = this.context.codec.decodeResponseHead(raw);
+    private endHeld(end: AttemptEnd, reason: string, isRefused: boolean): void {
+        this.held!.run.record.end = `${end}: ${reason}`;
+        this.applyEvent({ kind: "held-ended", isRefused });
+    }
+
+    private handleHead(status: number, head: ResponseHead, framing: ResponseFraming): void {
         const headMs = Math.round(this.context.now() - this.run!.sentAt);
         Object.assign(this.run!.record, { headMs, framing, rateLimit: head.rateLimitValues.join(", ") || undefined });
-        if (head.requestId !== undefined && head.requestId !== this.request.id) {
-            this.endAttempt(AttemptEnd.lost, "the answer belongs to another request");
-            return;
-        }
-        if (status === 421) {
-            this.endAttempt(AttemptEnd.misdirected, "another upstream has the address");
+        const foreign = findForeignEnd(status, head, this.request.id);
+        if (foreign !== undefined) {
+            this.endAttempt(foreign.end, foreign.reason);
             return;
         }
         if (head.isSigned || status >= 300) {
@@ -287,7 +293,7 @@
         if (events > 0) {
             const { record } = this.run!;
             record.events = (record.events ?? 0) + events;
-            this.latestSendAt = this.computeLatestSendAt(this.context.now());
+            this.latestSendAt = computeLatestSendAt(this.context, this.request, this.context.now());
             this.applyEvent({ kind: "continued" });
         }
         if (fault !== undefined) {
@@ -338,19 +344,24 @@
         this.applyEvent({ kind: "ended", end, hasRetryBudget, canContinue: this.relay.canContinue() });
     }
 
-    private restartIdleTimer(): void {
+    private restartIdleTimer(timeoutMs = streamIdleTimeoutMs): void {
         clearTimeout(this.idleTimer);
-        this.idleTimer = setTimeout(this.contain(() => this.handleIdleTimeout()), streamIdleTimeoutMs);
+        this.idleTimer = setTimeout(this.contain(() => this.handleIdleTimeout()), timeoutMs);
     }
 
     /**
-     * A stream that is idle while others of its pool progress may have lost its connection, and goes on elsewhere if another
-     * run is allowed. Otherwise it waits: the upstream may be at work, and its silence alone must not end the response.
+     * A run whose upstream has gone silent, or whose stream is idle while others of its pool progress and may have lost its
+     * connection, is tried elsewhere if another run is allowed. Otherwise it waits: the upstream may be at work, and its
+     * silence alone must not end the response.
      */
     private handleIdleTimeout(): void {
         const { context, request } = this;
-        const canMove = !context.isPoolStalled(request.pool) && !context.isStopping() &&
-            isRunAllowed(this.state, this.relay.canContinue());
+        if (!isRunSilent(context, request, this.run!, this.relay.isStream())) {
+            this.restartIdleTimer(this.relay.isStream() ? streamIdleTimeoutMs : silenceCheckIntervalMs);
+            return;
+        }
+        const canMove = isRunAllowed(this.state, this.relay.canContinue()) &&
+            (this.relay.isStream() || context.now() < this.latestSendAt);
         if (!canMove || !context.acquireRetry(request, context.now())) {
             this.restartIdleTimer();
             return;
--- a/src/direct/requestState.ts
+++ b/src/direct/requestState.ts
@@ -44,7 +44,7 @@
     sentAttempts: number;
     /** Whether the head of a response has been sent to the caller. */
     hasSentHead: boolean;
-    /** Whether a silent run is held open while another attempt is to show that it continues the stream. */
+    /** Whether a silent run is held open while another attempt is to show that it responds or continues the stream. */
     isMoving: boolean;
     isFinished: boolean;
 }
@@ -64,14 +64,14 @@
     | { kind: "began"; }
     /** The complete response has been sent to the caller. */
     | { kind: "completed"; }
-    /** The stream is silent, and the retry budget has allowed another attempt beside it. */
+    /** The run or its upstream is silent, and the retry budget has allowed another attempt beside it. */
     | { kind: "silent"; }
     /** The current attempt continues the stream of the run that is held. */
     | { kind: "continued"; }
-    /** The run that is held has sent data again. */
+    /** The run that is held has responded, or sent data again. */
     | { kind: "returned"; }
-    /** The run that is held has ended without a complete response. */
-    | { kind: "held-ended"; }
+    /** The run that is held has ended without a complete response; not if its upstream has `refused` the request. */
+    | { kind: "held-ended"; isRefused: boolean; }
     /** The attempt ended without a complete response. */
     | ({ kind: "ended"; end: AttemptEnd; } & RetryConditions)
     /** No upstream can serve the request before its deadline. */
@@ -153,7 +153,10 @@
     },
     continued: state => endMove(state, { kind: "cancel-held" }),
     returned: state => endMove(state, { kind: "resume-held" }),
-    "held-ended": state => endMove(state, { kind: "cancel-held" }),
+    "held-ended": (state, { isRefused }) => {
+        state.runs -= Number(isRefused);
+        return endMove(state, { kind: "cancel-held" });
+    },
     ended: (state, event) => endHandlers[event.end](state, event),
     expired: state => abandon(state),
     stopped: state => abandonAll(state),
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -61,6 +61,7 @@
 import { createRequestQuarantine } from "./requestQuarantine.js";
 import { createScheduler, type DirectScheduler } from "./scheduler.js";
 import { applyLimits, createDirectServer, sendEmptyResponse, sendQuarantineRejection } from "./server.js";
+import { createSilenceLog } from "./silenceLog.js";
 import type { DirectRequest, HeadCodec } from "./types.js";
 
 export interface DirectEntryOptions {
@@ -235,6 +236,7 @@
         reportFault,
     });
     const noticeRecorder = createNoticeRecorder({ logger: peersLogger, metrics, upstreamTracker, now, random });
+    const silenceLog = createSilenceLog({ logger: peersLogger, metrics, upstreamTracker });
     const scheduler: DirectScheduler = createScheduler({
         upstreamTracker,
         drainMs: options.drainMs,
@@ -364,6 +366,7 @@
             });
         }
         updateRankLoads(upstreamTracker, heartbeat.pool, unpackRankLoads(heartbeat.ranks), now() - delayMs);
+        silenceLog.update();
         scheduler.updateCapacity(heartbeat.pool, entryCount);
     };
     const sendPresence = () => {
--- a/src/direct/tests/attempt.test.ts
+++ b/src/direct/tests/attempt.test.ts
@@ -124,9 +124,17 @@
         began,
         silent,
         sent,
-        { kind: "held-ended" },
+        { kind: "held-ended", isRefused: false },
         ended(AttemptEnd.lost),
     ], "cut finish"],
+    ["refused by a silent upstream, then by the other one", "resumable", [
+        sent,
+        silent,
+        sent,
+        { kind: "held-ended", isRefused: true },
+        ended(AttemptEnd.full),
+        { kind: "expired" },
+    ], "refuse finish"],
     ["going on after it was silent", "resumable", [sent, began, silent, sent, { kind: "returned" }], "resume-held"],
     ["lost after it was silent and went on", "resumable", [
         sent,
--- a/src/direct/upstreamRun.ts
+++ b/src/direct/upstreamRun.ts
@@ -1,4 +1,5 @@
 /** One attempt of a request at an upstream, from sending it to the end of its connection. */
+import { isSilent } from "../routing/upstreamSilence.js";
 import { recordSent, type TrackedUpstream } from "../routing/upstreamTracker.js";
 import { type AttemptObserver, observeAttempt } from "./attemptObserver.js";
 import type { DirectContext } from "./context.js";
@@ -44,6 +45,17 @@
     };
 }
 
+/** Whether a run that has been idle may have lost its upstream or, if it is a stream, its connection. */
+export function isRunSilent(
+    context: DirectContext,
+    request: DirectRequest,
+    { upstream }: UpstreamRun,
+    isStream: boolean,
+): boolean {
+    const isStreamSilent = isStream && !context.isPoolStalled(request.pool) && !context.isStopping();
+    return isStreamSilent || isSilent(context.upstreamTracker, upstream);
+}
+
 /** Closes the connection of a run that is open and records its end, with the reason if there is one. */
 export function endRun({ call, record, sentAt, recordEnd }: UpstreamRun, endedAt: number, reason?: string): void {
     call?.cancel();
--- a/src/observe/directMetrics.ts
+++ b/src/observe/directMetrics.ts
@@ -20,6 +20,7 @@
     retriesRefused: Counter<string>;
     revision: Gauge<string>;
     upstreams: Gauge<string>;
+    silentUpstreams: Gauge<string>;
     logEra: Gauge<string>;
     logEraChanges: Counter<string>;
     responseSeconds: Histogram<string>;
@@ -87,6 +88,10 @@
         ),
         revision: createGauge("beechdock_direct_revision", "Revision of the document in force."),
         upstreams: createGauge("beechdock_direct_upstreams", "Upstreams in the instance list."),
+        silentUpstreams: createGauge(
+            "beechdock_direct_silent_upstreams",
+            "Upstreams that have gone silent while others of their group report.",
+        ),
         logEra: createGauge("beechdock_log_era", "How often the log has returned from an older copy, as last seen."),
         logEraChanges: createCounter(
             "beechdock_log_era_changes_total",
--- a/src/routing/capacityShare.ts
+++ b/src/routing/capacityShare.ts
@@ -3,6 +3,7 @@
  * than capacity becomes free, entries without such a share would all send into the same free capacity at each heartbeat
  * of the group's leader, and most of these requests would wait at full ranks until their callers give up.
  */
+import { isSilent } from "./upstreamSilence.js";
 import { maxLoadAgeMs, type UpstreamTracker } from "./upstreamTracker.js";
 
 export interface CapacityShare {
@@ -23,8 +24,9 @@
 /** Computes how many more requests a pool can run, from the reported loads; each rank runs `concurrency` at once. */
 export function computeFreeCapacity(tracker: UpstreamTracker, pool: string, concurrency: number): number {
     let free = 0;
-    for (const { record, load } of tracker.upstreams.values()) {
-        if (record.pool === pool && !record.isLeaving && load !== undefined) {
+    for (const upstream of tracker.upstreams.values()) {
+        const { record, load } = upstream;
+        if (record.pool === pool && !record.isLeaving && load !== undefined && !isSilent(tracker, upstream)) {
             free += Math.max(0, concurrency - load.running - load.waiting);
         }
     }
--- a/src/routing/upstreamTracker.ts
+++ b/src/routing/upstreamTracker.ts
@@ -13,6 +13,7 @@
     type NoticeTable,
     UpstreamAvailability,
 } from "./upstreamNotices.js";
+import { isSilent, recordGroupReport, recordSignOfLife } from "./upstreamSilence.js";
 
 /** Load of one upstream, as reported by its slot or in one of its responses. */
 export interface UpstreamLoad {
@@ -39,12 +40,16 @@
     avoidedUntil: number;
     /** Whether another upstream has responded at its address. */
     isReplaced: boolean;
+    /** Time of its latest report or part of a response, in milliseconds; undefined before the first one. */
+    heardAt: number | undefined;
 }
 
 export interface UpstreamTracker {
     upstreams: Map<string, TrackedUpstream>;
     /** What upstreams say of themselves in responses; kept when an upstream is not listed for some time. */
     notices: NoticeTable;
+    /** Time since which half of each pool's group have been heard of, in milliseconds. */
+    groupHeardAt: Map<string, number>;
 }
 
 /**
@@ -61,7 +66,7 @@
 
 /** Creates a tracker without upstreams. */
 export function createUpstreamTracker(): UpstreamTracker {
-    return { upstreams: new Map(), notices: createNoticeTable() };
+    return { upstreams: new Map(), notices: createNoticeTable(), groupHeardAt: new Map() };
 }
 
 /** Replaces the set of upstreams and keeps the state of those that remain. */
@@ -74,14 +79,23 @@
         if (known !== undefined) {
             known.record = record;
         }
-        upstreams.set(
-            record.id,
-            known ?? { record, load: undefined, ownRequests: [], failures: 0, avoidedUntil: 0, isReplaced: false },
-        );
+        upstreams.set(record.id, known ?? createTrackedUpstream(record));
     }
     tracker.upstreams = upstreams;
 }
 
+function createTrackedUpstream(record: UpstreamRecord): TrackedUpstream {
+    return {
+        record,
+        load: undefined,
+        ownRequests: [],
+        failures: 0,
+        avoidedUntil: 0,
+        isReplaced: false,
+        heardAt: undefined,
+    };
+}
+
 /** Maps the ranks of a pool's group to upstream ids; if two upstreams claim a rank, the one started later wins. */
 export function findRanks(tracker: UpstreamTracker, pool: string): Map<number, string> {
     const ranks = new Map<number, string>();
@@ -110,9 +124,12 @@
     for (const { rank, running, waiting, ageMs } of loads) {
         const id = upstreamIdsByRank.get(rank);
         if (id !== undefined) {
-            updateLoad(tracker, id, { running, waiting, observedAt: sentAt - ageMs });
+            const observedAt = sentAt - ageMs;
+            updateLoad(tracker, id, { running, waiting, observedAt });
+            recordSignOfLife(tracker.upstreams.get(id)!, observedAt);
         }
     }
+    recordGroupReport(tracker, pool);
 }
 
 /** Records a request as sent; the returned function records its end. */
@@ -166,16 +183,17 @@
 } as const;
 export type UpstreamAdmission = (typeof UpstreamAdmission)[keyof typeof UpstreamAdmission];
 
-/** Lists the upstreams of a pool for requests, without those that are avoided unless there are no others. */
+/** Lists the upstreams of a pool for requests, without those that are silent or avoided unless there are no others. */
 export function listCandidates(
     tracker: UpstreamTracker,
     pool: string,
     now: number,
     excluded: ReadonlySet<string> = new Set(),
 ): TrackedUpstream[] {
-    const usable = listServing(tracker, pool).filter(({ record }) =>
-        !excluded.has(record.id) && getAvailability(tracker.notices, record, now) === UpstreamAvailability.available
+    const available = listServing(tracker, pool).filter(({ record }) =>
+        getAvailability(tracker.notices, record, now) === UpstreamAvailability.available
     );
+    const usable = filterHeard(tracker, available).filter(({ record }) => !excluded.has(record.id));
     return filterReachable(usable, now);
 }
 
@@ -200,7 +218,7 @@
         getAvailability(tracker.notices, record, now) === UpstreamAvailability.leaving &&
         isWithinDrain(tracker, record, options)
     );
-    return filterReachable(usable, now);
+    return filterReachable(filterHeard(tracker, usable), now);
 }
 
 /**
@@ -240,6 +258,11 @@
     );
 }
 
+function filterHeard(tracker: UpstreamTracker, usable: TrackedUpstream[]): TrackedUpstream[] {
+    const heard = usable.filter(upstream => !isSilent(tracker, upstream));
+    return heard.length > 0 ? heard : usable;
+}
+
 function filterReachable(usable: TrackedUpstream[], now: number): TrackedUpstream[] {
     const reachable = usable.filter(({ avoidedUntil }) => avoidedUntil <= now);
     return reachable.length > 0 ? reachable : usable;
