Connections of callers are read while a request is answered, so that a close is seen

A caller that left with bytes on its connection which the entry did not read kept its run: it went on to its end, and pipelined requests ran after it. 12 of 24 forms of leaving on each path, at upstreams that do not respond, stream, or stream without end.

Cause: pipelined requests wait for the response before them, and nothing read their bodies meanwhile. Node stops reading the connection when a body's buffer is full, and a connection that is not read shows neither its end nor a reset. A half-close with unsent bytes was not seen either: Node ends its side, but the response closes only when the caller has read what is left of it.

--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { findServingRoute, pickPool, type ServingIndex } from "../config/serving.js";
 import type { QuarantinedParts } from "../routing/quarantine.js";
-import { readBody } from "../wire/body.js";
+import type { BodyReader } from "../wire/body.js";
 import { type ConnectionCloser, createConnectionCloser } from "../wire/closeIdleConnections.js";
 import { findInvalidField, isRequestTarget } from "../wire/httpSyntax.js";
 import { interruptResponse } from "../wire/interruptResponse.js";
@@ -23,6 +23,9 @@
 /** Retry-After of responses while this entry stops, in milliseconds: another entry can take the request at once. */
 const stoppingRetryAfterMs = 0;
 
+/** Retry-After of a request behind too many others on its connection, in milliseconds: another connection can take it. */
+const pipelineRetryAfterMs = 0;
+
 export interface DirectServerOptions {
     context: DirectContext;
     /** Returns the index of the active document; undefined before the first one. */
@@ -51,14 +54,14 @@
     let arrivalCount = 0;
     const server = createServer({ maxHeaderSize: maxHeaderBytes, requireHostHeader: false, requestTimeout: 0 });
     const connectionCloser = createConnectionCloser(server);
-    handleRequests(server, (message, response) => {
+    const takeRequest = (message: IncomingMessage, response: ServerResponse, body: BodyReader) => {
         arrivalCount += 1;
         inFlight.set(response, undefined);
         response.sendDate = false;
         response.shouldKeepAlive = response.shouldKeepAlive && !options.isStopping();
         response.on("close", () => inFlight.delete(response));
         response.on("error", options.context.reportFault);
-        handleRequest(options, message, response, arrivalCount).then(dispatch => {
+        handleRequest(options, message, response, body, arrivalCount).then(dispatch => {
             if (dispatch !== undefined && inFlight.has(response)) {
                 inFlight.set(response, dispatch);
             }
@@ -67,6 +70,10 @@
             options.context.reportFault(error);
             options.context.sendRefusal(response, startupRetryAfterMs);
         });
+    };
+    handleRequests(server, {
+        handle: takeRequest,
+        refuse: response => options.context.sendRefusal(response, pipelineRetryAfterMs),
     });
     return {
         server,
@@ -92,12 +99,13 @@
     options: DirectServerOptions,
     message: IncomingMessage,
     response: ServerResponse,
+    reader: BodyReader,
     arrivalNumber: number,
 ): Promise<DirectDispatch | undefined> {
     const { context } = options;
     const receivedAt = context.now();
     const maxBodyBytes = options.getIndex()?.document.limits.maxBodyBytes ?? Infinity;
-    const body = await readBody(message, maxBodyBytes);
+    const body = await reader.read(maxBodyBytes);
     if (response.destroyed) {
         return undefined;
     }
--- a/src/entry/accept.ts
+++ b/src/entry/accept.ts
@@ -2,7 +2,6 @@
 import type { IncomingMessage } from "node:http";
 import { createRefusal } from "../core/errors.js";
 import { RunOutcome } from "../core/types.js";
-import { readBody } from "../wire/body.js";
 import { maxRpcBytes } from "../wire/rpc.js";
 import type { Exchange, Filter } from "./types.js";
 
@@ -34,7 +33,7 @@
         if ((exchange.idempotencyKey?.length ?? 0) > maxIdempotencyKeyLength) {
             throw createInputRefusal(400, `Idempotency-Key is longer than ${maxIdempotencyKeyLength} characters`);
         }
-        const body = await readBody(message, maxBodyBytes);
+        const body = await exchange.bodyReader.read(maxBodyBytes);
         if (body === undefined || isOversize(body)) {
             message.resume();
             exchange.response.shouldKeepAlive = false;
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -5,6 +5,7 @@
 import { RefusalError } from "../core/errors.js";
 import { RunOutcome } from "../core/types.js";
 import type { Logger } from "../observe/logger.js";
+import type { BodyReader } from "../wire/body.js";
 import { createConnectionCloser } from "../wire/closeIdleConnections.js";
 import { handleRequests } from "../wire/sequentialRequests.js";
 import { createAcceptFilter } from "./accept.js";
@@ -16,6 +17,13 @@
 import type { Exchange, Filter } from "./types.js";
 
 const maxHeaderBytes = 16_384;
+/** Response to a request behind too many others on its connection; another connection can take it at once. */
+const pipelineProblem = {
+    status: 503,
+    outcome: RunOutcome.notRun,
+    title: "Too much waits before the request on its connection",
+    retryAfterSeconds: 0,
+};
 
 /** Time limits for receiving a request, in milliseconds. */
 export interface ReceiveTimeouts {
@@ -72,7 +80,7 @@
         requireHostHeader: false,
     });
     const { closeListener, closeIdleConnections } = createConnectionCloser(server);
-    handleRequests(server, (message, response) => {
+    const handle = (message: IncomingMessage, response: ServerResponse, body: BodyReader) => {
         if (message.url === "/healthz/ready") {
             response.writeHead(context.isReady() ? 200 : 503).end();
             return;
@@ -85,8 +93,9 @@
                 drainWaiters.splice(0).forEach(resolve => resolve());
             }
         });
-        void runFilters(context, filters, message, response);
-    });
+        void runFilters(context, filters, createExchange(context, message, response, body));
+    };
+    handleRequests(server, { handle, refuse: response => sendProblem(response, randomUUID(), pipelineProblem) });
     rejectMalformedRequests(server);
     const drain = () => inFlight === 0 ? Promise.resolve() : new Promise<void>(resolve => drainWaiters.push(resolve));
     return {
@@ -105,10 +114,8 @@
 async function runFilters(
     context: EntryContext,
     filters: Filter[],
-    message: IncomingMessage,
-    response: ServerResponse,
+    exchange: Exchange,
 ): Promise<void> {
-    const exchange = createExchange(context, message, response);
     try {
         for (const filter of filters) {
             await filter(exchange);
@@ -135,12 +142,18 @@
     context.metrics.requests.inc({ outcome: RunOutcome.unknown });
 }
 
-function createExchange(context: EntryContext, message: IncomingMessage, response: ServerResponse): Exchange {
+function createExchange(
+    context: EntryContext,
+    message: IncomingMessage,
+    response: ServerResponse,
+    bodyReader: BodyReader,
+): Exchange {
     return {
         requestId: randomUUID(),
         receivedAt: Date.now(),
         message,
         response,
+        bodyReader,
         config: context.getConfig(),
         body: Buffer.alloc(0),
         workspace: undefined,
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ActiveConfig } from "../config/fold.js";
 import type { Route, Workspace } from "../config/schemas.js";
+import type { BodyReader } from "../wire/body.js";
 
 /** A request with its response, and what the filters have determined about it so far. */
 export interface Exchange {
@@ -9,6 +10,7 @@
     /** Arrival time, in milliseconds since the epoch. */
     receivedAt: number;
     message: IncomingMessage;
+    bodyReader: BodyReader;
     response: ServerResponse;
     /** Config in force when the request arrived. */
     config: ActiveConfig;
--- a/src/wire/body.ts
+++ b/src/wire/body.ts
@@ -3,20 +3,87 @@
 
 /** Reads a request body; resolves to undefined if it is longer than `maxBytes` or incomplete. */
 export function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-    return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        message.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > maxBytes) {
-                message.pause();
-                resolve(undefined);
-                return;
+    return new BodyReader(message).read(maxBytes);
+}
+
+/** Maximum number of bytes of a body that are read before it is asked for. */
+const maxBytesAhead = 64 * 1024;
+
+/** Body of one request, which can be read ahead of the time at which it is asked for. */
+export class BodyReader {
+    private chunks: Buffer[] = [];
+    private size = 0;
+    private maxBytes = maxBytesAhead;
+    private isStarted = false;
+    private isDiscarded = false;
+    /** Resolves the body; undefined while nobody has asked for it. */
+    private resolve: ((body: Buffer | undefined) => void) | undefined;
+    private hasEnded = false;
+
+    constructor(private readonly message: IncomingMessage) {}
+
+    /** Reads the body as it arrives; `onData` is called with the number of bytes of each part that is kept. */
+    readAhead(onData: (bytes: number) => void): void {
+        this.maxBytes = Infinity;
+        this.start(onData);
+    }
+
+    /** Stops to read ahead, unless the body is asked for. */
+    stopReadingAhead(): void {
+        this.maxBytes = Math.max(this.size, maxBytesAhead);
+    }
+
+    /** Resolves to the body; to undefined if it is longer than `maxBytes`, incomplete or discarded. */
+    read(maxBytes: number): Promise<Buffer | undefined> {
+        return new Promise(resolve => {
+            this.resolve = resolve;
+            this.maxBytes = maxBytes;
+            this.start(() => undefined);
+            this.message.resume();
+            this.settle();
+        });
+    }
+
+    /** Reads the rest of the body without keeping any of it. */
+    discard(): void {
+        this.isDiscarded = true;
+        this.chunks = [];
+        this.message.resume();
+    }
+
+    private start(onData: (bytes: number) => void): void {
+        if (this.isStarted) {
+            return;
+        }
+        this.isStarted = true;
+        const end = () => {
+            this.hasEnded = true;
+            this.settle();
+        };
+        this.message.on("data", (chunk: Buffer) => {
+            if (!this.isDiscarded) {
+                this.size += chunk.length;
+                this.chunks.push(chunk);
+                onData(chunk.length);
+                this.settle();
             }
-            chunks.push(chunk);
         });
-        message.on("end", () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks, size)));
-        message.on("error", () => resolve(undefined));
-        message.on("close", () => resolve(undefined));
-    });
+        this.message.on("end", end);
+        this.message.on("error", end);
+        this.message.on("close", end);
+    }
+
+    private settle(): void {
+        const isTooLong = this.size > this.maxBytes;
+        if (isTooLong) {
+            this.message.pause();
+        }
+        if (this.isDiscarded || isTooLong || this.hasEnded) {
+            this.resolve?.(this.isDiscarded || isTooLong || !this.message.complete ? undefined : this.concatenate());
+        }
+    }
+
+    private concatenate(): Buffer {
+        return this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks, this.size);
+    }
 }
--- a/tests/integration/unreadCloses.test.ts
+++ b/tests/integration/unreadCloses.test.ts
@@ -36,7 +36,7 @@
             }
         };
         socket.write(head);
-        socket.on("drain", () => setImmediate(send));
+        socket.on("drain", () => setTimeout(send, 5));
         send();
     },
 };
