Slots: a cancel call that overtakes its run call revokes the run

Cause: the entry cancels the run on another connection than it was sent on. A cancel call that came first found no run and did nothing, and counted as delivered, so that it was not repeated.

--- a/src/entry/cancelRun.ts
+++ b/src/entry/cancelRun.ts
@@ -5,6 +5,8 @@
 export interface OpenRun {
     requestId: string;
     attempt: number;
+    /** Incarnation of the slot for which the run was sent; undefined before its first report. */
+    incarnation: string | undefined;
     /** Address and name of the slot. */
     url: string;
     instance: string;
@@ -15,10 +17,10 @@
 
 /** Cancels a run; a call that fails is repeated, since the slot may be busy or its connection lost. */
 export async function cancelRun(identity: RpcIdentity, run: OpenRun): Promise<void> {
-    const { requestId, attempt, url, instance: target } = run;
+    const { requestId, attempt, incarnation, url, instance: target } = run;
     for (const delayMs of retryDelaysMs) {
         try {
-            await requestRpc(identity, url, "cancel", { requestId, attempt }, { target });
+            await requestRpc(identity, url, "cancel", { requestId, attempt, incarnation }, { target });
             return;
         }
         catch {
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -215,7 +215,8 @@
         this.knownCrashes = this.context.quarantine.getLatestCrashes();
         this.beganAt = undefined;
         this.isHarmless = false;
-        this.openRun = { requestId: params.requestId, attempt: params.attempt, url, instance };
+        const { requestId, attempt, incarnation } = params;
+        this.openRun = { requestId, attempt, incarnation, url, instance };
         this.stream = this.context.slots.run(url, params, this.createListener(), instance);
     }
 
