Silent slots: idempotent requests go on elsewhere when a slot has sent no frame of their run

With slots in the path a request in flight at a slot whose machine stands still waited until it went on, up to 5 s: the run call and three resumptions each wait 1.25 s for a response. Callers give up before.

A slot that has sent any frame, keepalives too, keeps the three resumptions, and so does any request that must not run twice.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -10,6 +10,11 @@
 export const maxAttempts = 3;
 /** Maximum number of resumptions in a row without a new frame. */
 const maxResumes = 3;
+/**
+ * The same limit for an idempotent request in an attempt without any frame: its slot may have gone silent, and another one
+ * can run it.
+ */
+const maxSilentResumes = 1;
 
 /** Why a request is retried. */
 export const RetryReason = {
@@ -42,6 +47,8 @@
     resumes: number;
     /** Whether the run of the current attempt may have reached the slot. */
     mayHaveReachedSlot: boolean;
+    /** Whether the slot of the current attempt has sent a frame of the run. */
+    hasSlotResponded: boolean;
     /** Whether the head of the response has been relayed to the caller. */
     responseStarted: boolean;
     idempotent: boolean;
@@ -93,6 +100,7 @@
         bodyLength: 0,
         resumes: 0,
         mayHaveReachedSlot: false,
+        hasSlotResponded: false,
         responseStarted: false,
         idempotent,
         deadline,
@@ -150,6 +158,7 @@
         return [{ kind: "drop" }];
     }
     state.mayHaveReachedSlot = true;
+    state.hasSlotResponded = true;
     if (frame.kind === "keepalive") {
         return frame.sequence > state.nextSequence ? handleBrokenStream(state, now) : [];
     }
@@ -224,7 +233,7 @@
 /** Resumes the stream, or treats the slot as lost after too many resumptions without a new frame. */
 function handleBrokenStream(state: AttemptState, now: number): AttemptAction[] {
     state.mayHaveReachedSlot = true;
-    if (state.resumes >= maxResumes) {
+    if (state.resumes >= (state.idempotent && !state.hasSlotResponded ? maxSilentResumes : maxResumes)) {
         return state.responseStarted ?
             failRequest(state, RunOutcome.unknown, 502, "The slot was lost") :
             retryOnOtherSlot(state, RunOutcome.unknown, now, RetryReason.lost, 502, "The slot was lost");
@@ -257,6 +266,7 @@
     state.bodyLength = 0;
     state.resumes = 0;
     state.mayHaveReachedSlot = false;
+    state.hasSlotResponded = false;
     return [{ kind: "retry", reason }, { kind: "choose" }];
 }
 
