Pipelined requests: the body of a refused one is discarded, so that its connection is read on

One that was refused without its body being read (status 400), with over 64 KB still to come, left the connection unread: the request behind it was not answered, and a close was not seen. With slots only, as the direct path reads each body.

The body is discarded when the response ends.

--- a/src/wire/sequentialRequests.ts
+++ b/src/wire/sequentialRequests.ts
@@ -60,7 +60,10 @@
     const begin = (connection: Connection, exchange: Exchange) => {
         const { message, response, body } = exchange;
         release(connection, exchange);
-        response.on("close", () => handleNext(connection, message.socket));
+        response.on("close", () => {
+            body.discard();
+            handleNext(connection, message.socket);
+        });
         if (exchange.isRefused) {
             response.shouldKeepAlive = false;
             handlers.refuse(response);
