Silent slots: a slot is left only when another one can take the request and the retry budget admits it

Cause: a slot that had sent no frame after one resumption was given up before it was known that the request could go elsewhere. With the retry budget used up, or no other slot at hand, the request failed, although its slot was only late.

Fix: the entry looks for another slot and acquires the budget first; otherwise the slot keeps its three resumptions.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -10,11 +10,8 @@
 export const maxAttempts = 3;
 /** Maximum number of resumptions in a row without a new frame. */
 const maxResumes = 3;
-/**
- * The same limit for an idempotent request in an attempt without any frame: its slot may have gone silent, and another one
- * can run it.
- */
-const maxSilentResumes = 1;
+/** Number of failed resumptions from which on a slot counts as silent that has sent no frame of the attempt. */
+const silentResumes = 1;
 
 /** Why a request is retried. */
 export const RetryReason = {
@@ -60,15 +57,21 @@
     requestId?: string;
 }
 
+/** What leaving a silent slot depends on, besides the state of the request. */
+interface SilenceConditions {
+    /** Whether another slot can take the request, and the retry budget has admitted it. */
+    canLeaveSlot?: boolean;
+}
+
 export type AttemptEvent =
     | { kind: "chosen"; }
     /** No upstream can take the attempt. */
     | { kind: "no-candidate"; retryAfterSeconds?: number; }
     | { kind: "frame"; frame: Frame; }
     /** The stream ended early, was idle for too long or carried invalid data. */
-    | { kind: "broken"; }
+    | ({ kind: "broken"; } & SilenceConditions)
     /** No connection to the slot could be made, so nothing was sent. */
-    | { kind: "unreachable"; }
+    | ({ kind: "unreachable"; } & SilenceConditions)
     /** The retry budget does not allow the next attempt. */
     | { kind: "retry-refused"; retryAfterSeconds: number; }
     /** The prompt must not be sent to an upstream (again). */
@@ -125,10 +128,10 @@
     "no-candidate": (state, event) =>
         failRequest(state, RunOutcome.notRun, 503, "No upstream is available", event.retryAfterSeconds ?? 2),
     frame: (state, event, now) => handleFrame(state, event.frame, now),
-    broken: (state, event, now) => handleBrokenStream(state, now),
+    broken: (state, event, now) => handleBrokenStream(state, now, event.canLeaveSlot),
     unreachable: (state, event, now) =>
         state.mayHaveReachedSlot ?
-            handleBrokenStream(state, now) :
+            handleBrokenStream(state, now, event.canLeaveSlot) :
             retryOnOtherSlot(state, RunOutcome.notRun, now, RetryReason.unreachable, 502, "The slot cannot be reached"),
     "retry-refused": (state, event) =>
         failRequest(state, RunOutcome.notRun, 503, "Too many requests are being retried", event.retryAfterSeconds),
@@ -230,10 +233,16 @@
     );
 }
 
-/** Resumes the stream, or treats the slot as lost after too many resumptions without a new frame. */
-function handleBrokenStream(state: AttemptState, now: number): AttemptAction[] {
+/** Whether the slot of an idempotent request may have gone silent, so that another one should run it if one can. */
+export function isSlotSilent(state: AttemptState): boolean {
+    const isSilent = !state.hasSlotResponded && state.resumes >= silentResumes;
+    return isSilent && state.idempotent && state.attempt < maxAttempts;
+}
+
+/** Resumes the stream, or treats the slot as lost after too many resumptions without a new frame, or when it is silent. */
+function handleBrokenStream(state: AttemptState, now: number, canLeaveSlot = false): AttemptAction[] {
     state.mayHaveReachedSlot = true;
-    if (state.resumes >= (state.idempotent && !state.hasSlotResponded ? maxSilentResumes : maxResumes)) {
+    if (state.resumes >= maxResumes || (canLeaveSlot && isSlotSilent(state))) {
         return state.responseStarted ?
             failRequest(state, RunOutcome.unknown, 502, "The slot was lost") :
             retryOnOtherSlot(state, RunOutcome.unknown, now, RetryReason.lost, 502, "The slot was lost");
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -5,7 +5,7 @@
 import { RunOutcome } from "../core/types.js";
 import type { Metrics } from "../observe/metrics.js";
 import { hashPromptPrefix } from "../routing/affinity.js";
-import { chooseUpstream, estimateCost, isPaused } from "../routing/choose.js";
+import { type ChoiceCriteria, chooseUpstream, estimateCost, isPaused } from "../routing/choose.js";
 import type { AttemptOutcome } from "../routing/ejection.js";
 import {
     markUnreachable,
@@ -20,7 +20,14 @@
 import type { Frame } from "../wire/messages.js";
 import { findRequestedPause } from "../wire/pauseField.js";
 import type { RpcIdentity } from "../wire/rpc.js";
-import { advanceAttempt, type AttemptAction, type AttemptEvent, createAttemptState, RetryReason } from "./attempt.js";
+import {
+    advanceAttempt,
+    type AttemptAction,
+    type AttemptEvent,
+    createAttemptState,
+    isSlotSilent,
+    RetryReason,
+} from "./attempt.js";
 import { cancelRun, type OpenRun } from "./cancelRun.js";
 import { beginAttempt, beginRecord, endAttempt, endRecord, type Journal, type JournalRecord } from "./journal.js";
 import { parsePromptHead, type PromptHead, type PromptQuarantine } from "./promptQuarantine.js";
@@ -83,6 +90,8 @@
     private openRun: OpenRun | undefined;
     private deadlineTimer: NodeJS.Timeout | undefined;
     private retryReason: RetryReason | undefined;
+    /** Whether the retry budget has admitted the next retry. */
+    private hasAcquiredRetry = false;
     private readonly prompt: PromptHead;
     private knownCrashes: string[] = [];
     /** Time of the first data of the current attempt; undefined before it. */
@@ -166,8 +175,8 @@
     }
 
     private choose(): void {
-        const { table, dataCentre, retryBudget } = this.context;
-        const { route, tokens } = this.exchange;
+        const { table, retryBudget } = this.context;
+        const { tokens } = this.exchange;
         const now = Date.now();
         const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
         const obstacle = this.context.quarantine.findObstacle(this.prompt);
@@ -175,20 +184,13 @@
             this.apply({ kind: "obstructed", ...obstacle });
             return;
         }
-        if (this.needsRetryBudget() && !admitRetry(retryBudget, now)) {
+        const hasRetryBudget = this.hasAcquiredRetry;
+        this.hasAcquiredRetry = false;
+        if (this.needsRetryBudget() && !hasRetryBudget && !admitRetry(retryBudget, now)) {
             this.apply({ kind: "retry-refused", retryAfterSeconds });
             return;
         }
-        const criteria = {
-            pool: route!.pool,
-            dataCentre,
-            spill: route!.spill,
-            tokens,
-            excluded: this.triedInstances,
-            prefix: hashPromptPrefix(this.exchange.body),
-            avoidsFull: this.retryReason === RetryReason.refused,
-        };
-        this.upstream = chooseUpstream(table, criteria, now, Math.random);
+        this.upstream = chooseUpstream(table, this.createCriteria(), now, Math.random);
         if (this.upstream === undefined) {
             this.apply({ kind: "no-candidate", retryAfterSeconds });
             return;
@@ -202,6 +204,28 @@
         this.apply({ kind: "chosen" });
     }
 
+    private createCriteria(): ChoiceCriteria {
+        const { route, tokens, body } = this.exchange;
+        return {
+            pool: route!.pool,
+            dataCentre: this.context.dataCentre,
+            spill: route!.spill,
+            tokens,
+            excluded: this.triedInstances,
+            prefix: hashPromptPrefix(body),
+            avoidsFull: this.retryReason === RetryReason.refused,
+        };
+    }
+
+    /** Whether another slot can take the request of a silent one; the retry budget has then admitted the retry. */
+    private acquireRetryElsewhere(): boolean {
+        const now = Date.now();
+        this.hasAcquiredRetry =
+            chooseUpstream(this.context.table, this.createCriteria(), now, Math.random) !== undefined &&
+            admitRetry(this.context.retryBudget, now);
+        return this.hasAcquiredRetry;
+    }
+
     /** Whether the attempt is a retry that adds load. */
     private needsRetryBudget(): boolean {
         return this.retryReason !== undefined && !unbudgetedRetries.has(this.retryReason);
@@ -258,7 +282,8 @@
             }),
             onBroken: this.contain((sent: boolean) => {
                 if (attempt === this.state.attempt && !this.ended) {
-                    this.apply({ kind: sent ? "broken" : "unreachable" });
+                    const canLeaveSlot = isSlotSilent(this.state) && this.acquireRetryElsewhere();
+                    this.apply({ kind: sent ? "broken" : "unreachable", canLeaveSlot });
                 }
             }),
         };
--- a/src/entry/tests/attempt.test.ts
+++ b/src/entry/tests/attempt.test.ts
@@ -29,6 +29,7 @@
 const makeForeignFrame = (sequence: number, rest: object) => makeFrame(1, sequence, rest, "r2");
 const chosen: AttemptEvent = { kind: "chosen" };
 const broken: AttemptEvent = { kind: "broken" };
+const silent: AttemptEvent = { kind: "broken", canLeaveSlot: true };
 const unreachable: AttemptEvent = { kind: "unreachable" };
 const deadlinePassed: AttemptEvent = { kind: "deadline" };
 const callerGone: AttemptEvent = { kind: "caller-gone" };
@@ -88,9 +89,11 @@
     { name: "refusal while the retry budget is spent", events: [chosen, makeFailed("not-run"), retryRefused], once: "send, retry refused, choose, fail not-run 503 7" },
     { name: "lost slot while the retry budget is spent", events: [chosen, makeAccepted(), broken, unreachable, unreachable, unreachable, retryRefused], once: "send, resume 1, resume 1, resume 1, fail unknown 502", idempotent: "send, resume 1, resume 1, resume 1, retry lost, choose, fail unknown 503 7" },
     { name: "refusal that says not run after the head", events: [...startedResponse, makeFailed("not-run")], once: `${startedResponseActions}, fail run 503` },
-    { name: "slot lost before its first frame", events: [chosen, broken, broken], once: "send, resume 0, resume 0", idempotent: "send, resume 0, retry lost, choose" },
-    { name: "slot lost before the first data", events: [chosen, makeAccepted(), broken, unreachable, unreachable, unreachable], once: "send, resume 1, resume 1, resume 1, fail unknown 502", idempotent: "send, resume 1, resume 1, resume 1, retry lost, choose" },
-    { name: "slot lost that has sent signs of life only", events: [chosen, keepalive(0), broken, unreachable, unreachable, unreachable], once: "send, resume 0, resume 0, resume 0, fail unknown 502", idempotent: "send, resume 0, resume 0, resume 0, retry lost, choose" },
+    { name: "silent slot beside one that can take the request", events: [chosen, silent, silent], once: "send, resume 0, resume 0", idempotent: "send, resume 0, retry lost, choose" },
+    { name: "silent slot that is unreachable then", events: [chosen, silent, { ...silent, kind: "unreachable" }], once: "send, resume 0, resume 0", idempotent: "send, resume 0, retry lost, choose" },
+    { name: "slot lost before its first frame", events: [chosen, broken, unreachable, unreachable, unreachable], once: "send, resume 0, resume 0, resume 0, fail unknown 502", idempotent: "send, resume 0, resume 0, resume 0, retry lost, choose" },
+    { name: "slot lost before the first data", events: [chosen, makeAccepted(), silent, silent, unreachable, unreachable], once: "send, resume 1, resume 1, resume 1, fail unknown 502", idempotent: "send, resume 1, resume 1, resume 1, retry lost, choose" },
+    { name: "slot lost that has sent signs of life only", events: [chosen, keepalive(0), silent, silent, unreachable, unreachable], once: "send, resume 0, resume 0, resume 0, fail unknown 502", idempotent: "send, resume 0, resume 0, resume 0, retry lost, choose" },
     { name: "slot lost after the first data", events: [...startedResponse, broken, unreachable, unreachable, unreachable], once: `${startedResponseActions}, resume 3, resume 3, resume 3, fail run 502` },
     { name: "connection broken after the first data, resumed with replayed frames", events: [...startedResponse, broken, data(2, "ab"), data(3, "c"), end(4, 3)], once: `${startedResponseActions}, resume 3, drop, relay data c, relay end, finish` },
     { name: "connection broken, and the slot proves that the run never arrived", events: [chosen, broken, makeFailed("not-run")], once: "send, resume 0, retry never-arrived, choose" },
