Silent slots: a request leaves its slot after the first call without a frame, with the time limits of before

The limits are those of before again. Instead of one resumption there is none when another slot can take the request and the retry budget admits it; otherwise nothing has changed.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -10,8 +10,6 @@
 export const maxAttempts = 3;
 /** Maximum number of resumptions in a row without a new frame. */
 const maxResumes = 3;
-/** Number of failed resumptions from which on a slot counts as silent that has sent no frame of the attempt. */
-const silentResumes = 1;
 
 /** Why a request is retried. */
 export const RetryReason = {
@@ -235,8 +233,7 @@
 
 /** Whether the slot of an idempotent request may have gone silent, so that another one should run it if one can. */
 export function isSlotSilent(state: AttemptState): boolean {
-    const isSilent = !state.hasSlotResponded && state.resumes >= silentResumes;
-    return isSilent && state.idempotent && state.attempt < maxAttempts;
+    return !state.hasSlotResponded && state.idempotent && state.attempt < maxAttempts;
 }
 
 /** Resumes the stream, or treats the slot as lost after too many resumptions without a new frame, or when it is silent. */
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -258,7 +258,7 @@
         const { attempt } = this.state;
         const params = { requestId: this.exchange.requestId, attempt, incarnation: this.incarnation, nextSequence };
         const { url, instance } = this.upstream!;
-        this.stream = this.context.slots.resume(url, params, this.state.idempotent, this.createListener(), instance);
+        this.stream = this.context.slots.resume(url, params, this.createListener(), instance);
     }
 
     private createListener() {
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -10,7 +10,7 @@
 const connectTimeoutMs = 500;
 /** Time without data after which the connection of a stream counts as lost. */
 const idleTimeoutMs = 1500;
-/** Time limit for the head of the response once connected; an idempotent request has it from sending the call on. */
+/** Time limit for the head of the response once connected. */
 const responseTimeoutMs = 750;
 const clientOptions = { headersTimeout: 0, bodyTimeout: 0, connect: { timeout: connectTimeoutMs } };
 
@@ -32,13 +32,7 @@
     /** `target` names the only slot that may accept the call. Non-idempotent runs always use a new connection. */
     run: (url: string, params: RunParams, listener: FrameListener, target?: string) => SlotStream;
     /** Always uses a new connection. */
-    resume: (
-        url: string,
-        params: ResumeParams,
-        isIdempotent: boolean,
-        listener: FrameListener,
-        target?: string,
-    ) => SlotStream;
+    resume: (url: string, params: ResumeParams, listener: FrameListener, target?: string) => SlotStream;
     close: () => Promise<void>;
 }
 
@@ -51,7 +45,7 @@
     const getPool = (url: string) => pools.get(url) ?? createPool(pools, url);
     const openPooled: SlotClient["run"] = (url, params, listener, target) => {
         const pool = getPool(url);
-        return openStream(pool, identity, InternalPath.run, params, params.idempotent, {
+        return openStream(pool, identity, InternalPath.run, params, {
             onFrame: listener.onFrame,
             onBroken: sent => {
                 removePool(pools, url, pool);
@@ -63,9 +57,9 @@
         run: (url, params, listener, target) =>
             params.idempotent ?
                 openPooled(url, params, listener, target) :
-                openOnNewConnection(identity, url, InternalPath.run, params, params.idempotent, listener, target),
-        resume: (url, params, isIdempotent, listener, target) =>
-            openOnNewConnection(identity, url, InternalPath.resume, params, isIdempotent, listener, target),
+                openOnNewConnection(identity, url, InternalPath.run, params, listener, target),
+        resume: (url, params, listener, target) =>
+            openOnNewConnection(identity, url, InternalPath.resume, params, listener, target),
         close: async () => {
             await Promise.all([...pools.values()].map(pool => pool.close()));
         },
@@ -77,12 +71,11 @@
     url: string,
     path: string,
     params: RunParams | ResumeParams,
-    isIdempotent: boolean,
     listener: FrameListener,
     target: string | undefined,
 ): SlotStream {
     const client = new Client(url, clientOptions);
-    const stream = openStream(client, identity, path, params, isIdempotent, {
+    const stream = openStream(client, identity, path, params, {
         onFrame: listener.onFrame,
         onBroken: sent => {
             void client.destroy();
@@ -135,7 +128,6 @@
 
     constructor(
         private readonly run: { requestId: string; attempt: number; },
-        private readonly isIdempotent: boolean,
         private readonly listener: FrameListener,
     ) {
         this.timer = setTimeout(() => this.fail(), connectTimeoutMs + responseTimeoutMs);
@@ -167,10 +159,6 @@
         if (this.isClosed) {
             controller.abort(new Error("the stream was closed"));
         }
-        else if (this.isIdempotent) {
-            clearTimeout(this.timer);
-            this.timer = setTimeout(() => this.fail(), responseTimeoutMs);
-        }
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
@@ -254,12 +242,11 @@
     identity: RpcIdentity,
     path: string,
     params: RunParams | ResumeParams,
-    isIdempotent: boolean,
     listener: FrameListener,
     target: string | undefined,
 ): SlotStream {
     const body = JSON.stringify({ jsonrpc: "2.0", id: params.requestId, method: path.slice(1), params });
-    const stream = new FrameStream(params, isIdempotent, listener);
+    const stream = new FrameStream(params, listener);
     const headers = createSignedHeaders(identity, path, body, target);
     dispatcher.dispatch({ path, method: "POST", headers, body }, stream);
     return { abandon: () => stream.abandon(), pause: () => stream.pause(), resume: () => stream.resume() };
