Log of requests: one with a lost attempt has the digest of the whole request

The parts of a prompt do not tell whether a request comes again: the digest does (caller, method, host, path, query, body; the body is hashed as it arrives).

--- a/src/direct/requestLog.ts
+++ b/src/direct/requestLog.ts
@@ -42,6 +42,7 @@
                 attempts,
                 rateLimits: rateLimits.length === 0 ? undefined : rateLimits,
                 notices: notices.length === 0 ? undefined : notices,
+                digest: isAnyLost(attempts) ? request.digest : undefined,
                 promptParts: isAnyLost(attempts) ? request.head.sharedPromptParts : undefined,
             });
         },
--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -9,6 +9,7 @@
 import { type ConnectionCloser, createConnectionCloser } from "../wire/closeIdleConnections.js";
 import { findInvalidField, isRequestTarget } from "../wire/httpSyntax.js";
 import { interruptResponse } from "../wire/interruptResponse.js";
+import { computeRequestDigest } from "../wire/requestDigest.js";
 import { handleRequests } from "../wire/sequentialRequests.js";
 import type { DirectContext } from "./context.js";
 import { DirectDispatch } from "./directDispatch.js";
@@ -119,7 +120,7 @@
         context.sendRefusal(response, startupRetryAfterMs);
         return undefined;
     }
-    const request = resolveRequest(options, index, message, body, receivedAt);
+    const request = resolveRequest(options, index, message, { body, hash: reader.computeHash() }, receivedAt);
     if (typeof request === "number") {
         sendEmptyResponse(response, request);
         return undefined;
@@ -140,7 +141,7 @@
     { context, random }: DirectServerOptions,
     index: ServingIndex,
     message: IncomingMessage,
-    body: Buffer,
+    { body, hash }: { body: Buffer; hash: string; },
     receivedAt: number,
 ): DirectRequest | number {
     const target = message.url ?? "/";
@@ -164,9 +165,11 @@
         return 400;
     }
     const timeoutMs = Math.min(head.timeoutMs ?? Infinity, route.timeoutMs);
+    const method = message.method ?? "GET";
     return {
         id: head.requestId,
-        method: message.method ?? "GET",
+        digest: computeRequestDigest({ caller: head.key ?? "", method, host: head.host, target, bodyHash: hash }),
+        method,
         target,
         head,
         body,
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -83,6 +83,8 @@
 /** Request that has been matched to a route and a pool. */
 export interface DirectRequest {
     id: string;
+    /** Digest of the whole request; see `computeRequestDigest`. */
+    digest: string;
     method: string;
     target: string;
     head: RequestHead;
--- a/src/wire/body.ts
+++ b/src/wire/body.ts
@@ -1,4 +1,5 @@
 /** Reads request bodies. */
+import type { Hash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
 
 /** Reads a request body; resolves to undefined if it is longer than `maxBytes` or incomplete. */
@@ -20,7 +21,8 @@
     private resolve: ((body: Buffer | undefined) => void) | undefined;
     private hasEnded = false;
 
-    constructor(private readonly message: IncomingMessage) {}
+    /** `hash` is updated with each part of the body as it arrives. */
+    constructor(private readonly message: IncomingMessage, private readonly hash?: Hash) {}
 
     /** Reads the body as it arrives; `onData` is called with the number of bytes of each part that is kept. */
     readAhead(onData: (bytes: number) => void): void {
@@ -44,6 +46,11 @@
         });
     }
 
+    /** Returns the hash of a body that has been read, in base64url; empty without a hash. Must be called once at most. */
+    computeHash(): string {
+        return this.hash?.digest("base64url") ?? "";
+    }
+
     /** Reads the rest of the body without keeping any of it. */
     discard(): void {
         this.isDiscarded = true;
@@ -64,6 +71,7 @@
             if (!this.isDiscarded) {
                 this.size += chunk.length;
                 this.chunks.push(chunk);
+                this.hash?.update(chunk);
                 onData(chunk.length);
                 this.settle();
             }
--- a/src/wire/sequentialRequests.ts
+++ b/src/wire/sequentialRequests.ts
@@ -7,6 +7,7 @@
 import type { Socket } from "node:net";
 import { BodyReader } from "./body.js";
 import { interruptResponse } from "./interruptResponse.js";
+import { createBodyHash } from "./requestDigest.js";
 
 export interface SequentialRequestHandlers {
     /** Handles a request once the responses before it on its connection have been sent. */
@@ -98,7 +99,13 @@
             message.resume();
             return;
         }
-        const exchange = { message, response, body: new BodyReader(message), waitingBytes: 0, isRefused: false };
+        const exchange = {
+            message,
+            response,
+            body: new BodyReader(message, createBodyHash()),
+            waitingBytes: 0,
+            isRefused: false,
+        };
         connection.exchanges.push(exchange);
         if (connection.exchanges.length === 1) {
             begin(connection, exchange);
