Quarantine: whole requests that come again are suspects

No crash under requests without prompt parts was reported at all. Cause: requests were told apart by the shared parts of their prompts only. What comes again is a whole request; its digest (caller, method, host, path, query, body, prompt) now is a suspect. - Lost with one crash and never answered: not sent for 6 s, but the lost request itself may run once more, after a check has shown whether its upstream crashed. - The only one lost in two crashes, in a row or under two copies: not sent for 60 s. - The only one in three: rejected. One that was answered before: after four that no other one explains. An answer anywhere takes the suspicion back, also of an entry that lost none. - A part of a prompt is blamed only if no single request explains its crashes.

--- a/src/direct/attemptObserver.ts
+++ b/src/direct/attemptObserver.ts
@@ -8,8 +8,11 @@
     recordData: () => void;
     /** Records that the response is complete. */
     recordCompletion: () => void;
-    /** Records that the upstream has broken the connection. */
-    recordBreak: () => void;
+    /**
+     * Records that the upstream has broken the connection. Returns what resolves once it is known whether the upstream has
+     * crashed; undefined if the request had been answered before.
+     */
+    recordBreak: () => Promise<void> | undefined;
 }
 
 /**
@@ -42,10 +45,9 @@
             }
         },
         recordCompletion: recordAnswer,
-        recordBreak: () => {
-            if (!isHarmless) {
-                quarantine.recordLoss(request, { upstream, sentAt, knownCrashes, beganAt: beganAt ?? sentAt });
-            }
-        },
+        recordBreak: () =>
+            isHarmless ?
+                undefined :
+                quarantine.recordLoss(request, { upstream, sentAt, knownCrashes, beganAt: beganAt ?? sentAt }),
     };
 }
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -3,18 +3,19 @@
  * state.
  */
 import type { ServerResponse } from "node:http";
-import type { QuarantinedParts } from "../routing/quarantine.js";
 import type { UpstreamTracker } from "../routing/upstreamTracker.js";
 import type { DirectDispatch } from "./directDispatch.js";
 import type { AppliedNotice, NoticeRecorder } from "./noticeRecorder.js";
 import type { AppliedRateLimit, RateLimiter } from "./rateLimiter.js";
-import type { RequestQuarantine } from "./requestQuarantine.js";
+import type { QuarantineVerdict, RequestQuarantine } from "./requestQuarantine.js";
 import type { AttemptRecord, DirectRequest, HeadCodec, ReportedLoad } from "./types.js";
 
 /** Sends requests to upstreams, at once or when capacity becomes free. */
 export interface Scheduler {
     /** Sends a request to an upstream now, or queues it if no upstream can take it. */
     place: (dispatch: DirectDispatch) => void;
+    /** The same once a check has ended that the request waits for, if there is one. */
+    placeAfter: (dispatch: DirectDispatch, check: Promise<void> | undefined) => void;
     /** Queues a request without trying to send it first, for example because its group does not run. */
     enqueue: (dispatch: DirectDispatch) => void;
     /** Removes a request from the queue; does nothing if it is not queued. */
@@ -26,7 +27,10 @@
     codec: HeadCodec;
     upstreamTracker: UpstreamTracker;
     scheduler: Scheduler;
-    quarantine: Pick<RequestQuarantine, "find" | "getLatestCrashes" | "recordAnswer" | "recordLoss">;
+    quarantine: Pick<
+        RequestQuarantine,
+        "find" | "computeDeferralMs" | "getLatestCrashes" | "recordAnswer" | "recordLoss"
+    >;
     /** Whether the quarantine has been read, without which requests with shared prompt parts must not be sent. */
     isQuarantineKnown: () => boolean;
     /** Monotonic clock, in milliseconds. */
@@ -57,8 +61,8 @@
     computeRetryAfterMs: (request: DirectRequest) => number;
     /** Responds that the request has not run, and when to retry. */
     sendRefusal: (response: ServerResponse, retryAfterMs: number) => void;
-    /** Responds that the request has not run because of the given parts of its prompt. */
-    sendRejection: (response: ServerResponse, quarantined: QuarantinedParts) => void;
+    /** Responds that the request has not run because it is quarantined. */
+    sendRejection: (response: ServerResponse, quarantined: QuarantineVerdict) => void;
     /** Responds with `status` that the request failed and may have run. */
     sendFailure: (response: ServerResponse, status: number) => void;
     /** Counts and logs an error that ended a request in this process, with its cause. */
--- a/src/direct/crashMonitor.ts
+++ b/src/direct/crashMonitor.ts
@@ -12,14 +12,19 @@
 const checkDelaysMs = [20, 150, 500];
 /** Timeout of one check, in milliseconds. */
 const checkTimeoutMs = 300;
+/** Maximum time for which a lost request waits for the result of a check, in milliseconds. */
+const maxWaitMs = 60;
 /** Time after a crash for which requests lost with the upstream are collected, in milliseconds. */
 const collectMs = 5000;
 
 type MonitoredUpstream = Pick<UpstreamRecord, "id" | "startedAt" | "host" | "port">;
 
 export interface CrashMonitor {
-    /** Records a request that was lost as its upstream broke the connection. */
-    recordLoss: (upstream: MonitoredUpstream, request: LostRequest) => void;
+    /**
+     * Records a request that was lost as its upstream broke the connection. Resolves once the crash has been reported, or a
+     * check has found none or takes long.
+     */
+    recordLoss: (upstream: MonitoredUpstream, request: LostRequest) => Promise<void>;
 }
 
 export interface CrashMonitorOptions {
@@ -36,6 +41,8 @@
     requests: LostRequest[];
     isChecking: boolean;
     hasCrashed: boolean;
+    /** Functions that resolve what waits for the result of a check. */
+    waiting: (() => void)[];
 }
 
 /** Creates a monitor without suspects. */
@@ -59,42 +66,52 @@
                 setTimeout(() => suspects.delete(incarnation), collectMs);
                 onCrash(incarnation, suspect.requests);
             }
+            resolveWaiting(suspect);
         },
     );
     const checkRequests = async (upstream: MonitoredUpstream, suspect: Suspect) => {
         while (suspect.requests.length > 0 && !suspect.hasCrashed) {
             const count = suspect.requests.length;
-            suspect.hasCrashed = await hasRefused(upstream);
+            suspect.hasCrashed = await hasRefused(upstream, suspect);
             if (!suspect.hasCrashed) {
                 // Requests that were lost during the check are checked anew.
                 suspect.requests.splice(0, count);
             }
         }
     };
-    const hasRefused = async (upstream: MonitoredUpstream) => {
+    const resolveWaiting = ({ waiting }: Suspect) => waiting.splice(0).forEach(resolve => resolve());
+    const hasRefused = async (upstream: MonitoredUpstream, suspect: Suspect) => {
         for (const [index, delayMs] of checkDelaysMs.entries()) {
             await new Promise(resolve => setTimeout(resolve, delayMs - (checkDelaysMs[index - 1] ?? 0)));
             if (await checkRefused(upstream)) {
                 return true;
             }
+            resolveWaiting(suspect);
         }
         return false;
     };
     return {
-        recordLoss: (upstream, request) => {
+        recordLoss: async (upstream, request) => {
             const incarnation = formatIncarnation(upstream);
-            const suspect = suspects.get(incarnation) ?? { requests: [], isChecking: false, hasCrashed: false };
+            const suspect = suspects.get(incarnation) ??
+                { requests: [], isChecking: false, hasCrashed: false, waiting: [] };
             suspects.set(incarnation, suspect);
             if (suspect.requests.length >= maxReportedRequests) {
                 return;
             }
             suspect.requests.push(request);
-            if (suspect.hasCrashed && !suspect.isChecking) {
+            if (suspect.hasCrashed) {
                 onCrash(incarnation, suspect.requests);
+                return;
             }
-            else if (!suspect.isChecking) {
+            const checked = new Promise<void>(resolve => {
+                suspect.waiting.push(resolve);
+                setTimeout(resolve, maxWaitMs);
+            });
+            if (!suspect.isChecking) {
                 check(upstream, incarnation, suspect);
             }
+            await checked;
         },
     };
 }
--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -5,13 +5,13 @@
 import type { ServerResponse } from "node:http";
 import { isRepeatable, RouteKind } from "../config/serving.js";
 import type { PendingRequest } from "../routing/pendingQueue.js";
-import type { QuarantinedParts } from "../routing/quarantine.js";
 import { recordSignOfLife } from "../routing/upstreamSilence.js";
 import { markReplaced, recordFailure, recordResponse, type TrackedUpstream } from "../routing/upstreamTracker.js";
 import { interruptResponse, resetConnection } from "../wire/interruptResponse.js";
 import type { ResponseFraming } from "../wire/responseFraming.js";
 import type { DirectContext } from "./context.js";
 import type { AppliedNotice } from "./noticeRecorder.js";
+import { findSendObstacle, refuseRequest, type SendObstacle } from "./quarantineGate.js";
 import type { AppliedRateLimit } from "./rateLimiter.js";
 import {
     advanceDirectRequest,
@@ -28,7 +28,16 @@
 import { computeLatestSendAt } from "./sendDeadline.js";
 import type { AttemptRecord, DirectRequest, ResponseHead } from "./types.js";
 import { callUpstream } from "./upstreamCall.js";
-import { beginRun, encodeRequestHead, endRun, type HeldRun, isRunSilent, type UpstreamRun } from "./upstreamRun.js";
+import {
+    beginRun,
+    encodeRequestHead,
+    endRun,
+    type HeldRun,
+    isRunSilent,
+    recordReports,
+    recordRunFailure,
+    type UpstreamRun,
+} from "./upstreamRun.js";
 
 /** Time without data until a stream may go on elsewhere, in milliseconds; half of what callers tolerate. */
 const streamIdleTimeoutMs = 1000;
@@ -54,19 +63,21 @@
     private readonly attempts: AttemptRecord[] = [];
     private run: UpstreamRun | undefined;
     private held: HeldRun | undefined;
-    private quarantined: QuarantinedParts | undefined;
+    private obstacle: SendObstacle | undefined;
+    /** Resolves once it is known whether the upstream of the latest lost attempt has crashed. */
+    private crashCheck: Promise<void> | undefined;
     private readonly relay: ResponseRelay;
     private deadlineTimer: NodeJS.Timeout | undefined;
     private idleTimer: NodeJS.Timeout | undefined;
     private outcome = "";
-    private isReleased = false;
+    /** Whether the request has ended. */
+    isReleased = false;
 
     private readonly actionHandlers: ActionHandlers = {
-        place: () => this.context.scheduler.place(this),
+        place: () => this.context.scheduler.placeAfter(this, this.crashCheck),
         "wait-for-group": () => this.context.scheduler.enqueue(this),
         "relay-failure": () => this.relayUpstreamFailure(),
         refuse: () => this.refuse(),
-        reject: () => this.reject(),
         fail: action => this.fail(action.status),
         cut: () => this.interruptResponse(),
         cancel: () => this.cancelAll(),
@@ -152,13 +163,13 @@
         };
     }
 
-    /** Ends the request if its prompt contains quarantined parts; returns whether it did. */
+    /** Ends the request if the quarantine does not let it go to an upstream; returns whether it did. */
     endIfQuarantined(): boolean {
-        this.quarantined = this.context.quarantine.find(this.request);
-        if (this.quarantined !== undefined) {
-            this.applyEvent({ kind: "quarantined" });
+        this.obstacle = findSendObstacle(this.context, this.request, this.state.runs > 0);
+        if (this.obstacle !== undefined) {
+            this.applyEvent({ kind: "obstructed" });
         }
-        return this.quarantined !== undefined;
+        return this.obstacle !== undefined;
     }
 
     /** Returns the ids of the upstreams that the request was sent to. */
@@ -205,7 +216,10 @@
                     this.returnTo(run);
                     this.handleEnd();
                 }),
-                onFailure: this.contain((isConnected, reason) => this.handleFailure(run, isConnected, reason)),
+                onFailure: this.contain((isConnected, reason) => {
+                    this.crashCheck = recordRunFailure(run, isConnected);
+                    this.handleFailure(run, isConnected, reason);
+                }),
             },
         });
     }
@@ -217,9 +231,6 @@
     }
 
     private handleFailure(run: UpstreamRun, isConnected: boolean, reason: string): void {
-        if (isConnected) {
-            run.observer.recordBreak();
-        }
         if (run === this.held?.run) {
             this.endHeld(AttemptEnd.lost, reason, false);
             return;
@@ -257,14 +268,14 @@
             return;
         }
         recordResponse(this.context.upstreamTracker, this.run!.upstream.record.id);
-        this.recordReports(head);
+        recordReports(this.context, this.run!, head);
         if (this.relay.isStream()) {
             this.restartIdleTimer();
         }
     }
 
     private handleRefusal(status: number, head: ResponseHead): void {
-        this.recordReports(head);
+        recordReports(this.context, this.run!, head);
         if (head.faultyServer !== undefined) {
             this.context.markGroupBroken(this.request.pool, head.faultyServer);
             this.endAttempt(AttemptEnd.groupBroken, `the group waits for ${head.faultyServer}`);
@@ -274,15 +285,6 @@
         }
     }
 
-    /** Records what the upstream reports of itself in a response. */
-    private recordReports({ load, rateLimitValues }: ResponseHead): void {
-        const { record } = this.run!.upstream;
-        this.context.observeRateLimit(record, rateLimitValues);
-        if (load !== undefined) {
-            this.context.updateLoad(record.id, load);
-        }
-    }
-
     private handleChunk(chunk: Buffer): void {
         if (this.relay.isStream()) {
             this.restartIdleTimer();
@@ -305,7 +307,7 @@
         const status = this.relay.getStatus();
         const truncation = this.relay.findTruncation();
         if (truncation !== undefined) {
-            this.run!.observer.recordBreak();
+            this.crashCheck = this.run!.observer.recordBreak();
             this.endAttempt(AttemptEnd.lost, truncation);
             return;
         }
@@ -407,14 +409,7 @@
     }
 
     private refuse(): void {
-        const retryAfterMs = this.context.computeRetryAfterMs(this.request);
-        this.outcome = `refused, to return in ${Math.round(retryAfterMs)} ms`;
-        this.context.sendRefusal(this.response, retryAfterMs);
-    }
-
-    private reject(): void {
-        this.outcome = `rejected, quarantined prompt parts: ${this.quarantined!.parts.join(" ")}`;
-        this.context.sendRejection(this.response, this.quarantined!);
+        this.outcome = refuseRequest(this.context, this.request, this.response, this.obstacle);
     }
 
     private fail(status: number): void {
--- a/src/direct/requestQuarantine.ts
+++ b/src/direct/requestQuarantine.ts
@@ -8,15 +8,19 @@
 import { createPartHistory, recordAnsweredParts } from "../routing/partHistory.js";
 import {
     applyQuarantineRecords,
+    computeRequestDeferralMs,
     createQuarantine,
     findQuarantinedParts,
+    findQuarantinedRequest,
     formatIncarnation,
+    formatRequestPart,
     getRecordKey,
     isAnswerTelling,
+    isRequestAnswerTelling,
     isWronglyReported,
     type KeyedRecord,
     type LostRequest,
-    type QuarantinedParts,
+    type QuarantinedRequest,
     type QuarantineRecord,
 } from "../routing/quarantine.js";
 import { type CrashMonitor, createCrashMonitor } from "./crashMonitor.js";
@@ -24,7 +28,7 @@
 import type { DirectRequest } from "./types.js";
 
 /** What the quarantine needs to know of a request. */
-export type PromptRequest = Pick<DirectRequest, "id"> & {
+export type PromptRequest = Pick<DirectRequest, "id" | "digest"> & {
     head: Pick<DirectRequest["head"], "sharedPromptParts" | "ownPromptPart">;
 };
 
@@ -38,15 +42,28 @@
     beganAt: number;
 }
 
+/** Why a request is rejected: for parts of its prompt, or as a whole. */
+export interface QuarantineVerdict {
+    /** Empty if the whole request is quarantined. */
+    parts: string[];
+    /** Incarnations that crashed. */
+    upstreams: string[];
+}
+
 export interface RequestQuarantine {
-    /** Finds the quarantined parts in the prompt of a request; undefined if it may be sent. */
-    find: (request: PromptRequest) => QuarantinedParts | undefined;
+    /** Finds why a request is rejected; undefined if it is not. */
+    find: (request: PromptRequest) => QuarantineVerdict | undefined;
+    /** Computes for how long a request must not be sent, in milliseconds; `hasRun` is whether it may have run before. */
+    computeDeferralMs: (request: PromptRequest, hasRun: boolean) => number;
     /** Returns the latest crashes that are known, as incarnations of upstreams. */
     getLatestCrashes: () => string[];
     /** Records that the upstream has continued to respond to the request. */
     recordAnswer: (request: PromptRequest, attempt: ObservedAttempt) => void;
-    /** Records that the upstream broke the connection as or before it began to respond. */
-    recordLoss: (request: PromptRequest, attempt: ObservedAttempt) => void;
+    /**
+     * Records that the upstream broke the connection as or before it began to respond. Resolves once a first check has shown
+     * whether the upstream has crashed.
+     */
+    recordLoss: (request: PromptRequest, attempt: ObservedAttempt) => Promise<void>;
     /** Applies records that the feed has read. */
     applyRecords: (records: MirrorRecord[]) => void;
     /** Takes over records of a peer that cannot append them. */
@@ -67,8 +84,8 @@
     append: (records: PendingRecord[]) => Promise<number>;
     relay: (records: PendingRecord[]) => void;
     onCrash: () => void;
-    /** Called when the quarantined parts have changed. */
-    onChange: (quarantined: QuarantinedParts[]) => void;
+    /** Called when the quarantine has changed. */
+    onChange: (quarantined: QuarantineVerdict[]) => void;
     /** Called with what a step outside of a request throws. */
     reportFault: FaultReporter;
     createMonitor?: typeof createCrashMonitor;
@@ -80,24 +97,45 @@
 /** Maximum delay until lost records are appended again, in milliseconds; most entries then find that another one did. */
 const maxRestoreDelayMs = 2000;
 
+function createRequestVerdict({ upstreams }: QuarantinedRequest): QuarantineVerdict {
+    return { parts: [], upstreams };
+}
+
 /** Creates the quarantine of an entry, without records. */
 export function createRequestQuarantine(options: RequestQuarantineOptions): RequestQuarantine {
     const { instance, now, random, logger, reportFault } = options;
     const state = createQuarantine();
     const history = createPartHistory();
+    const answeredDigests = createPartHistory();
     let alertUntil = -Infinity;
     let quarantinedText = "[]";
+    let quarantinedDigests = "";
 
     const apply = (records: KeyedRecord[]) => {
         const dropped = applyQuarantineRecords(state, records, now());
-        const text = JSON.stringify(state.quarantined.map(({ parts }) => parts));
+        const { quarantined, quarantinedRequests } = state;
+        const text = JSON.stringify(quarantined.map(({ parts }) => parts));
+        const digests = quarantinedRequests.map(({ digest }) => digest).join(" ");
         if (text !== quarantinedText) {
+            logger.warn("The quarantine of prompt parts has changed.", { quarantined });
+        }
+        if (digests !== quarantinedDigests) {
+            logger.warn("The quarantine of requests has changed.", { quarantinedRequests });
+        }
+        if (text !== quarantinedText || digests !== quarantinedDigests) {
             quarantinedText = text;
-            logger.warn("The quarantine of prompt parts has changed.", { quarantined: state.quarantined });
-            options.onChange(state.quarantined);
+            quarantinedDigests = digests;
+            options.onChange([...quarantined, ...quarantinedRequests.map(createRequestVerdict)]);
         }
         return dropped;
     };
+    /** Tells the other entries of suspects that this one has seen answered. */
+    const publishKnownAnswers = () => {
+        const suspects = [...state.suspects.values()].filter(({ digest, wasAnswered }) =>
+            !wasAnswered && answeredDigests.parts.has(digest)
+        );
+        suspects.forEach(({ digest }) => publish({ kind: "answered-before", digest }));
+    };
     const sharing: QuarantineSharing = createQuarantineSharing({
         append: options.append,
         relay: options.relay,
@@ -121,25 +159,43 @@
             const parts = [...new Set(requests.flatMap(request => request.parts))];
             const answeredParts = parts.filter(part => history.parts.has(part));
             const { isExperienced } = history;
-            logger.warn("An upstream has crashed.", { upstream, requests, parts, answeredParts, isExperienced });
+            const digests = new Set(requests.flatMap(({ digest }) => digest ?? []));
+            const report: QuarantineRecord = {
+                kind: "crash",
+                upstream,
+                requests: [...requests],
+                answeredParts,
+                answeredDigests: [...digests].filter(digest => answeredDigests.parts.has(digest)),
+                isExperienced,
+            };
+            logger.warn("An upstream has crashed.", { ...report, parts });
             options.onCrash();
-            publish({ kind: "crash", upstream, requests: [...requests], answeredParts, isExperienced });
+            publish(report);
         },
     });
     return {
-        find: ({ head }) =>
-            state.quarantined.length === 0 ? undefined : findQuarantinedParts(state, head.sharedPromptParts ?? []),
+        find: ({ head, digest }) => {
+            const request = findQuarantinedRequest(state, digest);
+            return request === undefined ?
+                findQuarantinedParts(state, head.sharedPromptParts ?? []) :
+                createRequestVerdict(request);
+        },
+        computeDeferralMs: ({ digest }, hasRun) => computeRequestDeferralMs(state, digest, hasRun, now()),
         getLatestCrashes: () => state.latestCrashes,
         recordAnswer: (request, { upstream, beganAt, sentAt }) => {
             const { sharedPromptParts: parts = [], ownPromptPart } = request.head;
-            if (parts.length === 0) {
-                return;
+            const { id, digest } = request;
+            if (parts.length > 0) {
+                recordAnsweredParts(history, parts, ownPromptPart);
             }
-            recordAnsweredParts(history, parts, ownPromptPart);
+            recordAnsweredParts(answeredDigests, [digest]);
             if (state.records.size === 0) {
                 return;
             }
-            const { id } = request;
+            if (isRequestAnswerTelling(state, digest, beganAt)) {
+                logger.info("A suspected request was answered.", { digest, requestId: id, upstream: upstream.id });
+                publish({ kind: "answered", part: formatRequestPart(digest), request: id });
+            }
             const telling = parts.filter(part => isAnswerTelling(state, part, beganAt));
             telling.forEach(part => {
                 logger.info("A suspected part of a prompt was answered.", {
@@ -154,18 +210,19 @@
                 publish({ kind: "alive", upstream: incarnation, request: id });
             }
         },
-        recordLoss: ({ id, head }, { upstream, knownCrashes }) => {
+        recordLoss: async ({ id, digest, head }, { upstream, knownCrashes }) => {
             const { sharedPromptParts: parts = [], ownPromptPart: ownPart = id } = head;
-            if (parts.length > 0 && !upstream.isLeaving) {
+            if (!upstream.isLeaving) {
                 alertUntil = now() + alertMs;
-                const lost: LostRequest = { id, parts, ownPart, knownCrashes };
-                monitor.recordLoss(upstream, lost);
+                const lost: LostRequest = { id, digest, parts, ownPart, knownCrashes };
+                await monitor.recordLoss(upstream, lost);
             }
         },
         applyRecords: records => {
             alertUntil = now() + alertMs;
             sharing.settle(records.map(({ key }) => key));
             apply(records);
+            publishKnownAnswers();
         },
         acceptRecords: records => {
             const unknown = records.filter(({ key }) =>
@@ -173,6 +230,7 @@
             );
             if (unknown.length > 0) {
                 sharing.publish(unknown);
+                publishKnownAnswers();
             }
         },
         restoreRecords: (records, isLost) => {
--- a/src/direct/requestState.ts
+++ b/src/direct/requestState.ts
@@ -76,8 +76,8 @@
     | ({ kind: "ended"; end: AttemptEnd; } & RetryConditions)
     /** No upstream can serve the request before its deadline. */
     | { kind: "expired"; }
-    /** The prompt contains quarantined parts, so that the request must not be sent (again). */
-    | { kind: "quarantined"; }
+    /** The quarantine does not let the request go to an upstream (again). */
+    | { kind: "obstructed"; }
     /** The deadline has passed. */
     | { kind: "timeout"; }
     /** The caller has disconnected. */
@@ -96,8 +96,6 @@
     | { kind: "relay-failure"; }
     /** Responds that the request has not run. */
     | { kind: "refuse"; }
-    /** Responds that the request has not run, because its prompt contains quarantined parts. */
-    | { kind: "reject"; }
     /** Responds that the request failed and may have run. */
     | { kind: "fail"; status: 502 | 504; }
     /** Closes the connection in the middle of the response, so that the caller notices that it is incomplete. */
@@ -160,7 +158,7 @@
     ended: (state, event) => endHandlers[event.end](state, event),
     expired: state => abandon(state),
     stopped: state => abandonAll(state),
-    quarantined: state => abandon(state).map(action => action.kind === "refuse" ? { kind: "reject" } : action),
+    obstructed: state => abandon(state),
     timeout: state => [{ kind: "cancel" }, ...abandonAll(state, 504)],
     fault: state => [{ kind: "cancel" }, ...abandonAll(state)],
     "caller-gone": state => {
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -191,11 +191,19 @@
             schedule();
         }
     };
+    const place = (dispatch: DirectDispatch) => {
+        if (!trySend(dispatch)) {
+            enqueue(dispatch);
+        }
+    };
     return {
-        place: dispatch => {
-            if (!trySend(dispatch)) {
-                enqueue(dispatch);
+        place,
+        placeAfter: (dispatch, check) => {
+            if (check === undefined) {
+                place(dispatch);
+                return;
             }
+            check.then(() => dispatch.isReleased || place(dispatch)).catch(options.reportFault);
         },
         enqueue,
         remove: dispatch => {
--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -4,7 +4,6 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { findServingRoute, pickPool, type ServingIndex } from "../config/serving.js";
-import type { QuarantinedParts } from "../routing/quarantine.js";
 import type { BodyReader } from "../wire/body.js";
 import { type ConnectionCloser, createConnectionCloser } from "../wire/closeIdleConnections.js";
 import { findInvalidField, isRequestTarget } from "../wire/httpSyntax.js";
@@ -13,6 +12,7 @@
 import { handleRequests } from "../wire/sequentialRequests.js";
 import type { DirectContext } from "./context.js";
 import { DirectDispatch } from "./directDispatch.js";
+import type { QuarantineVerdict } from "./requestQuarantine.js";
 import type { DirectRequest } from "./types.js";
 
 /** Maximum size of a request's headers, in bytes; the document sets its own, lower limit. */
@@ -168,7 +168,14 @@
     const method = message.method ?? "GET";
     return {
         id: head.requestId,
-        digest: computeRequestDigest({ caller: head.key ?? "", method, host: head.host, target, bodyHash: hash }),
+        digest: computeRequestDigest({
+            caller: head.key ?? "",
+            method,
+            host: head.host,
+            target,
+            bodyHash: hash,
+            promptParts: [...head.sharedPromptParts ?? [], head.ownPromptPart ?? ""],
+        }),
         method,
         target,
         head,
@@ -189,12 +196,16 @@
     }
 }
 
-/** Responds that a request has not run because of parts of its prompt; does nothing if a response has been started. */
-export function sendQuarantineRejection(response: ServerResponse, { parts, upstreams }: QuarantinedParts): void {
+/** Responds that a request has not run because it is quarantined; does nothing if a response has been started. */
+export function sendQuarantineRejection(response: ServerResponse, { parts, upstreams }: QuarantineVerdict): void {
     if (!response.headersSent && !response.destroyed) {
-        const partList = `${parts.length === 1 ? "part" : "parts"} ${parts.join(", ")}`;
-        const detail = `The request has not run: ${upstreams.length} upstreams crashed under its prompt's ${partList}.`;
-        const problem = { title: "The prompt contains quarantined parts", status: 503, detail, parts };
+        const isWhole = parts.length === 0;
+        const partList = `its prompt's ${parts.length === 1 ? "part" : "parts"} ${parts.join(", ")}`;
+        const detail = `The request has not run: ${upstreams.length} upstreams crashed under ${
+            isWhole ? "it" : partList
+        }.`;
+        const title = isWhole ? "The request is quarantined" : "The prompt contains quarantined parts";
+        const problem = { title, status: 503, detail, parts };
         const text = JSON.stringify(problem);
         const contentLength = String(Buffer.byteLength(text));
         response.writeHead(503, ["Content-Type", "application/problem+json", "Content-Length", contentLength]);
--- a/src/direct/tests/attempt.test.ts
+++ b/src/direct/tests/attempt.test.ts
@@ -101,7 +101,7 @@
         ended(AttemptEnd.failed),
     ], "resume-held"],
     ["hopeless beside a silent run", "resumable", [sent, began, silent, { kind: "expired" }], "resume-held"],
-    ["quarantined beside a silent run", "resumable", [sent, began, silent, { kind: "quarantined" }], "resume-held"],
+    ["quarantined beside a silent run", "resumable", [sent, began, silent, { kind: "obstructed" }], "resume-held"],
     ["out of time beside a silent run", "resumable", [sent, began, silent, timeout], "cancel cut finish"],
     [
         "ended by a stop beside a silent run",
--- a/src/direct/upstreamRun.ts
+++ b/src/direct/upstreamRun.ts
@@ -1,10 +1,15 @@
 /** One attempt of a request at an upstream, from sending it to the end of its connection. */
 import { isSilent } from "../routing/upstreamSilence.js";
-import { recordSent, type TrackedUpstream } from "../routing/upstreamTracker.js";
+import {
+    recordConnection,
+    recordRefusedConnection,
+    recordSent,
+    type TrackedUpstream,
+} from "../routing/upstreamTracker.js";
 import { type AttemptObserver, observeAttempt } from "./attemptObserver.js";
 import type { DirectContext } from "./context.js";
 import type { HeldResponse } from "./responseRelay.js";
-import type { AttemptRecord, DirectRequest } from "./types.js";
+import type { AttemptRecord, DirectRequest, ResponseHead } from "./types.js";
 import type { UpstreamCall } from "./upstreamCall.js";
 
 export interface UpstreamRun {
@@ -56,6 +61,29 @@
     return isStreamSilent || isSilent(context.upstreamTracker, upstream);
 }
 
+/**
+ * Records that the connection of a run has failed. Returns what resolves once it is known whether the upstream has crashed;
+ * undefined if that is not in question.
+ */
+export function recordRunFailure(
+    { observer }: UpstreamRun,
+    isConnected: boolean,
+): Promise<void> | undefined {
+    return isConnected ? observer.recordBreak() : undefined;
+}
+
+/** Records what the upstream of a run reports of itself in a response. */
+export function recordReports(
+    context: DirectContext,
+    { upstream: { record } }: UpstreamRun,
+    { load, rateLimitValues }: ResponseHead,
+): void {
+    context.observeRateLimit(record, rateLimitValues);
+    if (load !== undefined) {
+        context.updateLoad(record.id, load);
+    }
+}
+
 /** Closes the connection of a run that is open and records its end, with the reason if there is one. */
 export function endRun({ call, record, sentAt, recordEnd }: UpstreamRun, endedAt: number, reason?: string): void {
     call?.cancel();
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -122,7 +122,7 @@
         private readonly reject: (error: Error) => void,
     ) {
         const { route, message, receivedAt, requestId } = exchange;
-        this.prompt = parsePromptHead(requestId, message);
+        this.prompt = parsePromptHead(exchange);
         const idempotent = isIdempotent(message.method ?? "GET", route!);
         this.state = createAttemptState(idempotent, receivedAt + route!.deadlineSeconds * 1000, requestId);
         this.record = beginRecord(context.journal, {
@@ -179,7 +179,7 @@
         const { tokens } = this.exchange;
         const now = Date.now();
         const retryAfterSeconds = 1 + Math.floor(Math.random() * maxRetryAfterSeconds);
-        const obstacle = this.context.quarantine.findObstacle(this.prompt);
+        const obstacle = this.context.quarantine.findObstacle(this.prompt, this.state.earlierAttemptMayHaveRun);
         if (obstacle !== undefined) {
             this.apply({ kind: "obstructed", ...obstacle });
             return;
@@ -316,7 +316,7 @@
             quarantine.recordAnswer(this.prompt, attempt);
         }
         else if (crash !== undefined) {
-            quarantine.recordLoss(this.prompt, attempt);
+            void quarantine.recordLoss(this.prompt, attempt);
         }
     }
 
--- a/src/entry/promptQuarantine.ts
+++ b/src/entry/promptQuarantine.ts
@@ -3,24 +3,31 @@
  * every entry tails.
  */
 import { randomUUID } from "node:crypto";
-import type { IncomingMessage } from "node:http";
 import { z } from "zod";
-import { createRequestQuarantine, type RequestQuarantine } from "../direct/requestQuarantine.js";
+import {
+    createRequestQuarantine,
+    type QuarantineVerdict,
+    type RequestQuarantine,
+} from "../direct/requestQuarantine.js";
 import { tailStream } from "../log/tail.js";
 import type { LogClient } from "../log/types.js";
 import { containFaults, type FaultReporter } from "../observe/faults.js";
 import type { Logger } from "../observe/logger.js";
 import { formatIncarnation, type LostRequest } from "../routing/quarantine.js";
+import { computeRequestDigest } from "../wire/requestDigest.js";
+import type { Exchange } from "./types.js";
 
 /** Prompt of a request, as its caller describes it. */
 export interface PromptHead {
     id: string;
+    /** Digest of the whole request; see `computeRequestDigest`. */
+    digest: string;
     head: { sharedPromptParts: string[]; ownPromptPart: string | undefined; };
 }
 
 export interface PromptQuarantine extends Pick<RequestQuarantine, "getLatestCrashes" | "recordAnswer" | "recordLoss"> {
-    /** Returns why a request must not be sent; undefined if it may be. */
-    findObstacle: (prompt: PromptHead) => PromptObstacle | undefined;
+    /** Returns why a request must not be sent; undefined if it may be. `hasRun` is whether it may have run before. */
+    findObstacle: (prompt: PromptHead, hasRun: boolean) => PromptObstacle | undefined;
 }
 
 export interface PromptObstacle {
@@ -56,12 +63,21 @@
 /** Records of one append share its offset; they are spread over this part of the way to the next one. */
 const maxBatchRecords = 1024;
 
-/** Parses the prompt parts that the caller of a request lists. */
-export function parsePromptHead(id: string, { headers }: Pick<IncomingMessage, "headers">): PromptHead {
+/** Parses the prompt parts that the caller of a request lists; the body must have been read. */
+export function parsePromptHead({ requestId: id, workspace, message, bodyReader }: Exchange): PromptHead {
+    const { method = "GET", url = "/", headers } = message;
     const ids = String(headers[partsHeader] ?? "").split(",").map(part => part.trim());
+    const digest = computeRequestDigest({
+        caller: workspace!.name,
+        method,
+        host: headers.host ?? "",
+        target: url,
+        bodyHash: bodyReader.computeHash(),
+        promptParts: ids,
+    });
     const ownPromptPart = ids.pop();
     const sharedPromptParts = ids.filter(part => partPattern.test(part)).slice(0, maxSharedParts);
-    return { id, head: { sharedPromptParts, ownPromptPart } };
+    return { id, digest, head: { sharedPromptParts, ownPromptPart } };
 }
 
 /** Creates the quarantine of an entry and starts to tail its stream. */
@@ -95,16 +111,16 @@
         }));
     return {
         ...quarantine,
-        findObstacle: prompt => {
+        findObstacle: (prompt, hasRun) => {
             const quarantined = quarantine.find(prompt);
             if (quarantined !== undefined) {
                 options.onRejection();
-                const { parts, upstreams } = quarantined;
-                return {
-                    title: `The prompt contains parts under which ${upstreams.length} upstreams crashed: ${
-                        parts.join(", ")
-                    }`,
-                };
+                return { title: formatRejection(quarantined) };
+            }
+            const deferralMs = quarantine.computeDeferralMs(prompt, hasRun);
+            if (deferralMs > 0) {
+                const title = "An upstream has crashed under the request";
+                return { title, retryAfterSeconds: Math.ceil(deferralMs / 1000) };
             }
             const mustWait = prompt.head.sharedPromptParts.length > 0 && !isRead && now() - startedAt < maxStartupMs;
             return mustWait ?
@@ -114,11 +130,17 @@
     };
 }
 
+function formatRejection({ parts, upstreams }: QuarantineVerdict): string {
+    return parts.length === 0 ?
+        `${upstreams.length} upstreams crashed under the request` :
+        `The prompt contains parts under which ${upstreams.length} upstreams crashed: ${parts.join(", ")}`;
+}
+
 /** Creates a monitor for losses that slots have found to be crashes; collects the requests of each crash. */
 function createCrashCollector({ onCrash }: { onCrash: (incarnation: string, requests: LostRequest[]) => void; }) {
     const lostRequests = new Map<string, LostRequest[]>();
     return {
-        recordLoss: (upstream: { id: string; startedAt?: number; }, request: LostRequest) => {
+        recordLoss: async (upstream: { id: string; startedAt?: number; }, request: LostRequest) => {
             const incarnation = formatIncarnation(upstream);
             const requests = lostRequests.get(incarnation) ?? [];
             if (requests.length === 0) {
--- a/src/routing/quarantine.ts
+++ b/src/routing/quarantine.ts
@@ -1,12 +1,22 @@
 /**
- * Quarantine of prompt parts that crash upstreams. Entries share reports of crashes, each with the requests that were
+ * Quarantine of requests, and of prompt parts that requests share, that crash upstreams. Entries share reports of crashes, each with the requests that were
  * lost with the upstream, and derive the quarantine from them: the same reports give the same result everywhere, and no
  * entry has to see several crashes itself.
  */
 import { z } from "zod/mini";
+import {
+    collectSuspects,
+    computeDeferralMs,
+    hasCommonSuspect,
+    isCondemned,
+    type RequestAnswers,
+    type SuspectRequest,
+} from "./requestSuspicion.js";
 
 const LostRequestSchema = z.object({
     id: z.string(),
+    /** Digest of the whole request; see `computeRequestDigest`. Missing in reports of earlier versions. */
+    digest: z.optional(z.string()),
     /** Parts of the prompt that other requests may share. */
     parts: z.array(z.string()),
     /** Last part of the prompt, which belongs to the request or its session. */
@@ -24,6 +34,8 @@
     requests: z.array(LostRequestSchema),
     /** Parts of these requests that the reporter has seen answered before. */
     answeredParts: z.array(z.string()),
+    /** Digests of these requests that the reporter has seen answered before; missing in reports of earlier versions. */
+    answeredDigests: z.optional(z.array(z.string())),
     /** Whether the reporter has seen so many responses that a part missing in `answeredParts` is unusual. */
     isExperienced: z.boolean(),
 });
@@ -32,8 +44,10 @@
 
 const RecordSchema = z.discriminatedUnion("kind", [
     CrashReportSchema,
-    /** An upstream responded to a request with this part after the crashes in earlier records. */
+    /** An upstream responded to a request with this part, or this request, after the crashes in earlier records. */
     z.object({ kind: z.literal("answered"), part: z.string(), request: z.string() }),
+    /** An entry that has lost no such request itself has seen one answered before. */
+    z.object({ kind: z.literal("answered-before"), digest: z.string() }),
     /** The incarnation responded although it was reported as crashed. */
     z.object({ kind: z.literal("alive"), upstream: z.string(), request: z.string() }),
 ]);
@@ -63,11 +77,21 @@
     requests: string[];
 }
 
+/** Request that crashes upstreams. */
+export interface QuarantinedRequest {
+    digest: string;
+    /** Incarnations that crashed. */
+    upstreams: string[];
+}
+
 export interface QuarantineState {
     records: Map<string, KnownRecord>;
     /** Incarnations that crashed last, at most `maxKnownCrashes`. */
     latestCrashes: string[];
     quarantined: QuarantinedParts[];
+    quarantinedRequests: QuarantinedRequest[];
+    /** Requests that were lost with upstreams since they were last answered, by their digests. */
+    suspects: Map<string, SuspectRequest>;
 }
 
 /** Evidence that condemns a part; `rounds` is 1 if the upstreams may have crashed at once, for a common cause. */
@@ -94,7 +118,12 @@
 /** Factor by which a part is in fewer lost requests than others that are in as many crashes, to be blamed for them. */
 const minRarityFactor = 2;
 /** Maximum number of records that are kept, by kind. */
-const maxRecords: Record<QuarantineRecord["kind"], number> = { crash: 256, answered: 256, alive: 64 };
+const maxRecords: Record<QuarantineRecord["kind"], number> = {
+    crash: 256,
+    answered: 256,
+    "answered-before": 256,
+    alive: 64,
+};
 /** Maximum number of requests in one report, and of quarantined sets of parts. */
 export const maxReportedRequests = 16;
 const maxQuarantined = 32;
@@ -105,7 +134,7 @@
 
 /** Creates a state without records. */
 export function createQuarantine(): QuarantineState {
-    return { records: new Map(), latestCrashes: [], quarantined: [] };
+    return { records: new Map(), latestCrashes: [], quarantined: [], quarantinedRequests: [], suspects: new Map() };
 }
 
 /** Formats an incarnation of an upstream: its id and, as it may restart under the same id, its start time. */
@@ -118,6 +147,7 @@
     const keys: Record<QuarantineRecord["kind"], () => string> = {
         crash: () => `crash/${(record as CrashReport).upstream}/${reporter}`,
         answered: () => `answered/${(record as { part: string; }).part}`,
+        "answered-before": () => `answered-before/${(record as { digest: string; }).digest}`,
         alive: () => `alive/${(record as { upstream: string; }).upstream}`,
     };
     return keys[record.kind]();
@@ -154,11 +184,59 @@
             state.records.set(key, { content, offset, learnedAt: known?.learnedAt ?? now });
         }
     }
-    state.latestCrashes = collectCrashes(state).slice(-maxKnownCrashes).map(({ upstream }) => upstream);
-    state.quarantined = findQuarantined(state);
+    const crashes = collectCrashes(state);
+    state.latestCrashes = crashes.slice(-maxKnownCrashes).map(({ upstream }) => upstream);
+    state.suspects = collectSuspects(crashes, createRequestAnswers(state));
+    const condemned = [...state.suspects.values()].filter(suspect => isCondemned(suspect, state.suspects));
+    state.quarantinedRequests = condemned.slice(-maxQuarantined).map(suspect => ({
+        digest: suspect.digest,
+        upstreams: suspect.crashes.map(({ upstream }) => upstream),
+    }));
+    const explained = new Set(condemned.flatMap(suspect => suspect.crashes));
+    state.quarantined = findQuarantined(state, crashes.filter(crash => !explained.has(crash)));
     return dropOldRecords(state);
 }
 
+/** Returns the name under which records tell of an answer to a whole request. */
+export function formatRequestPart(digest: string): string {
+    return `request:${digest}`;
+}
+
+/** Finds the quarantined request with the digest; undefined if there is none. */
+export function findQuarantinedRequest(state: QuarantineState, digest: string): QuarantinedRequest | undefined {
+    return state.quarantinedRequests.find(known => known.digest === digest);
+}
+
+/** Computes for how long a request must not be sent because it is suspected, in milliseconds; see `computeDeferralMs`. */
+export function computeRequestDeferralMs(
+    { suspects }: QuarantineState,
+    digest: string,
+    hasRun: boolean,
+    now: number,
+): number {
+    const suspect = suspects.get(digest);
+    return suspect === undefined ? 0 : computeDeferralMs(suspect, hasRun, now);
+}
+
+/** Whether the other entries should be told that a request was answered; see `isAnswerTelling`. */
+export function isRequestAnswerTelling({ suspects }: QuarantineState, digest: string, beganAt: number): boolean {
+    return suspects.get(digest)?.crashes.every(({ learnedAt }) => learnedAt < beganAt) === true;
+}
+
+function createRequestAnswers(state: QuarantineState): RequestAnswers {
+    const reported = new Set(
+        [...state.records.values()].flatMap(({ content }) =>
+            content.kind === "crash" ? content.answeredDigests ?? [] : []
+        ),
+    );
+    return {
+        wasAnswered: digest =>
+            reported.has(digest) || state.records.has(`answered-before/${digest}`) ||
+            state.records.has(`answered/${formatRequestPart(digest)}`),
+        getAnsweredOffset: digest => getAnsweredOffset(state, formatRequestPart(digest)),
+    };
+}
+
 /** Finds the quarantined parts that a prompt contains; undefined if the request may be sent. */
 export function findQuarantinedParts({ quarantined }: QuarantineState, parts: string[]): QuarantinedParts | undefined {
     return quarantined.find(entry => entry.parts.every(part => parts.includes(part)));
@@ -183,7 +261,8 @@
     return crash !== undefined && sentAt < crash.learnedAt && crash.learnedAt < now;
 }
 
-interface Crash {
+/** Crash of an upstream as all its reporters saw it. */
+export interface Crash {
     upstream: string;
     requests: (LostRequest & { isReporterExperienced: boolean; })[];
     /** Offset of the first report. */
@@ -238,13 +317,18 @@
     wasAnswered: boolean;
 }
 
-function findQuarantined(state: QuarantineState): QuarantinedParts[] {
+/** Finds the parts that explain the crashes which no quarantined request explains. */
+function findQuarantined(state: QuarantineState, crashes: Crash[]): QuarantinedParts[] {
     const answeredParts = collectAnsweredParts(state);
     const quarantined: QuarantinedParts[] = [];
-    let unexplained = collectCrashes(state);
+    let unexplained = crashes;
     while (quarantined.length < maxQuarantined) {
         const evidence = collectEvidence(state, unexplained, answeredParts);
-        const strongest = findStrongest(evidence.filter(known => isConclusive(known, evidence, answeredParts)));
+        const strongest = findStrongest(
+            evidence.filter(known =>
+                isConclusive(known, evidence, answeredParts) && !hasCommonSuspect(known.crashes, state.suspects)
+            ),
+        );
         if (strongest === undefined) {
             break;
         }
--- a/src/standin/fakeSlot.ts
+++ b/src/standin/fakeSlot.ts
@@ -85,7 +85,7 @@
             findObstacle: () => undefined,
             getLatestCrashes: () => [],
             recordAnswer: () => undefined,
-            recordLoss: () => undefined,
+            recordLoss: () => Promise.resolve(),
         },
         maxBodyBytes,
         logger: { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined },
--- a/src/wire/requestDigest.ts
+++ b/src/wire/requestDigest.ts
@@ -11,6 +11,8 @@
     target: string;
     /** Hash of the body; see `createBodyHash`. */
     bodyHash: string;
+    /** Parts of the prompt in the body, as the caller describes them. */
+    promptParts: string[];
 }
 
 /** Length of a digest, in base64url characters. */
@@ -24,7 +26,8 @@
 }
 
 /** Computes the digest, from which the request cannot be told. */
-export function computeRequestDigest({ caller, method, host, target, bodyHash }: RequestIdentity): string {
-    const text = JSON.stringify([caller, method, host.toLowerCase(), target, bodyHash]);
+export function computeRequestDigest(identity: RequestIdentity): string {
+    const { caller, method, host, target, bodyHash, promptParts } = identity;
+    const text = JSON.stringify([caller, method, host.toLowerCase(), target, bodyHash, promptParts]);
     return createHash(algorithm).update(text).digest("base64url").slice(0, digestLength);
 }
