Refused connections: an upstream is tried again after a pause, and a pool that refuses as a whole at once

Cause: 'unconnected' placed the request again at once, and upstreams that are avoided are tried when there are no others. An upstream that has refused is left out for 100 to 800 ms, until it is heard of or accepts. If all refuse, what has not run is refused, to return when earlier outages of the pool ended or, without any, after as long as this one has lasted (0.5 to 4 s). Not if one has been replaced at its address: the list will have its successor soon.

--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -35,6 +35,7 @@
     type HeldRun,
     isRunSilent,
     recordReports,
+    recordRunConnection,
     recordRunFailure,
     type UpstreamRun,
 } from "./upstreamRun.js";
@@ -194,6 +195,7 @@
             body: request.body,
             listener: {
                 onConnected: this.contain(() => {
+                    recordRunConnection(context, run);
                     this.applyEvent({ kind: "sent" });
                     this.restartIdleTimer(silenceCheckIntervalMs);
                 }),
@@ -216,8 +218,8 @@
                     this.returnTo(run);
                     this.handleEnd();
                 }),
-                onFailure: this.contain((isConnected, reason) => {
-                    this.crashCheck = recordRunFailure(run, isConnected);
+                onFailure: this.contain((isConnected, reason, isRefused) => {
+                    this.crashCheck = recordRunFailure(context, run, isConnected, isRefused);
                     this.handleFailure(run, isConnected, reason);
                 }),
             },
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -24,6 +24,7 @@
 import {
     estimateRequests,
     estimateSendableAt,
+    isPoolRefusing,
     type TrackedUpstream,
     type UpstreamTracker,
 } from "../routing/upstreamTracker.js";
@@ -169,13 +170,16 @@
     };
     /**
      * Returns the earliest time at which a request can be sent, in milliseconds: later than now while its group is broken or
-     * all upstreams ask for a pause, Infinity if all of them leave.
+     * all upstreams ask for a pause, Infinity if all of them leave or refuse connections.
      */
     const getEarliestSendAt = ({ request: { pool, receivedAt } }: DirectDispatch) => {
         const now = options.now();
         const isGroup = options.findPool(pool)?.engine !== undefined;
         const openAt = (isGroup ? estimateOpenAt(options.groupTracker, pool, now) : undefined) ?? now;
         const { upstreamTracker, drainMs } = options;
+        if (isPoolRefusing(upstreamTracker, pool, now)) {
+            return Infinity;
+        }
         return Math.max(openAt, estimateSendableAt(upstreamTracker, pool, now, { receivedAt, drainMs }));
     };
     const enqueue = (dispatch: DirectDispatch) => {
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -26,6 +26,7 @@
 import { updateListed } from "../routing/upstreamNotices.js";
 import {
     createUpstreamTracker,
+    estimatePoolReturnMs,
     estimateSendableAt,
     setUpstreams,
     updateLoad,
@@ -312,6 +313,10 @@
             if (sendableInMs > 0 && sendableInMs < Infinity) {
                 return computePauseReturnMs(sendableInMs, random());
             }
+            const returnInMs = estimatePoolReturnMs(upstreamTracker, pool, now());
+            if (returnInMs > 0) {
+                return computePauseReturnMs(returnInMs, random());
+            }
             const openAt = estimateOpenAt(groupTracker, request.pool, now());
             return computeRetryAfterMs({
                 leftMs: request.deadlineAt - now(),
--- a/src/direct/upstreamCall.ts
+++ b/src/direct/upstreamCall.ts
@@ -28,8 +28,8 @@
     onHead: (status: number, rawHeaders: string[], framing: ResponseFraming) => void;
     onChunk: (chunk: Buffer) => void;
     onEnd: () => void;
-    /** `isConnected` is false if no connection was made, so that nothing was sent. */
-    onFailure: (isConnected: boolean, reason: string) => void;
+    /** `isConnected` is false if no connection was made, so that nothing was sent; `isRefused` if it was refused. */
+    onFailure: (isConnected: boolean, reason: string, isRefused: boolean) => void;
 }
 
 export interface UpstreamCall {
@@ -61,12 +61,12 @@
         isSettled = true;
         clearTimeout(connectTimer);
     };
-    const fail = (reason: string) => {
+    const fail = (reason: string, code?: string) => {
         // A complete response remains valid, whatever follows it on the connection.
         if (!isSettled && response?.complete !== true) {
             settle();
             clientRequest.destroy();
-            listener.onFailure(isConnected, reason);
+            listener.onFailure(isConnected, reason, code === "ECONNREFUSED");
         }
     };
     clientRequest.on("socket", socket => {
@@ -79,7 +79,7 @@
             }
         });
     });
-    clientRequest.on("error", error => fail(error.message));
+    clientRequest.on("error", (error: NodeJS.ErrnoException) => fail(error.message, error.code));
     clientRequest.on("close", () => fail("closed without an answer"));
     clientRequest.on("response", message => {
         const status = message.statusCode ?? 0;
--- a/src/direct/upstreamRun.ts
+++ b/src/direct/upstreamRun.ts
@@ -61,14 +61,27 @@
     return isStreamSilent || isSilent(context.upstreamTracker, upstream);
 }
 
+/** Records that the upstream has accepted the connection of a run. */
+export function recordRunConnection(
+    { upstreamTracker, now }: DirectContext,
+    { upstream }: Pick<UpstreamRun, "upstream">,
+): void {
+    recordConnection(upstreamTracker, upstream.record.id, now());
+}
+
 /**
  * Records that the connection of a run has failed. Returns what resolves once it is known whether the upstream has crashed;
  * undefined if that is not in question.
  */
 export function recordRunFailure(
-    { observer }: UpstreamRun,
+    { upstreamTracker, now }: DirectContext,
+    { upstream, observer }: UpstreamRun,
     isConnected: boolean,
+    isRefused: boolean,
 ): Promise<void> | undefined {
+    if (isRefused) {
+        recordRefusedConnection(upstreamTracker, upstream.record.id, now());
+    }
     return isConnected ? observer.recordBreak() : undefined;
 }
 
--- a/src/routing/upstreamTracker.ts
+++ b/src/routing/upstreamTracker.ts
@@ -5,6 +5,14 @@
  */
 import type { RankLoad } from "../peers/heartbeat.js";
 import type { UpstreamRecord } from "../peers/mirror.js";
+import {
+    addRefusal,
+    type ConnectionRefusals,
+    estimateReturnMs,
+    isPausing,
+    type PoolOutages,
+    updateOutage,
+} from "./connectionRefusals.js";
 import {
     createNoticeTable,
     findNotice,
@@ -42,6 +50,8 @@
     isReplaced: boolean;
     /** Time of its latest report or part of a response, in milliseconds; undefined before the first one. */
     heardAt: number | undefined;
+    /** Connections that it has refused since it last accepted one; undefined if there are none. */
+    refusals: ConnectionRefusals | undefined;
 }
 
 export interface UpstreamTracker {
@@ -50,6 +60,8 @@
     notices: NoticeTable;
     /** Time since which half of each pool's group have been heard of, in milliseconds. */
     groupHeardAt: Map<string, number>;
+    /** Outages of pools of which all upstreams refuse connections. */
+    outages: Map<string, PoolOutages>;
 }
 
 /**
@@ -66,7 +78,7 @@
 
 /** Creates a tracker without upstreams. */
 export function createUpstreamTracker(): UpstreamTracker {
-    return { upstreams: new Map(), notices: createNoticeTable(), groupHeardAt: new Map() };
+    return { upstreams: new Map(), notices: createNoticeTable(), groupHeardAt: new Map(), outages: new Map() };
 }
 
 /** Replaces the set of upstreams and keeps the state of those that remain. */
@@ -93,6 +105,7 @@
         avoidedUntil: 0,
         isReplaced: false,
         heardAt: undefined,
+        refusals: undefined,
     };
 }
 
@@ -163,6 +176,49 @@
     }
 }
 
+/** Records that an upstream has refused a connection, after which it is not tried for some time. */
+export function recordRefusedConnection(tracker: UpstreamTracker, id: string, now: number): void {
+    const upstream = tracker.upstreams.get(id);
+    if (upstream !== undefined) {
+        upstream.refusals = addRefusal(upstream.refusals, now);
+        isPoolRefusing(tracker, upstream.record.pool, now);
+    }
+}
+
+/** Records that an upstream has accepted a connection. */
+export function recordConnection(tracker: UpstreamTracker, id: string, now: number): void {
+    const upstream = tracker.upstreams.get(id);
+    if (upstream !== undefined) {
+        upstream.refusals = undefined;
+        updateOutage(getOutages(tracker, upstream.record.pool), false, now);
+    }
+}
+
+/**
+ * Whether all upstreams of a pool refuse connections, so that none is to be tried now. Not if one has been replaced: the
+ * list will soon have its successor.
+ */
+export function isPoolRefusing(tracker: UpstreamTracker, pool: string, now: number): boolean {
+    const listed = [...tracker.upstreams.values()].filter(({ record }) => record.pool === pool && !record.isLeaving);
+    const isRefusing = listed.length > 0 &&
+        listed.every(upstream => !upstream.isReplaced && isPausing(upstream, now));
+    if (isRefusing) {
+        updateOutage(getOutages(tracker, pool), true, now);
+    }
+    return isRefusing;
+}
+
+/** Estimates when an upstream of a pool is back of which all upstreams refuse connections, in milliseconds from `now`. */
+export function estimatePoolReturnMs(tracker: UpstreamTracker, pool: string, now: number): number {
+    return isPoolRefusing(tracker, pool, now) ? estimateReturnMs(getOutages(tracker, pool), now) : 0;
+}
+
+function getOutages({ outages }: UpstreamTracker, pool: string): PoolOutages {
+    const known = outages.get(pool) ?? { since: undefined, durations: [] };
+    outages.set(pool, known);
+    return known;
+}
+
 /**
  * Marks an upstream as replaced: another one responds at its address, although the instance list still has its record.
  */
@@ -183,15 +239,19 @@
 } as const;
 export type UpstreamAdmission = (typeof UpstreamAdmission)[keyof typeof UpstreamAdmission];
 
-/** Lists the upstreams of a pool for requests, without those that are silent or avoided unless there are no others. */
+/**
+ * Lists the upstreams of a pool for requests: none that has just refused a connection, and those that are silent or avoided
+ * only if there are no others.
+ */
 export function listCandidates(
     tracker: UpstreamTracker,
     pool: string,
     now: number,
     excluded: ReadonlySet<string> = new Set(),
 ): TrackedUpstream[] {
-    const available = listServing(tracker, pool).filter(({ record }) =>
-        getAvailability(tracker.notices, record, now) === UpstreamAvailability.available
+    const available = listServing(tracker, pool).filter(upstream =>
+        getAvailability(tracker.notices, upstream.record, now) === UpstreamAvailability.available &&
+        !isPausing(upstream, now)
     );
     const usable = filterHeard(tracker, available).filter(({ record }) => !excluded.has(record.id));
     return filterReachable(usable, now);
