--- a/src/routing/requestSuspicion.ts
+++ b/src/routing/requestSuspicion.ts
@@ -14,7 +14,7 @@
     wasAnswered: boolean;
     /** Number of crashes in a row of which each was known when the request was sent that was lost in the next one. */
     rounds: number;
-    /** Whether no other request was lost in all of these crashes that is as likely to be their cause. */
+    /** Whether no other request was lost in all of these crashes that is as likely to be their cause; false for one crash. */
     isOnlyExplanation: boolean;
 }
 
@@ -42,35 +42,39 @@
     for (const crash of crashes) {
         for (const digest of listDigests(crash)) {
             if (crash.offset > answers.getAnsweredOffset(digest)) {
-                const known = suspects.get(digest);
-                const wasAnswered = known?.wasAnswered ?? answers.wasAnswered(digest);
-                const suspect = { digest, crashes: [], wasAnswered, rounds: 0, isOnlyExplanation: false };
-                suspects.set(digest, known ?? suspect);
-                suspects.get(digest)!.crashes.push(crash);
+                const suspect = suspects.get(digest) ?? createSuspect(digest, answers.wasAnswered(digest));
+                suspects.set(digest, suspect);
+                suspect.crashes.push(crash);
             }
         }
     }
-    for (const suspect of suspects.values()) {
+    const repeated = [...suspects.values()].filter(suspect => suspect.crashes.length > 1);
+    for (const suspect of repeated) {
         suspect.rounds = countRounds(suspect);
-        suspect.isOnlyExplanation = !listDigests(suspect.crashes[0]).some(digest =>
-            digest !== suspect.digest && isAsLikely(suspects.get(digest), suspect)
-        );
+        suspect.isOnlyExplanation = !repeated.some(other => other !== suspect && isAsLikely(other, suspect));
     }
     return suspects;
 }
 
+function createSuspect(digest: string, wasAnswered: boolean): SuspectRequest {
+    return { digest, crashes: [], wasAnswered, rounds: 1, isOnlyExplanation: false };
+}
+
 /** Whether the evidence against a request suffices to reject it from now on. */
 export function isCondemned(suspect: SuspectRequest, suspects: Map<string, SuspectRequest>): boolean {
     const { crashes, rounds, wasAnswered, isOnlyExplanation } = suspect;
+    if (!isOnlyExplanation) {
+        return false;
+    }
     if (!wasAnswered) {
-        return isOnlyExplanation && crashes.length >= requiredCrashes;
+        return crashes.length >= requiredCrashes;
     }
     const unexplained = crashes.filter(crash =>
         !listDigests(crash).map(digest => suspects.get(digest)).some(other =>
             other !== undefined && !other.wasAnswered && other.crashes.length >= explainingCrashes
         )
     );
-    return isOnlyExplanation && unexplained.length >= requiredAnswered.crashes && rounds >= requiredAnswered.rounds;
+    return unexplained.length >= requiredAnswered.crashes && rounds >= requiredAnswered.rounds;
 }
 
 /**
@@ -107,9 +111,8 @@
 }
 
 /** Whether another suspect was lost in all crashes of this one, and does not differ from it by having been answered. */
-function isAsLikely(other: SuspectRequest | undefined, suspect: SuspectRequest): boolean {
-    return other !== undefined && (!other.wasAnswered || suspect.wasAnswered) &&
-        suspect.crashes.every(crash => other.crashes.includes(crash));
+function isAsLikely(other: SuspectRequest, suspect: SuspectRequest): boolean {
+    return (!other.wasAnswered || suspect.wasAnswered) && suspect.crashes.every(crash => other.crashes.includes(crash));
 }
 
 function countRounds({ digest, crashes }: SuspectRequest): number {
