Crash checks: a check that fails ends no request unseen, and no error of it is left uncaught

Seen by reading: the second run of a request waits for the check of its upstream; if that threw, the request would have waited until its deadline, and with slots in the path the rejection was not caught. recordLoss reports it and resolves; an error of placing ends the request.

--- a/src/direct/requestQuarantine.ts
+++ b/src/direct/requestQuarantine.ts
@@ -61,7 +61,7 @@
     recordAnswer: (request: PromptRequest, attempt: ObservedAttempt) => void;
     /**
      * Records that the upstream broke the connection as or before it began to respond. Resolves once a first check has shown
-     * whether the upstream has crashed.
+     * whether the upstream has crashed; never rejects.
      */
     recordLoss: (request: PromptRequest, attempt: ObservedAttempt) => Promise<void>;
     /** Applies records that the feed has read. */
@@ -212,11 +212,17 @@
         },
         recordLoss: async ({ id, digest, head }, { upstream, knownCrashes }) => {
             const { sharedPromptParts: parts = [], ownPromptPart: ownPart = id } = head;
-            if (!upstream.isLeaving) {
-                alertUntil = now() + alertMs;
-                const lost: LostRequest = { id, digest, parts, ownPart, knownCrashes };
+            if (upstream.isLeaving) {
+                return;
+            }
+            alertUntil = now() + alertMs;
+            const lost: LostRequest = { id, digest, parts, ownPart, knownCrashes };
+            try {
                 await monitor.recordLoss(upstream, lost);
             }
+            catch (error) {
+                reportFault(error as Error);
+            }
         },
         applyRecords: records => {
             alertUntil = now() + alertMs;
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -207,7 +207,12 @@
                 place(dispatch);
                 return;
             }
-            check.then(() => dispatch.isReleased || place(dispatch)).catch(options.reportFault);
+            const placeUnlessEnded = () => {
+                if (!dispatch.isReleased) {
+                    place(dispatch);
+                }
+            };
+            check.then(placeUnlessEnded).catch((error: Error) => dispatch.endWithFault(error));
         },
         enqueue,
         remove: dispatch => {
