Quarantine of requests: a response from before a crash clears the copies of a sound request

Callers saw (by reading): copies of a request that comes often and that no entry had seen answered yet were kept from all upstreams for 6 s when one of them was lost in a crash, though others of them were being answered: only responses that began after the crash was known cleared it. An entry that sees such a response go on now says that the request was answered before. The test failed before (5,800 ms left, now 0).

--- a/src/direct/requestQuarantine.ts
+++ b/src/direct/requestQuarantine.ts
@@ -196,6 +196,9 @@
                 logger.info("A suspected request was answered.", { digest, requestId: id, upstream: upstream.id });
                 publish({ kind: "answered", part: formatRequestPart(digest), request: id });
             }
+            else if (state.suspects.get(digest)?.wasAnswered === false) {
+                publish({ kind: "answered-before", digest });
+            }
             const telling = parts.filter(part => isAnswerTelling(state, part, beganAt));
             telling.forEach(part => {
                 logger.info("A suspected part of a prompt was answered.", {
