--- a/review/lib-2/bed.mjs
+++ b/review/lib-2/bed.mjs
@@ -272,7 +272,7 @@
 }
 
 /** A server of a service; `runs` counts the runs by request id. */
-export function createServer({ id, host, service, workMs = 15, record, register, onRun, respond }) {
+export function createServer({ id, host, service, workMs = 15, onRun, respond }) {
     const runs = new Map();
     const server = http.createServer({ keepAliveTimeout: 5000 }, (message, response) => {
         const chunks = [];
