--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -16,6 +16,10 @@
     internalKeys: z.array(z.string().min(16)).min(1).max(2),
     /** Internal addresses of the seed peers for gossip. */
     peers: z.array(url).default([]),
+    /** Memory that the process may use, in MiB; that of the machine if it is absent. */
+    memoryMb: z.number().positive().optional(),
+    /** Number of descriptors that the process may open; the limit of the operating system if it is absent. */
+    descriptors: z.number().int().positive().optional(),
     logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
 };
 
--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -4,11 +4,17 @@
  */
 import type { ServerResponse } from "node:http";
 import { isRepeatable, RouteKind } from "../config/serving.js";
+import { HoldingStage } from "../routing/memoryAccount.js";
 import type { PendingRequest } from "../routing/pendingQueue.js";
 import { recordSignOfLife } from "../routing/upstreamSilence.js";
 import { markReplaced, recordFailure, recordResponse, type TrackedUpstream } from "../routing/upstreamTracker.js";
+import type { BodyReader } from "../wire/body.js";
+import type { MemoryReservation } from "../wire/callerMemory.js";
 import { interruptResponse, resetConnection } from "../wire/interruptResponse.js";
 import type { ResponseFraming } from "../wire/responseFraming.js";
+import { ResponseMemory } from "../wire/responseMemory.js";
+import { emptyBody } from "../wire/segmentedBody.js";
+import type { CallerRequest } from "../wire/sequentialRequests.js";
 import type { DirectContext } from "./context.js";
 import type { AppliedNotice } from "./noticeRecorder.js";
 import { findSendObstacle, refuseRequest, type SendObstacle } from "./quarantineGate.js";
@@ -23,18 +29,17 @@
     isRunAllowed,
     upstreamFailureEnds,
 } from "./requestState.js";
-import { findForeignEnd, isOwnSuccess } from "./responseOrigin.js";
+import { acceptHead } from "./responseHead.js";
+import { isOwnSuccess } from "./responseOrigin.js";
 import { ResponseRelay } from "./responseRelay.js";
 import { computeLatestSendAt } from "./sendDeadline.js";
 import type { AttemptRecord, DirectRequest, ResponseHead } from "./types.js";
-import { callUpstream } from "./upstreamCall.js";
 import {
     beginRun,
-    encodeRequestHead,
     endRun,
     type HeldRun,
     isRunSilent,
-    recordReports,
+    openRun,
     recordRunConnection,
     recordRunFailure,
     type UpstreamRun,
@@ -68,6 +73,10 @@
     /** Resolves once it is known whether the upstream of the latest lost attempt has crashed. */
     private crashCheck: Promise<void> | undefined;
     private readonly relay: ResponseRelay;
+    private readonly response: ServerResponse;
+    private readonly reservation: MemoryReservation;
+    private readonly bodyReader: BodyReader;
+    private readonly responseMemory: ResponseMemory;
     private deadlineTimer: NodeJS.Timeout | undefined;
     private idleTimer: NodeJS.Timeout | undefined;
     private outcome = "";
@@ -90,9 +99,13 @@
     constructor(
         private readonly context: DirectContext,
         readonly request: DirectRequest,
-        private readonly response: ServerResponse,
+        caller: Pick<CallerRequest, "response" | "reservation" | "body">,
         arrivalNumber: number,
     ) {
+        const { response, reservation, body } = caller;
+        this.response = response;
+        this.reservation = reservation;
+        this.bodyReader = body;
         const { route, workspace, head, receivedAt } = request;
         this.arrivalNumber = arrivalNumber;
         this.urgency = workspace?.urgency ?? route.urgency;
@@ -105,6 +118,7 @@
             onBegan: () => this.applyEvent({ kind: "began" }),
             onFull: () => this.run?.call?.pause(),
         });
+        this.responseMemory = new ResponseMemory(response, reservation, () => this.relay.countBufferedBytes());
         this.state = createDirectRequestState({
             isRepeatable: isRepeatable(route),
             isResumable: route.isResumable,
@@ -127,6 +141,16 @@
         })();
     }
 
+    /** Gives up the request, or what its caller has not read of the response, because the process is short of memory. */
+    evict(): void {
+        if (this.isReleased) {
+            resetConnection(this.response);
+        }
+        else {
+            this.stop();
+        }
+    }
+
     /** Ends the request because no upstream can serve it in time. */
     expire(): void {
         this.contain(() => this.applyEvent({ kind: "expired" }))();
@@ -181,48 +205,42 @@
     /** Sends the request to an upstream, at which `estimated` requests are assumed. */
     sendTo(upstream: TrackedUpstream, estimated: number): void {
         const { request, context } = this;
-        const { record } = upstream;
-        this.triedUpstreams.add(record.id);
+        this.triedUpstreams.add(upstream.record.id);
         const run = beginRun(context, request, upstream, estimated);
         this.run = run;
+        this.reservation.setStage(HoldingStage.running);
         this.attempts.push(run.record);
         this.relay.beginAttempt();
-        run.call = callUpstream({
-            target: record,
-            method: request.method,
-            path: request.target,
-            headers: encodeRequestHead(context, request, record.id, this.relay.getLastEventId()),
-            body: request.body,
-            listener: {
-                onConnected: this.contain(() => {
-                    recordRunConnection(context, run);
-                    this.applyEvent({ kind: "sent" });
-                    this.restartIdleTimer(silenceCheckIntervalMs);
-                }),
-                onHead: this.contain((status, raw, framing) => {
-                    recordSignOfLife(upstream, context.now());
-                    const head = context.codec.decodeResponseHead(raw);
-                    if (run === this.held?.run && !isOwnSuccess(status, head, request.id)) {
-                        this.endHeld(AttemptEnd.failed, `status ${status}`, head.isRefusal);
-                        return;
-                    }
-                    this.returnTo(run);
-                    this.handleHead(status, head, framing);
-                }),
-                onChunk: this.contain(chunk => {
-                    recordSignOfLife(upstream, context.now());
-                    this.returnTo(run);
-                    this.handleChunk(chunk);
-                }),
-                onEnd: this.contain(() => {
-                    this.returnTo(run);
-                    this.handleEnd();
-                }),
-                onFailure: this.contain((isConnected, reason, isRefused) => {
-                    this.crashCheck = recordRunFailure(context, run, isConnected, isRefused);
-                    this.handleFailure(run, isConnected, reason);
-                }),
-            },
+        openRun(context, request, run, this.relay.getLastEventId(), {
+            onFault: error => this.endWithFault(error),
+            onConnected: this.contain(() => {
+                recordRunConnection(context, run);
+                this.applyEvent({ kind: "sent" });
+                this.restartIdleTimer(silenceCheckIntervalMs);
+            }),
+            onHead: this.contain((status, raw, framing) => {
+                recordSignOfLife(upstream, context.now());
+                const head = context.codec.decodeResponseHead(raw);
+                if (run === this.held?.run && !isOwnSuccess(status, head, request.id)) {
+                    this.endHeld(AttemptEnd.failed, `status ${status}`, head.isRefusal);
+                    return;
+                }
+                this.returnTo(run);
+                this.handleHead(status, head, framing);
+            }),
+            onChunk: this.contain(chunk => {
+                recordSignOfLife(upstream, context.now());
+                this.returnTo(run);
+                this.handleChunk(chunk);
+            }),
+            onEnd: this.contain(() => {
+                this.returnTo(run);
+                this.handleEnd();
+            }),
+            onFailure: this.contain((isConnected, reason, code) => {
+                this.crashCheck = recordRunFailure(context, run, isConnected, code);
+                this.handleFailure(run, isConnected ? AttemptEnd.lost : AttemptEnd.unconnected, reason);
+            }),
         });
     }
 
@@ -232,12 +250,12 @@
         }
     }
 
-    private handleFailure(run: UpstreamRun, isConnected: boolean, reason: string): void {
+    private handleFailure(run: UpstreamRun, end: AttemptEnd, reason: string): void {
         if (run === this.held?.run) {
             this.endHeld(AttemptEnd.lost, reason, false);
             return;
         }
-        this.endAttempt(isConnected ? AttemptEnd.lost : AttemptEnd.unconnected, reason);
+        this.endAttempt(end, reason);
     }
 
     private endHeld(end: AttemptEnd, reason: string, isRefused: boolean): void {
@@ -246,47 +264,16 @@
     }
 
     private handleHead(status: number, head: ResponseHead, framing: ResponseFraming): void {
-        const headMs = Math.round(this.context.now() - this.run!.sentAt);
-        Object.assign(this.run!.record, { headMs, framing, rateLimit: head.rateLimitValues.join(", ") || undefined });
-        const foreign = findForeignEnd(status, head, this.request.id);
-        if (foreign !== undefined) {
-            this.endAttempt(foreign.end, foreign.reason);
-            return;
-        }
-        if (head.isSigned || status >= 300) {
-            this.context.observeNotices(this.run!.upstream.record, this.request.id, status, head);
-        }
-        if (head.isRefusal) {
-            this.handleRefusal(status, head);
-            return;
+        const { context, request, relay } = this;
+        const failure = acceptHead(context, request, this.run!, relay, { status, head, framing });
+        if (failure !== undefined) {
+            this.endAttempt(failure.end, failure.reason);
         }
-        const fault = this.relay.acceptHead(status, head, framing);
-        if (this.relay.isSuccess() && (!head.isSigned || head.isEncoded)) {
-            this.endAttempt(AttemptEnd.lost, "the answer is not the upstream's");
-            return;
-        }
-        if (fault !== undefined) {
-            this.endAttempt(this.relay.isSuccess() ? AttemptEnd.lost : AttemptEnd.failed, fault);
-            return;
-        }
-        recordResponse(this.context.upstreamTracker, this.run!.upstream.record.id);
-        recordReports(this.context, this.run!, head);
-        if (this.relay.isStream()) {
+        else if (relay.isStream()) {
             this.restartIdleTimer();
         }
     }
 
-    private handleRefusal(status: number, head: ResponseHead): void {
-        recordReports(this.context, this.run!, head);
-        if (head.faultyServer !== undefined) {
-            this.context.markGroupBroken(this.request.pool, head.faultyServer);
-            this.endAttempt(AttemptEnd.groupBroken, `the group waits for ${head.faultyServer}`);
-        }
-        else {
-            this.endAttempt(AttemptEnd.full, `refused with ${status}`);
-        }
-    }
-
     private handleChunk(chunk: Buffer): void {
         if (this.relay.isStream()) {
             this.restartIdleTimer();
@@ -294,6 +281,7 @@
             this.run!.observer.recordData();
         }
         const { events, fault } = this.relay.push(chunk);
+        this.responseMemory.update();
         if (events > 0) {
             const { record } = this.run!;
             record.events = (record.events ?? 0) + events;
@@ -343,6 +331,7 @@
             recordFailure(context.upstreamTracker, id, now);
         }
         this.closeRun(`${end}: ${reason}`);
+        this.reservation.setStage(this.held === undefined ? HoldingStage.queued : HoldingStage.running);
         const hasRetryBudget = isRetryAcquired ||
             (budgetedRetryEnds.has(end) && context.acquireRetry(this.request, now));
         this.applyEvent({ kind: "ended", end, hasRetryBudget, canContinue: this.relay.canContinue() });
@@ -451,6 +440,10 @@
         clearTimeout(this.deadlineTimer);
         this.cancelAll();
         this.context.scheduler.remove(this);
+        this.request.body = emptyBody;
+        this.bodyReader.discard();
+        this.reservation.setStage(HoldingStage.responding);
+        this.responseMemory.update();
         const outcome = this.outcome || "the caller has gone";
         this.context.logRequest(this.request, outcome, this.attempts, this.rateLimits, this.notices);
     }
--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -17,6 +17,7 @@
 } from "../peers/handOver.js";
 import { decodeDatagram, type Heartbeat } from "../peers/heartbeat.js";
 import type { PermitGrantMessage, PermitRequestMessage } from "../peers/permitMessages.js";
+import type { CallerMemory } from "../wire/callerMemory.js";
 import { bindDatagramSocket, type DatagramSocket } from "../wire/datagrams.js";
 import type { Address } from "../wire/listen.js";
 import { callPeer, createPeerHandler, type PeerMethods } from "../wire/peerRpc.js";
@@ -123,17 +124,28 @@
     return bindDatagramSocket(address, receive, countFailure);
 }
 
-/**
- * Creates the handler of the internal address: serves hand-overs and `methods`, and metrics on any other request.
- * `listPending` returns the quarantine records that the log has not accepted yet.
- */
+export interface InternalHandlerOptions {
+    /** Memory that all servers of the process share. */
+    memory: CallerMemory;
+    /** Returns the quarantine records that the log has not accepted yet. */
+    listPending?: () => PendingRecord[];
+}
+
+/** Time limits of the servers of internal addresses for receiving a request, in milliseconds. */
+export const internalServerOptions = {
+    headersTimeout: 5000,
+    requestTimeout: 10_000,
+    connectionsCheckingInterval: 1000,
+};
+
+/** Creates the handler of the internal address: serves hand-overs and `methods`, and metrics on any other request. */
 export function createInternalHandler(
     feed: Feed,
     registry: { metrics: () => Promise<string>; },
-    methods: PeerMethods = {},
-    listPending: () => PendingRecord[] = () => [],
+    methods: PeerMethods,
+    { memory, listPending = () => [] }: InternalHandlerOptions,
 ): ReturnType<typeof createPeerHandler> {
-    return createPeerHandler({
+    return createPeerHandler(memory, {
         [handOverMethod]: (params: unknown): HandOverResult & PendingQuarantine => ({
             ...createHandOver(feed, parseHandOverParams(params), performance.now()),
             pendingQuarantine: listPending(),
--- a/src/direct/responseRelay.ts
+++ b/src/direct/responseRelay.ts
@@ -14,6 +14,7 @@
 } from "../wire/eventStream.js";
 import { findTruncation } from "../wire/responseCompletion.js";
 import { ResponseFraming } from "../wire/responseFraming.js";
+import { type Body, joinBody, SegmentedBody } from "../wire/segmentedBody.js";
 import {
     beginStreamRun,
     createStreamContinuity,
@@ -29,6 +30,8 @@
 /** Status of a whole stream: 204 has no body, and 206 holds a part only. */
 const streamStatus = 200;
 
+const createBuffer = () => new SegmentedBody(undefined, () => undefined);
+
 export interface ResponseRelayOptions {
     response: ServerResponse;
     /** Whether a success is a stream of events, whatever its content type. */
@@ -54,8 +57,7 @@
     status: number;
     head: ResponseHead | undefined;
     framing: ResponseFraming;
-    bufferedChunks: Buffer[];
-    bufferedBytes: number;
+    buffered: SegmentedBody;
     scanner: EventScanner | undefined;
     splitter: EventSplitter | undefined;
     isRunConfirmed: boolean;
@@ -67,8 +69,7 @@
     private status = 0;
     private head: ResponseHead | undefined;
     private framing: ResponseFraming = ResponseFraming.none;
-    private bufferedChunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private buffered = createBuffer();
     private scanner: EventScanner | undefined;
     private splitter: EventSplitter | undefined;
 
@@ -80,8 +81,7 @@
     beginAttempt(): void {
         this.status = 0;
         this.head = undefined;
-        this.bufferedChunks = [];
-        this.bufferedBytes = 0;
+        this.buffered = createBuffer();
         this.scanner = undefined;
         this.splitter = undefined;
         beginStreamRun(this.continuity);
@@ -89,9 +89,9 @@
 
     /** Returns the state of the attempt's response, so that it can go on after another attempt. */
     holdAttempt(): HeldResponse {
-        const { status, head, framing, bufferedChunks, bufferedBytes, scanner, splitter } = this;
+        const { status, head, framing, buffered, scanner, splitter } = this;
         const { isRunConfirmed } = this.continuity;
-        return { status, head, framing, bufferedChunks, bufferedBytes, scanner, splitter, isRunConfirmed };
+        return { status, head, framing, buffered, scanner, splitter, isRunConfirmed };
     }
 
     /** Goes on with an attempt, provided that no other one has added to the response meanwhile. */
@@ -150,11 +150,14 @@
             return this.relayEvents(this.splitter, chunk);
         }
         this.scanner?.push(chunk);
-        this.bufferedChunks.push(chunk);
-        this.bufferedBytes += chunk.length;
-        if (this.hasSentHead || this.bufferedBytes > maxBufferedBytes) {
+        if (this.hasSentHead) {
+            this.write(chunk);
+            return { events: 0 };
+        }
+        this.buffered.append(chunk);
+        if (this.buffered.length > maxBufferedBytes) {
             this.sendHead(this.head!.relayedHeaders);
-            this.bufferedChunks.splice(0).forEach(bytes => this.write(bytes));
+            this.takeBuffered().segments.forEach(bytes => this.write(bytes));
         }
         return { events: 0 };
     }
@@ -183,6 +186,11 @@
         }
     }
 
+    /** Counts the bytes of the attempt's response that wait for more of it. */
+    countBufferedBytes(): number {
+        return this.buffered.length + (this.splitter?.getRemainder().length ?? 0);
+    }
+
     /** Counts the bytes of an incomplete event at the end of a stream; undefined if there is none. */
     countUnfinishedBytes(): number | undefined {
         return this.scanner?.isInsideEvent() === true ? this.scanner.countTrailingBytes() : undefined;
@@ -220,7 +228,7 @@
     }
 
     private sendBuffered(): void {
-        const body = Buffer.concat(this.bufferedChunks.splice(0), this.bufferedBytes);
+        const body = joinBody(this.takeBuffered());
         const { relayedHeaders, contentLength } = this.head!;
         // A 204 may not have a length, and in a response to HEAD it would be that of the body for GET.
         const needsLength = this.framing !== ResponseFraming.none && contentLength === undefined;
@@ -229,6 +237,12 @@
         this.options.response.end(body);
     }
 
+    private takeBuffered(): Body {
+        const body = this.buffered.finish();
+        this.buffered = createBuffer();
+        return body;
+    }
+
     private write(bytes: Buffer): void {
         if (!this.options.response.write(bytes)) {
             this.options.onFull();
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -39,17 +39,21 @@
     type WindowedRetryBudget,
     type WindowedRetryBudgetSettings,
 } from "../routing/windowedRetryBudget.js";
+import { createCallerLimits } from "../wire/callerLimits.js";
 import { type Address, listenOn } from "../wire/listen.js";
+import type { MachineLimits } from "../wire/machineLimits.js";
 import type { DirectContext } from "./context.js";
 import { type Drain, startDrain } from "./drainServer.js";
 import { computeLogPositions, pickPeer } from "./logPositions.js";
 import { createNoticeRecorder } from "./noticeRecorder.js";
+import { createOwnResponses, sendEmptyResponse } from "./ownResponses.js";
 import {
     bindDatagrams,
     createInternalHandler,
     createSettingsHandlers,
     fetchHandOver,
     fetchPendingQuarantine,
+    internalServerOptions,
     parsePendingRecords,
     quarantineMethod,
     relayQuarantine,
@@ -61,7 +65,7 @@
 import { createRequestLog } from "./requestLog.js";
 import { createRequestQuarantine } from "./requestQuarantine.js";
 import { createScheduler, type DirectScheduler } from "./scheduler.js";
-import { applyLimits, createDirectServer, sendEmptyResponse, sendQuarantineRejection } from "./server.js";
+import { applyLimits, createDirectServer } from "./server.js";
 import { createSilenceLog } from "./silenceLog.js";
 import type { DirectRequest, HeadCodec } from "./types.js";
 
@@ -84,6 +88,7 @@
     /** Time for which callers may still send requests after an upstream has said that it leaves, in milliseconds. */
     drainMs: number;
     retries: WindowedRetryBudgetSettings;
+    machine: MachineLimits;
     source: FeedSource & { appendQuarantine: (records: PendingRecord[]) => Promise<number>; };
     codec: HeadCodec;
     decoders: MirrorDecoders<ServingDocument>;
@@ -136,6 +141,7 @@
     const now = () => performance.now();
     const startedAt = now();
     const random = Math.random;
+    const limits = createCallerLimits(options.machine, now, { ...metrics, prefix: "beechdock_direct" });
     const upstreamTracker = createUpstreamTracker();
     const groupTracker = createGroupTracker();
     const retryBudgets = new Map<string, WindowedRetryBudget>();
@@ -324,19 +330,12 @@
                 openInMs: openAt === undefined ? undefined : openAt - now(),
             }, random());
         },
-        sendRefusal: (response, retryAfterMs) => {
-            metrics.refusals.inc();
-            sendEmptyResponse(response, 503, ["Retry-After", (retryAfterMs / 1000).toFixed(3)]);
-        },
-        sendRejection: (response, quarantined) => {
-            metrics.quarantineRejections.inc();
-            sendQuarantineRejection(response, quarantined);
-        },
-        sendFailure: (response, status) => sendEmptyResponse(response, status, []),
+        ...createOwnResponses(metrics),
         ...requestLog,
     };
     const directServer = createDirectServer({
         context,
+        limits,
         getIndex: () => index,
         isStopping: () => drain !== undefined,
         isTaken: deadlineAt => drain?.isTaken(deadlineAt) ?? true,
@@ -344,15 +343,18 @@
     });
     const { server } = directServer;
     const isReady = () => drain === undefined && index !== undefined && upstreamTracker.upstreams.size > 0;
-    const readiness = createServer((message, response) => sendEmptyResponse(response, isReady() ? 200 : 503, []));
+    const readiness = createServer(
+        internalServerOptions,
+        (message, response) => sendEmptyResponse(response, isReady() ? 200 : 503, []),
+    );
     const handleInternalRequest = createInternalHandler(feed, metrics.registry, {
         [quarantineMethod]: (params: unknown) => {
             quarantine.acceptRecords(parsePendingRecords(params));
             return true;
         },
-    }, quarantine.listPending);
-    const internal = createServer(handleInternalRequest);
-    const control = createServer(handleInternalRequest);
+    }, { memory: limits.memory, listPending: quarantine.listPending });
+    const internal = createServer(internalServerOptions, handleInternalRequest);
+    const control = createServer(internalServerOptions, handleInternalRequest);
     const applyLeaderHeartbeat = (heartbeat: LeaderHeartbeat, delayMs: number) => {
         leader = { host: heartbeat.from, lastHeartbeatAt: now() };
         entryCount = Math.max(1, heartbeat.entryCount);
--- a/src/direct/startDirectSlot.ts
+++ b/src/direct/startDirectSlot.ts
@@ -43,10 +43,18 @@
     slotFeedTiming,
     splitIntoBursts,
 } from "../peers/pacing.js";
+import { createCallerLimits } from "../wire/callerLimits.js";
 import { type Address, listenOn } from "../wire/listen.js";
+import type { MachineLimits } from "../wire/machineLimits.js";
 import { callPeer } from "../wire/peerRpc.js";
 import { computeLogPositions, pickPeer } from "./logPositions.js";
-import { bindDatagrams, createInternalHandler, createSettingsHandlers, fetchHandOver } from "./peerLink.js";
+import {
+    bindDatagrams,
+    createInternalHandler,
+    createSettingsHandlers,
+    fetchHandOver,
+    internalServerOptions,
+} from "./peerLink.js";
 
 export interface DirectSlotOptions {
     instance: string;
@@ -57,6 +65,7 @@
     seeds: Address[];
     /** Engine of this slot. */
     engine: Address;
+    machine: MachineLimits;
     source: FeedSource;
     decoders: MirrorDecoders<ServingDocument>;
     createRankClient: (address: Address) => RankClient;
@@ -342,11 +351,13 @@
         reportFault,
         onHeartbeat: heartbeat => heartbeatHandlers[heartbeat.kind](heartbeat as never),
     });
-    const server = createServer(createInternalHandler(feed, metrics.registry, {
+    const { memory } = createCallerLimits(options.machine, now);
+    const handleInternalRequest = createInternalHandler(feed, metrics.registry, {
         [readMethod]: () => localRank.readReport(),
         [orderMethod]: ({ order, epoch }: { order: RankOrder | DeltaPrepare; epoch: number; }) =>
             orderLocalRank(order, epoch),
-    }));
+    }, { memory });
+    const server = createServer(internalServerOptions, handleInternalRequest);
     await listenOn(server, internal.host, internal.port);
     feed.start();
     logger.info("The slot listens.", { engine: `${engine.host}:${engine.port}` });
--- a/src/direct/tests/upstreamCall.test.ts
+++ b/src/direct/tests/upstreamCall.test.ts
@@ -1,5 +1,6 @@
 import { createServer, type Socket } from "node:net";
 import { afterEach, expect, test } from "vitest";
+import { emptyBody } from "../../wire/segmentedBody.js";
 import { callUpstream } from "../upstreamCall.js";
 
 const closers: (() => void)[] = [];
@@ -21,8 +22,8 @@
             target: { host: "127.0.0.1", port },
             method: "POST",
             path: "/",
-            headers: ["Host", "upstream", "Content-Length", "0"],
-            body: Buffer.alloc(0),
+            encodeHeaders: () => ["Host", "upstream", "Content-Length", "0"],
+            body: emptyBody,
             listener: {
                 onConnected: () => events.push("connected"),
                 onHead: status => events.push(`head ${status}`),
@@ -31,6 +32,7 @@
                     events.push("end");
                     resolve();
                 },
+                onFault: () => undefined,
                 onFailure: () => {
                     events.push("broken");
                     resolve();
@@ -71,13 +73,14 @@
             target: { host: "127.0.0.1", port: 1 },
             method: "GET",
             path: "/",
-            headers: ["Host", "upstream"],
-            body: Buffer.alloc(0),
+            encodeHeaders: () => ["Host", "upstream"],
+            body: emptyBody,
             listener: {
                 onConnected: () => undefined,
                 onHead: () => undefined,
                 onChunk: () => undefined,
                 onEnd: () => undefined,
+                onFault: () => undefined,
                 onFailure: isConnected => {
                     failures.push(isConnected);
                     resolve();
--- a/src/direct/types.ts
+++ b/src/direct/types.ts
@@ -4,6 +4,7 @@
  */
 import type { ServingRoute, ServingWorkspace } from "../config/serving.js";
 import type { ResponseFraming } from "../wire/responseFraming.js";
+import type { Body } from "../wire/segmentedBody.js";
 
 /** Decoded head of a caller's request. */
 export interface RequestHead {
@@ -80,6 +81,12 @@
     decodeResponseHead: (raw: string[]) => ResponseHead;
 }
 
+/** Decoded head of a request that is kept while the request lasts; its forwarded headers are packed. */
+export type KeptRequestHead = Omit<RequestHead, "forwardedHeaders"> & {
+    /** See `packFields`. */
+    forwardedFields: Buffer;
+};
+
 /** Request that has been matched to a route and a pool. */
 export interface DirectRequest {
     id: string;
@@ -87,8 +94,9 @@
     digest: string;
     method: string;
     target: string;
-    head: RequestHead;
-    body: Buffer;
+    head: KeptRequestHead;
+    /** Empty once the request has ended. */
+    body: Body;
     route: ServingRoute;
     workspace?: ServingWorkspace;
     pool: string;
--- a/src/direct/upstreamCall.ts
+++ b/src/direct/upstreamCall.ts
@@ -3,6 +3,7 @@
 import { findInvalidHead } from "../wire/httpSyntax.js";
 import { ResetDetectingSocket } from "../wire/resetDetectingSocket.js";
 import { classifyFraming, findUndecodedCoding, type ResponseFraming } from "../wire/responseFraming.js";
+import type { Body } from "../wire/segmentedBody.js";
 
 /** Timeout for connecting, in milliseconds; ten times the latency to the farthest data centre of a region. */
 const connectTimeoutMs = 300;
@@ -16,9 +17,9 @@
     target: UpstreamTarget;
     method: string;
     path: string;
-    /** Alternating names and values. */
-    headers: string[];
-    body: Buffer;
+    /** Encodes the header fields as alternating names and values. */
+    encodeHeaders: () => string[];
+    body: Body;
     listener: UpstreamListener;
 }
 
@@ -28,8 +29,10 @@
     onHead: (status: number, rawHeaders: string[], framing: ResponseFraming) => void;
     onChunk: (chunk: Buffer) => void;
     onEnd: () => void;
-    /** `isConnected` is false if no connection was made, so that nothing was sent; `isRefused` if it was refused. */
-    onFailure: (isConnected: boolean, reason: string, isRefused: boolean) => void;
+    /** `isConnected` is false if no connection was made, so that nothing was sent; `code` is that of the error. */
+    onFailure: (isConnected: boolean, reason: string, code: string | undefined) => void;
+    /** Called instead if the request cannot be written as HTTP/1.1; nothing was sent. */
+    onFault: (error: Error) => void;
 }
 
 export interface UpstreamCall {
@@ -41,22 +44,21 @@
 }
 
 /**
- * Sends a request; `options.listener` receives the response or the failure. Throws if the request cannot be written as
- * HTTP/1.1; a response that is no HTTP/1.1 is a failure.
+ * Sends a request; `options.listener` receives the response or the failure. A response that is no HTTP/1.1 is a failure. The
+ * head is encoded once there is a connection: as text it takes several times its length until it is sent.
  */
 export function callUpstream(options: UpstreamCallOptions): UpstreamCall {
-    const { target, method, path, headers, body, listener } = options;
+    const { target, listener } = options;
     let isConnected = false;
     let isSettled = false;
+    let clientRequest: ClientRequest | undefined;
     let response: IncomingMessage | undefined;
-    const clientRequest: ClientRequest = request({
-        ...target,
-        method,
-        path,
-        headers,
-        createConnection: () => new ResetDetectingSocket().connect(target).setNoDelay(true),
-    });
+    const socket = new ResetDetectingSocket();
     const connectTimer = setTimeout(() => fail("no connection in time"), connectTimeoutMs);
+    const destroy = () => {
+        clientRequest?.destroy();
+        socket.destroy();
+    };
     const settle = () => {
         isSettled = true;
         clearTimeout(connectTimer);
@@ -65,25 +67,13 @@
         // A complete response remains valid, whatever follows it on the connection.
         if (!isSettled && response?.complete !== true) {
             settle();
-            clientRequest.destroy();
-            listener.onFailure(isConnected, reason, code === "ECONNREFUSED");
+            destroy();
+            listener.onFailure(isConnected, reason, code);
         }
     };
-    clientRequest.on("socket", socket => {
-        socket.on("connect", () => {
-            isConnected = true;
-            clearTimeout(connectTimer);
-            if (!isSettled) {
-                listener.onConnected();
-                clientRequest.end(body);
-            }
-        });
-    });
-    clientRequest.on("error", (error: NodeJS.ErrnoException) => fail(error.message, error.code));
-    clientRequest.on("close", () => fail("closed without an answer"));
-    clientRequest.on("response", message => {
+    const acceptResponse = (message: IncomingMessage) => {
         const status = message.statusCode ?? 0;
-        const framing = classifyFraming(method, status, message.headers);
+        const framing = classifyFraming(options.method, status, message.headers);
         const fault = findInvalidHead(status, message.rawHeaders) ?? findUndecodedCoding(framing, message.headers);
         if (fault !== undefined) {
             fail(fault);
@@ -98,7 +88,7 @@
         message.on("end", () => {
             if (!isSettled && message.complete) {
                 settle();
-                clientRequest.destroy();
+                destroy();
                 listener.onEnd();
             }
         });
@@ -107,13 +97,46 @@
         if (!isSettled) {
             listener.onHead(status, message.rawHeaders, framing);
         }
+    };
+    const send = () => {
+        const { method, path, encodeHeaders, body } = options;
+        clientRequest = request({ ...target, method, path, headers: encodeHeaders(), createConnection: () => socket });
+        clientRequest.on("error", (error: NodeJS.ErrnoException) => fail(error.message, error.code));
+        clientRequest.on("close", () => fail("closed without an answer"));
+        clientRequest.on("response", acceptResponse);
+        isConnected = true;
+        clearTimeout(connectTimer);
+        listener.onConnected();
+        if (!isSettled) {
+            sendBody(clientRequest, body);
+        }
+    };
+    socket.on("error", (error: NodeJS.ErrnoException) => fail(error.message, error.code));
+    socket.on("connect", () => {
+        if (isSettled) {
+            return;
+        }
+        try {
+            send();
+        }
+        catch (error) {
+            settle();
+            destroy();
+            listener.onFault(error as Error);
+        }
     });
+    socket.connect(target).setNoDelay(true);
     return {
         cancel: () => {
             settle();
-            clientRequest.destroy();
+            destroy();
         },
         pause: () => response?.pause(),
         resume: () => response?.resume(),
     };
 }
+
+function sendBody(clientRequest: ClientRequest, { segments }: Body): void {
+    segments.slice(0, -1).forEach(segment => clientRequest.write(segment));
+    clientRequest.end(segments.at(-1));
+}
--- a/src/direct/upstreamRun.ts
+++ b/src/direct/upstreamRun.ts
@@ -6,11 +6,12 @@
     recordSent,
     type TrackedUpstream,
 } from "../routing/upstreamTracker.js";
+import { unpackFields } from "../wire/packedFields.js";
 import { type AttemptObserver, observeAttempt } from "./attemptObserver.js";
 import type { DirectContext } from "./context.js";
 import type { HeldResponse } from "./responseRelay.js";
 import type { AttemptRecord, DirectRequest, ResponseHead } from "./types.js";
-import type { UpstreamCall } from "./upstreamCall.js";
+import { callUpstream, type UpstreamCall, type UpstreamListener } from "./upstreamCall.js";
 
 export interface UpstreamRun {
     /** Undefined until the request is sent. */
@@ -50,6 +51,25 @@
     };
 }
 
+/** Opens the connection of a run and sends the request; `lastEventId` is the last event of its stream that the caller has. */
+export function openRun(
+    context: DirectContext,
+    request: DirectRequest,
+    run: UpstreamRun,
+    lastEventId: string | undefined,
+    listener: UpstreamListener,
+): void {
+    const { record } = run.upstream;
+    run.call = callUpstream({
+        target: record,
+        method: request.method,
+        path: request.target,
+        encodeHeaders: () => encodeRequestHead(context, request, record.id, lastEventId),
+        body: request.body,
+        listener,
+    });
+}
+
 /** Whether a run that has been idle may have lost its upstream or, if it is a stream, its connection. */
 export function isRunSilent(
     context: DirectContext,
@@ -69,6 +89,9 @@
     recordConnection(upstreamTracker, upstream.record.id, now());
 }
 
+/** Error code of a connect that the upstream's machine has refused. */
+const refusalCode = "ECONNREFUSED";
+
 /**
  * Records that the connection of a run has failed. Returns what resolves once it is known whether the upstream has crashed;
  * undefined if that is not in question.
@@ -77,9 +100,9 @@
     { upstreamTracker, now }: DirectContext,
     { upstream, observer }: UpstreamRun,
     isConnected: boolean,
-    isRefused: boolean,
+    code: string | undefined,
 ): Promise<void> | undefined {
-    if (isRefused) {
+    if (!isConnected && code === refusalCode) {
         recordRefusedConnection(upstreamTracker, upstream.record.id, now());
     }
     return isConnected ? observer.recordBreak() : undefined;
@@ -106,7 +129,7 @@
 }
 
 /** Encodes the head of a request to an upstream; `lastEventId` is the last event of its stream that the caller has. */
-export function encodeRequestHead(
+function encodeRequestHead(
     context: DirectContext,
     request: DirectRequest,
     upstream: string,
@@ -114,7 +137,8 @@
 ): string[] {
     const now = context.now();
     const hasBody = request.body.length > 0 || request.method === "POST" || request.method === "PUT";
-    return context.codec.encodeUpstreamHead(request.head, {
+    const { forwardedFields, ...head } = request.head;
+    return context.codec.encodeUpstreamHead({ ...head, forwardedHeaders: unpackFields(forwardedFields) }, {
         upstream,
         timeoutMs: request.deadlineAt - now,
         workspace: request.workspace?.name,
--- a/src/entry/accept.ts
+++ b/src/entry/accept.ts
@@ -1,8 +1,13 @@
-/** First filter of an entry: validates the request line and headers, and reads the body. */
+/** Filters of an entry that take a request: the first one validates its head, a later one reads its body. */
 import type { IncomingMessage } from "node:http";
 import { createRefusal } from "../core/errors.js";
 import { RunOutcome } from "../core/types.js";
+import { HoldingStage } from "../routing/memoryAccount.js";
+import { getContentLength } from "../wire/body.js";
+import { countJsonBytes } from "../wire/jsonSize.js";
+import { closeBehind } from "../wire/lingeringClose.js";
 import { maxRpcBytes } from "../wire/rpc.js";
+import { type Body, joinBody } from "../wire/segmentedBody.js";
 import type { Exchange, Filter } from "./types.js";
 
 /** Default urgency of RFC 9218. */
@@ -17,11 +22,11 @@
 const messageOverheadBytes = 64 * 1024;
 
 /**
- * Creates the filter. It sets the body, the urgency and the idempotency key of the exchange, and throws a
- * `RefusalError` for invalid requests and for bodies that are incomplete or longer than `maxBodyBytes`.
+ * Creates the filter. It sets the urgency and the idempotency key of the exchange, and throws a `RefusalError` for invalid
+ * requests and for those that announce a body longer than `maxBodyBytes`.
  */
 export function createAcceptFilter(maxBodyBytes: number): Filter {
-    return async exchange => {
+    return exchange => {
         const { message } = exchange;
         if (refusedMethods.has(message.method ?? "")) {
             throw createInputRefusal(405, `Method ${message.method} is not served`);
@@ -33,25 +38,50 @@
         if ((exchange.idempotencyKey?.length ?? 0) > maxIdempotencyKeyLength) {
             throw createInputRefusal(400, `Idempotency-Key is longer than ${maxIdempotencyKeyLength} characters`);
         }
-        const body = await exchange.bodyReader.read(maxBodyBytes);
+        if ((getContentLength(message) ?? 0) > maxBodyBytes) {
+            throw createBodyRefusal(exchange, maxBodyBytes);
+        }
+    };
+}
+
+/**
+ * Creates the filter that reads the body, after those that need none. It sets the body of the exchange, and throws a
+ * `RefusalError` if it is incomplete or longer than `maxBodyBytes`.
+ */
+export function createBodyFilter(maxBodyBytes: number): Filter {
+    return async exchange => {
+        const { bodyReader, fields, reservation, response } = exchange;
+        fields.pack();
+        const body = await bodyReader.read(maxBodyBytes);
+        if (response.headersSent) {
+            return;
+        }
+        fields.restore();
         if (body === undefined || isOversize(body)) {
-            message.resume();
-            exchange.response.shouldKeepAlive = false;
-            throw createInputRefusal(413, `The body is cut short or longer than ${maxBodyBytes} bytes`);
+            throw createBodyRefusal(exchange, maxBodyBytes);
         }
-        exchange.body = body;
+        exchange.body = joinBody(body);
+        bodyReader.discard();
+        reservation.setStage(HoldingStage.queued);
+        reservation.add(exchange.body.length);
     };
 }
 
+/** Creates the error of a body that is refused; the connection closes behind the response. */
+function createBodyRefusal({ response }: Exchange, maxBodyBytes: number): Error {
+    closeBehind(response);
+    return createInputRefusal(413, `The body is cut short or longer than ${maxBodyBytes} bytes`);
+}
+
 function createInputRefusal(status: number, title: string): Error {
     return createRefusal(title, { status, outcome: RunOutcome.notRun });
 }
 
 /** Whether the body, as encoded in a message to a slot, exceeds the message size limit. */
-function isOversize(body: Buffer): boolean {
+function isOversize(body: Body): boolean {
     const limit = maxRpcBytes - messageOverheadBytes;
     return body.length > limit / maxEncodedBytesPerByte &&
-        Buffer.byteLength(JSON.stringify(body.toString("latin1"))) > limit;
+        body.segments.reduce((sum, segment) => sum + countJsonBytes(segment), 0) > limit;
 }
 
 function validateHeaders(message: IncomingMessage): void {
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -26,7 +26,7 @@
 } as const;
 export type RetryReason = (typeof RetryReason)[keyof typeof RetryReason];
 
-const Phase = { choosing: "choosing", waiting: "waiting", streaming: "streaming", done: "done" } as const;
+export const Phase = { choosing: "choosing", waiting: "waiting", streaming: "streaming", done: "done" } as const;
 type Phase = (typeof Phase)[keyof typeof Phase];
 
 /** State of a request and of its current attempt. */
--- a/src/entry/dispatch.ts
+++ b/src/entry/dispatch.ts
@@ -26,10 +26,13 @@
     type AttemptEvent,
     createAttemptState,
     isSlotSilent,
+    Phase,
     RetryReason,
 } from "./attempt.js";
 import { cancelRun, type OpenRun } from "./cancelRun.js";
+import { DispatchMemory } from "./dispatchMemory.js";
 import { beginAttempt, beginRecord, endAttempt, endRecord, type Journal, type JournalRecord } from "./journal.js";
+import { PromptObserver } from "./promptObserver.js";
 import { parsePromptHead, type PromptHead, type PromptQuarantine } from "./promptQuarantine.js";
 import { relayFrame, sendProblem } from "./relay.js";
 import { admitRetry, countRequest, type RetryBudget } from "./retryBudget.js";
@@ -43,9 +46,6 @@
 /** Maximum `retry-after` when the retry budget is used up or no upstream is available, in seconds; drawn at random. */
 const maxRetryAfterSeconds = 4;
 
-/** Time after its first data after which a response shows that its prompt does not crash the upstream, in milliseconds. */
-const harmlessAfterMs = 250;
-
 /**
  * Reasons of retries that add no load and may go to the same slot: the previous attempt never reached it, or its upstream
  * has asked for a pause, which the load report of the slot shows.
@@ -93,15 +93,13 @@
     /** Whether the retry budget has admitted the next retry. */
     private hasAcquiredRetry = false;
     private readonly prompt: PromptHead;
-    private knownCrashes: string[] = [];
-    /** Time of the first data of the current attempt; undefined before it. */
-    private beganAt: number | undefined;
-    private isHarmless = false;
+    private readonly promptObserver: PromptObserver;
     private sentAt = 0;
     private isStreamPaused = false;
     /** Whether the slot of the current attempt has reported that its upstream failed. */
     private hasSlotReportedFailure = false;
     private ended = false;
+    private readonly memory: DispatchMemory;
 
     private readonly handlers: ActionHandlers = {
         choose: () => this.choose(),
@@ -122,7 +120,9 @@
         private readonly reject: (error: Error) => void,
     ) {
         const { route, message, receivedAt, requestId } = exchange;
+        this.memory = new DispatchMemory(exchange);
         this.prompt = parsePromptHead(exchange);
+        this.promptObserver = new PromptObserver(context.quarantine, this.prompt);
         const idempotent = isIdempotent(message.method ?? "GET", route!);
         this.state = createAttemptState(idempotent, receivedAt + route!.deadlineSeconds * 1000, requestId);
         this.record = beginRecord(context.journal, {
@@ -139,6 +139,7 @@
             return;
         }
         countRequest(this.context.retryBudget, Date.now());
+        this.exchange.setEvictor(this.contain(() => this.evict()));
         this.deadlineTimer = setTimeout(this.contain(() => this.handleDeadline()), this.state.deadline - Date.now());
         this.exchange.response.on("close", this.contain(() => this.handleCallerClose()));
         this.exchange.response.on("drain", () => this.handleCallerDrain());
@@ -235,15 +236,33 @@
         const { url, instance } = this.upstream!;
         const canWaitForPause = isPaused(this.upstream!, Date.now());
         const params = createRunParams(this.exchange, this.state, this.incarnation, canWaitForPause);
+        if (!this.memory.addMessage()) {
+            return;
+        }
         this.sentAt = Date.now();
-        this.knownCrashes = this.context.quarantine.getLatestCrashes();
-        this.beganAt = undefined;
-        this.isHarmless = false;
+        this.promptObserver.beginAttempt();
         const { requestId, attempt, incarnation } = params;
         this.openRun = { requestId, attempt, incarnation, url, instance };
         this.stream = this.context.slots.run(url, params, this.createListener(), instance);
     }
 
+    /** Gives up the request, or what its caller has not read of the response, because the process is short of memory. */
+    private evict(): void {
+        if (this.ended) {
+            resetConnection(this.exchange.response);
+            return;
+        }
+        const isSent = this.openRun !== undefined || this.state.earlierAttemptMayHaveRun;
+        this.state.phase = Phase.done;
+        this.fail({
+            kind: "fail",
+            outcome: isSent ? RunOutcome.unknown : RunOutcome.notRun,
+            status: isSent ? 500 : 503,
+            title: "The entry is short of memory",
+            retryAfterSeconds: isSent ? undefined : 1,
+        });
+    }
+
     private scheduleResume(nextSequence: number): void {
         const { resumes } = this.state;
         this.context.metrics.resumes.inc();
@@ -275,8 +294,8 @@
                 if (isOwn && frame.kind === "failed") {
                     this.recordFailedFrame(frame);
                 }
-                if (isOwn) {
-                    this.observePrompt(frame);
+                if (isOwn && this.upstream !== undefined) {
+                    this.promptObserver.observe(frame, this.upstream.instance, this.incarnation);
                 }
                 this.apply({ kind: "frame", frame });
             }),
@@ -289,37 +308,6 @@
         };
     }
 
-    /** Tells the quarantine whether the upstream responds to the prompt or has crashed as it began to. */
-    private observePrompt(frame: Frame): void {
-        const { quarantine } = this.context;
-        const now = performance.now();
-        const isData = frame.kind === "data";
-        this.beganAt ??= isData ? now : undefined;
-        const hasContinued = isData && this.beganAt !== undefined && now - this.beganAt >= harmlessAfterMs;
-        const crash = frame.kind === "failed" ? frame.crash : undefined;
-        if (this.upstream === undefined || this.isHarmless) {
-            return;
-        }
-        const attempt = {
-            upstream: {
-                id: `${this.upstream.instance}/${crash ?? this.incarnation}`,
-                host: "",
-                port: 0,
-                isLeaving: false,
-            },
-            sentAt: now - (Date.now() - this.sentAt),
-            knownCrashes: this.knownCrashes,
-            beganAt: this.beganAt ?? now,
-        };
-        if (hasContinued || frame.kind === "end") {
-            this.isHarmless = true;
-            quarantine.recordAnswer(this.prompt, attempt);
-        }
-        else if (crash !== undefined) {
-            void quarantine.recordLoss(this.prompt, attempt);
-        }
-    }
-
     /** Status 502 is attributed to the upstream, so it counts towards its ejection. */
     private recordFailedFrame({ status, title, incarnation, load }: Extract<Frame, { kind: "failed"; }>): void {
         if (load !== undefined && this.upstream !== undefined) {
@@ -372,6 +360,7 @@
             this.fail({ kind: "fail", outcome: "run", status: 502, title: "HTTP cannot carry the answer" });
             return;
         }
+        this.memory.updateResponse();
         if (response.writableNeedDrain && !this.isStreamPaused) {
             this.isStreamPaused = true;
             this.stream?.pause();
@@ -426,6 +415,7 @@
         }
         this.stream?.abandon();
         this.stream = undefined;
+        this.memory.releaseMessage();
         this.cancel();
         this.upstream = undefined;
         this.hasSlotReportedFailure = false;
@@ -439,6 +429,7 @@
         endAttempt(this.record, verdict, Date.now());
         endRecord(this.context.journal, this.record, outcome, verdict === "answered");
         this.releaseAttempt();
+        this.memory.releaseBody();
         this.context.metrics.requests.inc({ outcome });
         this.resolve();
     }
--- a/src/entry/relay.ts
+++ b/src/entry/relay.ts
@@ -100,6 +100,11 @@
     }
 }
 
+/** Counts the bytes of a response that wait for its end. */
+export function countBufferedBytes(response: ServerResponse): number {
+    return bufferedResponses.get(response)?.length ?? 0;
+}
+
 /** Drops what is buffered of a response, or was until the response had been sent. */
 function releaseBuffer(response: ServerResponse, buffered: BufferedResponse): void {
     bufferedResponses.delete(response);
--- a/src/entry/route.ts
+++ b/src/entry/route.ts
@@ -1,4 +1,4 @@
-/** Third filter of an entry: matches a request to a route by path, model and workspace. */
+/** Filters of an entry that match a request to a route: by its path before the body is read, and by model and workspace. */
 import type { Route } from "../config/schemas.js";
 import { createRefusal } from "../core/errors.js";
 import { RunOutcome } from "../core/types.js";
@@ -7,24 +7,26 @@
 
 const idempotentMethods = new Set(["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]);
 
-/**
- * Sets the route and the estimated tokens of the exchange. Among the routes that match, the one with the longest path
- * prefix wins. Throws a `RefusalError` if no route matches (404), the method is not supported (405), the body is not
- * JSON (400) or the workspace may not use the route (403).
- */
-export function routeRequest(exchange: Exchange): void {
-    const path = (exchange.message.url ?? "/").split("?")[0];
-    const routes = exchange.config.document?.routes ?? [];
-    const pathMatches = routes.filter(route => isUnderPrefix(path, route.path)).sort((a, b) =>
-        b.path.length - a.path.length
-    );
+/** Throws a `RefusalError` if no route matches the path (404) or the method is not supported (405). */
+export function checkPath(exchange: Exchange): void {
+    const pathMatches = listPathMatches(exchange);
     if (pathMatches.length === 0) {
-        throw createRefusal(`No route serves ${path}`, { status: 404, outcome: RunOutcome.notRun });
+        throw createRefusal(`No route serves ${getPath(exchange)}`, { status: 404, outcome: RunOutcome.notRun });
     }
     if (pathMatches.every(route => route.model !== undefined) && exchange.message.method !== "POST") {
         exchange.response.setHeader("allow", "POST");
-        throw createRefusal(`${path} serves POST only`, { status: 405, outcome: RunOutcome.notRun });
+        throw createRefusal(`${getPath(exchange)} serves POST only`, { status: 405, outcome: RunOutcome.notRun });
     }
+}
+
+/**
+ * Sets the route and the estimated tokens of the exchange, whose body has been read. Among the routes that match, the one
+ * with the longest path prefix wins. Throws a `RefusalError` if no route matches (404), the body is not JSON (400) or the
+ * workspace may not use the route (403).
+ */
+export function routeRequest(exchange: Exchange): void {
+    const path = getPath(exchange);
+    const pathMatches = listPathMatches(exchange);
     const model = pathMatches.some(route => route.model !== undefined) ? parseModel(exchange.body) : undefined;
     const modelMatches = pathMatches.filter(route => route.model === undefined || route.model === model);
     if (modelMatches.length === 0) {
@@ -44,6 +46,17 @@
     exchange.tokens = estimateTokens(exchange);
 }
 
+function getPath({ message }: Exchange): string {
+    return (message.url ?? "/").split("?")[0];
+}
+
+/** Lists the routes that match the path, the one with the longest prefix first. */
+function listPathMatches(exchange: Exchange): Route[] {
+    const path = getPath(exchange);
+    const routes = exchange.config.document?.routes ?? [];
+    return routes.filter(route => isUnderPrefix(path, route.path)).sort((a, b) => b.path.length - a.path.length);
+}
+
 /** Whether a request may safely be executed more than once. */
 export function isIdempotent(method: string, route: Route): boolean {
     return route.idempotent || idempotentMethods.has(method);
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -1,28 +1,29 @@
 /** The HTTP server of an entry for callers: passes each request through a chain of filters. */
 import { randomUUID } from "node:crypto";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type Server } from "node:http";
 import type { ActiveConfig } from "../config/fold.js";
 import { RefusalError } from "../core/errors.js";
 import { RunOutcome } from "../core/types.js";
 import type { Logger } from "../observe/logger.js";
-import type { BodyReader } from "../wire/body.js";
+import type { CallerLimits } from "../wire/callerLimits.js";
 import { createConnectionCloser } from "../wire/closeIdleConnections.js";
-import { handleRequests } from "../wire/sequentialRequests.js";
-import { createAcceptFilter } from "./accept.js";
+import { dropUnreadBody } from "../wire/lingeringClose.js";
+import { type CallerRequest, handleRequests } from "../wire/sequentialRequests.js";
+import { createAcceptFilter, createBodyFilter } from "./accept.js";
 import { authenticateWorkspace } from "./authenticate.js";
 import { type DispatchContext, dispatchRequest } from "./dispatch.js";
 import { rejectMalformedRequests } from "./malformedRequests.js";
 import { sendProblem } from "./relay.js";
-import { routeRequest } from "./route.js";
+import { checkPath, routeRequest } from "./route.js";
 import type { Exchange, Filter } from "./types.js";
 
 const maxHeaderBytes = 16_384;
-/** Response to a request behind too many others on its connection; another connection can take it at once. */
-const pipelineProblem = {
+/** Response to a request that was given up for want of memory. */
+const memoryProblem = {
     status: 503,
     outcome: RunOutcome.notRun,
-    title: "Too much waits before the request on its connection",
-    retryAfterSeconds: 0,
+    title: "The entry is short of memory",
+    retryAfterSeconds: 1,
 };
 
 /** Time limits for receiving a request, in milliseconds. */
@@ -39,6 +40,7 @@
 
 export interface EntryContext extends DispatchContext {
     maxBodyBytes: number;
+    limits: CallerLimits;
     /** Overrides the default limits. */
     timeouts?: ReceiveTimeouts;
     logger: Logger;
@@ -66,6 +68,8 @@
     const filters: Filter[] = [
         createAcceptFilter(context.maxBodyBytes),
         authenticateWorkspace,
+        checkPath,
+        createBodyFilter(context.maxBodyBytes),
         routeRequest,
         exchange => dispatchRequest(context, exchange),
     ];
@@ -80,7 +84,8 @@
         requireHostHeader: false,
     });
     const { closeListener, closeIdleConnections } = createConnectionCloser(server);
-    const handle = (message: IncomingMessage, response: ServerResponse, body: BodyReader) => {
+    const handle = (request: CallerRequest) => {
+        const { message, response } = request;
         if (message.url === "/healthz/ready") {
             response.writeHead(context.isReady() ? 200 : 503).end();
             return;
@@ -93,9 +98,13 @@
                 drainWaiters.splice(0).forEach(resolve => resolve());
             }
         });
-        void runFilters(context, filters, createExchange(context, message, response, body));
+        void runFilters(context, filters, createExchange(context, request));
     };
-    handleRequests(server, { handle, refuse: response => sendProblem(response, randomUUID(), pipelineProblem) });
+    const refuse: Parameters<typeof handleRequests>[2]["refuse"] = response => {
+        sendProblem(response, randomUUID(), memoryProblem);
+        context.metrics.requests.inc({ outcome: RunOutcome.notRun });
+    };
+    handleRequests(server, context.limits.memory, { handle, refuse });
     rejectMalformedRequests(server);
     const drain = () => inFlight === 0 ? Promise.resolve() : new Promise<void>(resolve => drainWaiters.push(resolve));
     return {
@@ -119,6 +128,9 @@
     try {
         for (const filter of filters) {
             await filter(exchange);
+            if (exchange.response.headersSent) {
+                return;
+            }
         }
     }
     catch (error) {
@@ -128,6 +140,9 @@
 
 /** Responds with the error that a filter threw; one that is no `RefusalError` is logged and becomes status 500. */
 function handleFilterError(context: EntryContext, exchange: Exchange, error: Error): void {
+    if (!exchange.response.headersSent) {
+        dropUnreadBody(exchange.response, exchange.bodyReader);
+    }
     if (error instanceof RefusalError) {
         sendProblem(exchange.response, exchange.requestId, { ...error.details, title: error.message });
         context.metrics.requests.inc({ outcome: error.details.outcome });
@@ -144,16 +159,17 @@
 
 function createExchange(
     context: EntryContext,
-    message: IncomingMessage,
-    response: ServerResponse,
-    bodyReader: BodyReader,
+    { message, response, body, fields, reservation, setEvictor }: CallerRequest,
 ): Exchange {
     return {
         requestId: randomUUID(),
         receivedAt: Date.now(),
         message,
         response,
-        bodyReader,
+        bodyReader: body,
+        fields,
+        reservation,
+        setEvictor,
         config: context.getConfig(),
         body: Buffer.alloc(0),
         workspace: undefined,
--- a/src/entry/slotClient.ts
+++ b/src/entry/slotClient.ts
@@ -246,7 +246,9 @@
     target: string | undefined,
 ): SlotStream {
     const body = JSON.stringify({ jsonrpc: "2.0", id: params.requestId, method: path.slice(1), params });
-    const stream = new FrameStream(params, listener);
+    // The parameters themselves would keep the body as long as the stream lasts.
+    const { requestId, attempt } = params;
+    const stream = new FrameStream({ requestId, attempt }, listener);
     const headers = createSignedHeaders(identity, path, body, target);
     dispatcher.dispatch({ path, method: "POST", headers, body }, stream);
     return { abandon: () => stream.abandon(), pause: () => stream.pause(), resume: () => stream.resume() };
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -13,7 +13,9 @@
 import { streamInstances } from "../peers/loadInstances.js";
 import { createSlotSelector } from "../routing/subset.js";
 import { createUpstreamTable } from "../routing/upstreamTable.js";
+import { createCallerLimits } from "../wire/callerLimits.js";
 import { listenOn } from "../wire/listen.js";
+import { readProcessLimits } from "../wire/machineLimits.js";
 import { InternalPath } from "../wire/messages.js";
 import { createInternalServer, createRpcHandler } from "../wire/server.js";
 import { createExplainMethod } from "./explain.js";
@@ -59,7 +61,12 @@
             config = next;
         },
     });
+    const limits = createCallerLimits(readProcessLimits(settings), () => performance.now(), {
+        ...metrics,
+        prefix: "beechdock",
+    });
     const context = {
+        limits,
         identity: settings,
         dataCentre,
         table,
@@ -87,6 +94,7 @@
     };
     const { server, stop } = createEntryServer(context);
     const internalServer = createInternalServer({
+        memory: limits.memory,
         identity: settings,
         registry: metrics.registry,
         handlers: {
--- a/src/entry/types.ts
+++ b/src/entry/types.ts
@@ -3,6 +3,7 @@
 import type { ActiveConfig } from "../config/fold.js";
 import type { Route, Workspace } from "../config/schemas.js";
 import type { BodyReader } from "../wire/body.js";
+import type { CallerRequest } from "../wire/sequentialRequests.js";
 
 /** A request with its response, and what the filters have determined about it so far. */
 export interface Exchange {
@@ -11,6 +12,11 @@
     receivedAt: number;
     message: IncomingMessage;
     bodyReader: BodyReader;
+    fields: CallerRequest["fields"];
+    /** Memory that is held for the request. */
+    reservation: CallerRequest["reservation"];
+    /** Sets what gives the request up when the process is short of memory. */
+    setEvictor: CallerRequest["setEvictor"];
     response: ServerResponse;
     /** Config in force when the request arrived. */
     config: ActiveConfig;
@@ -24,5 +30,8 @@
     tokens: number;
 }
 
-/** One step of processing; throws a `RefusalError` to end the request with an error response. */
+/**
+ * One step of processing; throws a `RefusalError` to end the request with an error response. No further step follows once a
+ * response has been sent.
+ */
 export type Filter = (exchange: Exchange) => Promise<void> | void;
--- a/src/peers/tests/silence.test.ts
+++ b/src/peers/tests/silence.test.ts
@@ -2,6 +2,7 @@
 import { createRandom } from "../../core/random.js";
 import { createMetrics } from "../../observe/metrics.js";
 import { type FaultProxy, startFaultProxy } from "../../standin/proxy.js";
+import { createCallerMemory } from "../../wire/callerMemory.js";
 import { listenOn } from "../../wire/listen.js";
 import { InternalPath } from "../../wire/messages.js";
 import { createInternalServer, createRpcHandler } from "../../wire/server.js";
@@ -47,6 +48,7 @@
         return gossip(params);
     };
     const server = createInternalServer({
+        memory: createCallerMemory(Infinity, () => performance.now()),
         identity,
         registry: createMetrics().registry,
         handlers: { [InternalPath.rpc]: createRpcHandler({ gossip: method }) },
--- a/src/slot/server.ts
+++ b/src/slot/server.ts
@@ -4,6 +4,7 @@
 import type { SlotSettings } from "../config/settings.js";
 import { RunOutcome } from "../core/types.js";
 import type { Metrics } from "../observe/metrics.js";
+import type { CallerMemory } from "../wire/callerMemory.js";
 import { encodeFrame } from "../wire/frames.js";
 import { InternalPath, ResumeParamsSchema, RevokeParamsSchema, RunParamsSchema } from "../wire/messages.js";
 import type { RpcMethods } from "../wire/rpc.js";
@@ -15,6 +16,8 @@
 /** Dependencies of the internal server. */
 export interface SlotContext {
     settings: SlotSettings;
+    /** Memory that all servers of the process share. */
+    memory: CallerMemory;
     store: RunStore;
     runner: Runner;
     metrics: Metrics;
@@ -27,6 +30,7 @@
 /** Creates the server, which is not yet listening. */
 export function createSlotServer(context: SlotContext): Server {
     return createInternalServer({
+        memory: context.memory,
         identity: context.settings,
         registry: context.metrics.registry,
         handlers: {
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -14,7 +14,9 @@
 import { streamInstances } from "../peers/loadInstances.js";
 import { createAdmission } from "../routing/admission.js";
 import { isServedNoticed } from "../routing/servedUpstream.js";
+import { createCallerLimits } from "../wire/callerLimits.js";
 import { listenOn } from "../wire/listen.js";
+import { readProcessLimits } from "../wire/machineLimits.js";
 import { createCancelMethods } from "./cancel.js";
 import { type AppenderSlot, createClaimMethods, createClaimRelay } from "./claimRelay.js";
 import { createClaimState } from "./claims.js";
@@ -111,8 +113,13 @@
             void configService.announceLeaving(reason);
         }
     };
+    const limits = createCallerLimits(readProcessLimits(settings), () => performance.now(), {
+        ...metrics,
+        prefix: "beechdock",
+    });
     const server = createSlotServer({
         settings,
+        memory: limits.memory,
         store,
         runner,
         metrics,
--- a/src/standin/cluster.ts
+++ b/src/standin/cluster.ts
@@ -20,6 +20,15 @@
     logUrl?: string;
     /** Setting of the same name, in milliseconds; 0 by default. */
     balancerLagMs?: number;
+    memory?: ProgramMemory;
+}
+
+/** Memory of a program; unlimited if it is absent. */
+export interface ProgramMemory {
+    /** Setting `memoryMb`. */
+    settingMb: number;
+    /** Largest heap of Node.js, in MiB. */
+    heapMb: number;
 }
 
 /** Settings of a slot process and its upstream. */
@@ -28,6 +37,7 @@
     dataCentre: string;
     /** Log address to use instead of `logProxy`. */
     logUrl?: string;
+    memory?: ProgramMemory;
     pool: string;
     kind: "engine" | "plain";
     /** Timing of the fake engine, for `kind: "engine"`. */
@@ -129,9 +139,14 @@
         environment,
         platform: { log: options.logUrl ?? cluster.logProxy.url, list: cluster.list.url },
         internalKeys,
+        ...(options.memory === undefined ? {} : { memoryMb: options.memory.settingMb }),
     };
 }
 
+function createNodeArgs({ memory }: EntryOptions | SlotOptions): string[] {
+    return memory === undefined ? [] : [`--max-old-space-size=${memory.heapMb}`, "--max-semi-space-size=2"];
+}
+
 async function startEntry(cluster: Cluster, options: EntryOptions): Promise<ClusterEntry> {
     const settings = cluster.writeFile(`${options.instance}.yaml`, {
         ...createCommonSettings(cluster, options),
@@ -139,7 +154,7 @@
         internal: { host: "127.0.0.1", port: 0 },
         balancerLagMs: options.balancerLagMs ?? 0,
     });
-    const process = startProgram("entry", ["--settings", settings]);
+    const process = startProgram("entry", ["--settings", settings], createNodeArgs(options));
     const line = await process.waitForLine(l => l.msg.endsWith("The entry listens."));
     const entry: ClusterEntry = {
         options,
@@ -179,7 +194,7 @@
         },
         ...(options.group === undefined ? {} : { group: options.group }),
     });
-    const process = startProgram("slot", ["--settings", settings]);
+    const process = startProgram("slot", ["--settings", settings], createNodeArgs(options));
     const line = await process.waitForLine(l => l.msg.endsWith("The slot listens."));
     return { process, port: line.port! };
 }
--- a/src/standin/fakeSlot.ts
+++ b/src/standin/fakeSlot.ts
@@ -10,6 +10,7 @@
 import { createMetrics } from "../observe/metrics.js";
 import { createUpstreamTable, updateInstances, updateReport } from "../routing/upstreamTable.js";
 import { readBody } from "../wire/body.js";
+import { createCallerLimits } from "../wire/callerLimits.js";
 import { encodeFrame } from "../wire/frames.js";
 import { listenOn } from "../wire/listen.js";
 import type { Frame, ResumeParams, RunParams } from "../wire/messages.js";
@@ -88,6 +89,7 @@
             recordLoss: () => Promise.resolve(),
         },
         maxBodyBytes,
+        limits: createCallerLimits({ memoryBytes: Infinity, descriptors: Infinity }, () => performance.now()),
         logger: { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined },
         getConfig: () => config,
         isReady: () => true,
--- a/platform/standin/misbehavingClients.ts
+++ b/src/standin/misbehavingClients.ts
@@ -1,6 +1,6 @@
 /** Clients that send many large, small-chunked or unfinished requests at once and keep their connections open. */
 import { connect, type Socket } from "node:net";
-import type { Address } from "../../src/wire/listen.js";
+import type { Address } from "../wire/listen.js";
 
 /** What each client of a crowd sends, in order. */
 export interface CrowdScript {
--- a/src/standin/program.ts
+++ b/src/standin/program.ts
@@ -28,9 +28,9 @@
 
 const distDirectory = fileURLToPath(new URL("../../dist/", import.meta.url));
 
-/** Starts `dist/bin/NAME.js`, which `npm run build` creates. */
-export function startProgram(name: string, args: string[]): ProgramProcess {
-    const child = spawn(process.execPath, [`${distDirectory}bin/${name}.js`, ...args], {
+/** Starts `dist/bin/NAME.js`, which `npm run build` creates; `nodeArgs` are options of Node.js. */
+export function startProgram(name: string, args: string[], nodeArgs: string[] = []): ProgramProcess {
+    const child = spawn(process.execPath, [...nodeArgs, `${distDirectory}bin/${name}.js`, ...args], {
         stdio: ["ignore", "pipe", "inherit"],
     });
     const lines: LogLine[] = [];
--- a/src/wire/body.ts
+++ b/src/wire/body.ts
@@ -1,46 +1,101 @@
 /** Reads request bodies. */
 import type { Hash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
+import type { MemoryReservation } from "./callerMemory.js";
+import { type Body, joinBody, SegmentedBody } from "./segmentedBody.js";
 
-/** Reads a request body; resolves to undefined if it is longer than `maxBytes` or incomplete. */
-export function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-    return new BodyReader(message).read(maxBytes);
+/** Reads a request body; resolves to undefined if it is longer than `maxBytes`, incomplete or given up. */
+export async function readBody(
+    message: IncomingMessage,
+    maxBytes: number,
+    reservation?: MemoryReservation,
+): Promise<Buffer | undefined> {
+    const body = await new BodyReader(message, { reservation }).read(maxBytes);
+    return body === undefined ? undefined : joinBody(body);
+}
+
+/** Returns the length that the head of a request announces, in bytes; undefined if it announces none. */
+export function getContentLength({ headers }: IncomingMessage): number | undefined {
+    const text = headers["content-length"];
+    return text === undefined ? undefined : Number(text);
+}
+
+function hasChunks({ headers }: IncomingMessage): boolean {
+    return headers["transfer-encoding"] !== undefined;
 }
 
 /** Maximum number of bytes of a body that are read before it is asked for. */
 const maxBytesAhead = 64 * 1024;
 
+/** Number of bytes that count as progress; a trickle of less keeps no memory from others. */
+const minProgressBytes = 1024;
+
+export interface BodyReaderOptions {
+    /** Creates the hash of the body; called at its first byte. */
+    createHash?: () => Hash;
+    /** Memory of the body; what it does not admit is not kept. */
+    reservation?: MemoryReservation;
+}
+
 /** Body of one request, which can be read ahead of the time at which it is asked for. */
 export class BodyReader {
-    private chunks: Buffer[] = [];
-    private size = 0;
+    private readonly parts: SegmentedBody;
+    private readonly expectedBytes: number | undefined;
+    private hash: Hash | undefined;
+    private reservation: MemoryReservation | undefined;
     private maxBytes = maxBytesAhead;
     private isStarted = false;
     private isDiscarded = false;
     /** Resolves the body; undefined while nobody has asked for it. */
-    private resolve: ((body: Buffer | undefined) => void) | undefined;
+    private resolve: ((body: Body | undefined) => void) | undefined;
     private hasEnded = false;
+    private allocatedBytes = 0;
+    /** Length at which progress was last recorded, in bytes. */
+    private progressBytes = 0;
 
-    /** `hash` is updated with each part of the body as it arrives. */
-    constructor(private readonly message: IncomingMessage, private readonly hash?: Hash) {}
+    constructor(private readonly message: IncomingMessage, private readonly options: BodyReaderOptions = {}) {
+        this.reservation = options.reservation;
+        this.expectedBytes = getContentLength(message) ?? (hasChunks(message) ? undefined : 0);
+        this.parts = new SegmentedBody(this.expectedBytes, segment => {
+            this.hash ??= options.createHash?.();
+            this.hash?.update(segment);
+        });
+    }
 
-    /** Reads the body as it arrives; `onData` is called with the number of bytes of each part that is kept. */
-    readAhead(onData: (bytes: number) => void): void {
+    /** Reads the body as it arrives. */
+    readAhead(): void {
         this.maxBytes = Infinity;
-        this.start(onData);
+        this.start();
     }
 
     /** Stops to read ahead, unless the body is asked for. */
     stopReadingAhead(): void {
-        this.maxBytes = Math.max(this.size, maxBytesAhead);
+        this.maxBytes = Math.max(this.parts.length, maxBytesAhead);
+    }
+
+    /** Charges the bytes that are kept, and those to come, to another reservation than before. */
+    transferTo(reservation: MemoryReservation): void {
+        this.reservation?.add(-this.allocatedBytes);
+        this.reservation = reservation;
+        if (!reservation.add(this.allocatedBytes)) {
+            this.discard();
+        }
+    }
+
+    /** Returns the number of bytes that have not arrived; Infinity if the length is not known. */
+    countMissingBytes(): number {
+        if (this.message.complete) {
+            return 0;
+        }
+        return (this.expectedBytes ?? Infinity) - this.parts.length;
     }
 
     /** Resolves to the body; to undefined if it is longer than `maxBytes`, incomplete or discarded. */
-    read(maxBytes: number): Promise<Buffer | undefined> {
+    read(maxBytes: number): Promise<Body | undefined> {
         return new Promise(resolve => {
             this.resolve = resolve;
             this.maxBytes = maxBytes;
-            this.start(() => undefined);
+            this.start();
             this.message.resume();
             this.settle();
         });
@@ -48,17 +103,21 @@
 
     /** Returns the hash of a body that has been read, in base64url; empty without a hash. Must be called once at most. */
     computeHash(): string {
+        this.hash ??= this.options.createHash?.();
         return this.hash?.digest("base64url") ?? "";
     }
 
-    /** Reads the rest of the body without keeping any of it. */
+    /** Drops what is kept of the body, and reads the rest without keeping it. */
     discard(): void {
         this.isDiscarded = true;
-        this.chunks = [];
+        this.parts.clear();
+        this.reservation?.add(-this.allocatedBytes);
+        this.allocatedBytes = 0;
         this.message.resume();
+        this.settle();
     }
 
-    private start(onData: (bytes: number) => void): void {
+    private start(): void {
         if (this.isStarted) {
             return;
         }
@@ -67,31 +126,40 @@
             this.hasEnded = true;
             this.settle();
         };
-        this.message.on("data", (chunk: Buffer) => {
-            if (!this.isDiscarded) {
-                this.size += chunk.length;
-                this.chunks.push(chunk);
-                this.hash?.update(chunk);
-                onData(chunk.length);
-                this.settle();
-            }
-        });
+        this.message.on("data", (chunk: Buffer) => this.append(chunk));
         this.message.on("end", end);
         this.message.on("error", end);
         this.message.on("close", end);
     }
 
+    private append(chunk: Buffer): void {
+        if (this.isDiscarded) {
+            return;
+        }
+        const allocatedBytes = this.parts.append(chunk);
+        this.allocatedBytes += allocatedBytes;
+        if (allocatedBytes > 0 || this.parts.length - this.progressBytes >= minProgressBytes) {
+            this.progressBytes = this.parts.length;
+            this.reservation?.recordProgress();
+        }
+        if (allocatedBytes > 0 && this.reservation?.add(allocatedBytes) === false) {
+            this.discard();
+            return;
+        }
+        if (this.parts.length > this.maxBytes) {
+            this.settle();
+        }
+    }
+
     private settle(): void {
-        const isTooLong = this.size > this.maxBytes;
+        const isTooLong = this.parts.length > this.maxBytes;
         if (isTooLong) {
             this.message.pause();
         }
         if (this.isDiscarded || isTooLong || this.hasEnded) {
-            this.resolve?.(this.isDiscarded || isTooLong || !this.message.complete ? undefined : this.concatenate());
+            const isWhole = !this.isDiscarded && !isTooLong && this.message.complete;
+            this.resolve?.(isWhole ? this.parts.finish() : undefined);
+            this.resolve = undefined;
         }
     }
-
-    private concatenate(): Buffer {
-        return this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks, this.size);
-    }
 }
--- /dev/null
+++ b/src/wire/callerLimits.ts
@@ -0,0 +1,49 @@
+/** What bounds the callers of a process: its memory. */
+import { Gauge, type Registry } from "prom-client";
+import { computeCallerBytes } from "../routing/memoryAccount.js";
+import { type CallerMemory, createCallerMemory } from "./callerMemory.js";
+import type { MachineLimits } from "./machineLimits.js";
+
+/** Limits that all servers of a process share. */
+export interface CallerLimits {
+    memory: CallerMemory;
+}
+
+/** Where the metrics of the limits are registered, and what their names begin with. */
+export interface LimitMetrics {
+    registry: Registry;
+    prefix: string;
+}
+
+/** Creates the limits of a process on a machine; `now` returns milliseconds. */
+export function createCallerLimits(
+    { memoryBytes }: MachineLimits,
+    now: () => number,
+    metrics?: LimitMetrics,
+): CallerLimits {
+    const limits = { memory: createCallerMemory(computeCallerBytes(memoryBytes), now) };
+    if (metrics !== undefined) {
+        registerMetrics(metrics, limits);
+    }
+    return limits;
+}
+
+function registerMetrics({ registry, prefix }: LimitMetrics, { memory }: CallerLimits): void {
+    const registers = [registry];
+    new Gauge({
+        name: `${prefix}_caller_memory_bytes`,
+        help: "Memory held for callers.",
+        registers,
+        collect() {
+            this.set(memory.getUsedBytes());
+        },
+    });
+    new Gauge({
+        name: `${prefix}_evicted_requests`,
+        help: "Requests and responses given up for want of memory, since the start.",
+        registers,
+        collect() {
+            this.set(memory.countEvicted());
+        },
+    });
+}
--- a/src/wire/peerRpc.ts
+++ b/src/wire/peerRpc.ts
@@ -8,7 +8,9 @@
 import { deflateSync, inflateSync } from "node:zlib";
 import { CallError } from "../core/errors.js";
 import { readBody } from "./body.js";
+import type { CallerMemory } from "./callerMemory.js";
 import { callHttp } from "./httpCall.js";
+import { closeBehind } from "./lingeringClose.js";
 
 const rpcPath = "/rpc";
 /** Maximum size of a message in bytes, also after decompression; the largest ones hand over a document. */
@@ -47,8 +49,12 @@
     return await client.request(method, params) as T;
 }
 
-/** Creates the request handler for calls from other processes; other requests are passed to `fallback`. */
+/**
+ * Creates the request handler for calls from other processes, whose messages are held in `memory`; other requests are passed
+ * to `fallback`.
+ */
 export function createPeerHandler(
+    memory: CallerMemory,
     methods: PeerMethods,
     fallback: (message: IncomingMessage, response: ServerResponse) => void,
 ): (message: IncomingMessage, response: ServerResponse) => void {
@@ -61,7 +67,18 @@
             fallback(message, response);
             return;
         }
-        void readBody(message, maxMessageBytes).then(async body => {
+        const reservation = memory.open(() => {
+            closeBehind(response);
+            response.writeHead(503).end();
+        });
+        response.on("close", () => reservation.close());
+        void readBody(message, maxMessageBytes, reservation).then(async body => {
+            if (response.headersSent) {
+                return;
+            }
+            if (body === undefined) {
+                closeBehind(response);
+            }
             const text = body === undefined ? undefined : decodeMessage(message, body);
             const rpcResponse = text === undefined ? undefined : await server.receiveJSON(text);
             response.writeHead(rpcResponse === undefined ? 400 : 200, { "content-type": "application/json" });
--- a/src/wire/sequentialRequests.ts
+++ b/src/wire/sequentialRequests.ts
@@ -6,13 +6,28 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { BodyReader } from "./body.js";
+import type { CallerMemory, MemoryReservation } from "./callerMemory.js";
 import { interruptResponse } from "./interruptResponse.js";
+import { closeBehind, discardInput } from "./lingeringClose.js";
 import { createBodyHash } from "./requestDigest.js";
+import { RequestFields } from "./requestFields.js";
+
+/** Request of a caller that is being handled. */
+export interface CallerRequest {
+    message: IncomingMessage;
+    response: ServerResponse;
+    body: BodyReader;
+    fields: RequestFields;
+    /** Memory that is held for the request; closed when its response has been sent or its connection has closed. */
+    reservation: MemoryReservation;
+    /** Sets what gives the request up when the process is short of memory; `refuse` until then. */
+    setEvictor: (evict: () => void) => void;
+}
 
 export interface SequentialRequestHandlers {
     /** Handles a request once the responses before it on its connection have been sent. */
-    handle: (message: IncomingMessage, response: ServerResponse, body: BodyReader) => void;
-    /** Responds that a request has not run, because too much waits in front of it. The connection closes afterwards. */
+    handle: (request: CallerRequest) => void;
+    /** Responds that a request has not run, because the process is short of memory. The connection closes afterwards. */
     refuse: (response: ServerResponse) => void;
 }
 
@@ -20,70 +35,111 @@
     message: IncomingMessage;
     response: ServerResponse;
     body: BodyReader;
-    /** Bytes that are kept while the request waits. */
-    waitingBytes: number;
+    fields: RequestFields;
     isRefused: boolean;
 }
 
 interface Connection {
     /** The request that is being answered, and those behind it. */
     exchanges: Exchange[];
-    waitingBytes: number;
+    /** Memory of the requests that wait; undefined if there are none. */
+    waiting: MemoryReservation | undefined;
     /** Whether the last request is refused, behind which none is answered. */
     isClosing: boolean;
 }
 
-/** Maximum number of bytes of waiting requests of one connection, and of all together. */
-const maxWaitingBytes = { connection: 4 * 1024 * 1024, server: 32 * 1024 * 1024 };
-/** Estimated memory of a waiting request besides its body, in bytes. */
-const requestOverheadBytes = 4096;
+/** Maximum memory of the requests that wait on one connection, in bytes. */
+const maxWaitingBytes = 4 * 1024 * 1024;
+/** Estimated memory of a request besides its fields and its body, in bytes. */
+const requestOverheadBytes = 12 * 1024;
 
-/** Passes the requests of all connections on to `handlers`. */
-export function handleRequests(server: Server, handlers: SequentialRequestHandlers): void {
+/** Passes the requests of all connections on to `handlers`, within `memory`. */
+export function handleRequests(server: Server, memory: CallerMemory, handlers: SequentialRequestHandlers): void {
     const connections = new WeakMap<Socket, Connection>();
-    let serverBytes = 0;
-    const keep = (connection: Connection, exchange: Exchange, bytes: number) => {
-        exchange.waitingBytes += bytes;
-        connection.waitingBytes += bytes;
-        serverBytes += bytes;
-        if (connection.waitingBytes > maxWaitingBytes.connection || serverBytes > maxWaitingBytes.server) {
-            connection.isClosing = true;
-            exchange.isRefused = true;
-            exchange.body.discard();
-            release(connection, exchange);
-        }
+
+    /** Drops the requests of a connection from position `first` on, the first of which is refused in its turn. */
+    const dropFrom = (connection: Connection, socket: Socket, first: number) => {
+        const dropped = connection.exchanges.splice(first);
+        connection.isClosing = true;
+        connection.exchanges.push(...dropped.slice(0, 1));
+        dropped.slice(0, 1).forEach(exchange => exchange.isRefused = true);
+        dropped.forEach(exchange => exchange.body.discard());
+        discardInput(socket);
+    };
+    /** Drops all requests that wait on a connection, because the process is short of memory. */
+    const dropWaiting = (connection: Connection, socket: Socket) => {
+        const waitingCount = connection.exchanges.length - 1;
+        dropFrom(connection, socket, 1);
+        // Node keeps their messages until the connection closes.
+        connection.waiting = memory.open(() => socket.destroy());
+        connection.waiting.add(waitingCount * requestOverheadBytes);
     };
-    const release = (connection: Connection, exchange: Exchange) => {
-        connection.waitingBytes -= exchange.waitingBytes;
-        serverBytes -= exchange.waitingBytes;
-        exchange.waitingBytes = 0;
+    /** Opens the memory of the requests that wait on a connection; the one with which it becomes too large is refused. */
+    const openWaiting = (connection: Connection, socket: Socket): MemoryReservation => {
+        const reservation = memory.open(() => dropWaiting(connection, socket));
+        return {
+            ...reservation,
+            add: bytes => {
+                const isOpen = reservation.add(bytes);
+                if (isOpen && !connection.isClosing && reservation.getBytes() > maxWaitingBytes) {
+                    dropFrom(connection, socket, connection.exchanges.length - 1);
+                }
+                return isOpen;
+            },
+        };
     };
     const begin = (connection: Connection, exchange: Exchange) => {
-        const { message, response, body } = exchange;
-        release(connection, exchange);
-        response.on("close", () => {
+        const { message, response, body, fields } = exchange;
+        let evict = () => {
+            body.discard();
+            closeBehind(response);
+            handlers.refuse(response);
+        };
+        const reservation = memory.open(() => evict());
+        const close = () => {
+            reservation.close();
             body.discard();
+        };
+        response.on("close", () => {
+            close();
             handleNext(connection, message.socket);
         });
         if (exchange.isRefused) {
-            response.shouldKeepAlive = false;
-            handlers.refuse(response);
+            evict();
             return;
         }
         body.stopReadingAhead();
-        handlers.handle(message, response, body);
+        body.transferTo(reservation);
+        fields.restore();
+        fields.transferTo(reservation);
+        if (reservation.add(requestOverheadBytes)) {
+            handlers.handle({ message, response, body, fields, reservation, setEvictor: evictor => evict = evictor });
+        }
     };
     const handleNext = (connection: Connection, socket: Socket) => {
         connection.exchanges.shift();
         const next = connection.exchanges.at(0);
-        if (next !== undefined && socket.writable) {
-            begin(connection, next);
+        if (next === undefined || !socket.writable) {
+            return;
         }
+        if (!next.isRefused) {
+            connection.waiting?.add(-requestOverheadBytes);
+        }
+        begin(connection, next);
+    };
+    const enqueue = (connection: Connection, exchange: Exchange) => {
+        const { message, body, fields } = exchange;
+        fields.pack();
+        connection.waiting ??= openWaiting(connection, message.socket);
+        body.transferTo(connection.waiting);
+        body.readAhead();
+        fields.transferTo(connection.waiting);
+        connection.waiting.add(requestOverheadBytes);
     };
     server.on("connection", (socket: Socket) => {
-        const connection: Connection = { exchanges: [], waitingBytes: 0, isClosing: false };
+        const connection: Connection = { exchanges: [], waiting: undefined, isClosing: false };
         connections.set(socket, connection);
-        socket.on("close", () => connection.exchanges.forEach(exchange => release(connection, exchange)));
+        socket.on("close", () => connection.waiting?.close());
         // Node ends its side when the caller has ended its own, so that a response that has not ended cannot be completed. A
         // connection can no longer be reset while it ends, so that this listener comes before that of Node.
         socket.prependListener("end", () => {
@@ -97,26 +153,22 @@
         const connection = connections.get(message.socket)!;
         if (connection.isClosing) {
             message.resume();
+            connection.waiting?.add(requestOverheadBytes);
             return;
         }
         const exchange = {
             message,
             response,
-            body: new BodyReader(message, createBodyHash()),
-            waitingBytes: 0,
+            body: new BodyReader(message, { createHash: createBodyHash }),
+            fields: new RequestFields(message),
             isRefused: false,
         };
         connection.exchanges.push(exchange);
         if (connection.exchanges.length === 1) {
             begin(connection, exchange);
-            return;
         }
-        const keepBytes = (bytes: number) => {
-            if (connection.exchanges.at(0) !== exchange) {
-                keep(connection, exchange, bytes);
-            }
-        };
-        exchange.body.readAhead(keepBytes);
-        keepBytes(requestOverheadBytes);
+        else {
+            enqueue(connection, exchange);
+        }
     });
 }
--- a/src/wire/server.ts
+++ b/src/wire/server.ts
@@ -1,23 +1,31 @@
 /** Internal HTTP server of entries and slots: signed calls, and unauthenticated metrics. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Registry } from "prom-client";
+import { HoldingStage } from "../routing/memoryAccount.js";
 import { authHeader, verifyCall } from "./auth.js";
 import { readBody } from "./body.js";
+import type { CallerMemory } from "./callerMemory.js";
+import { closeBehind } from "./lingeringClose.js";
 import { createRpcServer, maxRpcBytes, type RpcIdentity, type RpcMethods } from "./rpc.js";
 
 /** Handles a call whose signature has been verified. */
 export type InternalHandler = (body: string, response: ServerResponse) => Promise<void> | void;
 
 export interface InternalServerOptions {
+    /** Memory that all servers of the process share. */
+    memory: CallerMemory;
     identity: RpcIdentity;
     registry: Registry;
     /** Handlers of POST requests, by path. */
     handlers: Record<string, InternalHandler>;
 }
 
+/** Time limits for receiving a call, in milliseconds. */
+const receiveTimeouts = { headersTimeout: 5000, requestTimeout: 10_000, connectionsCheckingInterval: 1000 };
+
 /** Creates the server; the caller binds it to an address. */
 export function createInternalServer(options: InternalServerOptions): Server {
-    return createServer((message, response) => {
+    return createServer(receiveTimeouts, (message, response) => {
         response.sendDate = false;
         handleMessage(options, message, response).catch(() => {
             if (response.headersSent) {
@@ -39,6 +47,16 @@
     };
 }
 
+/** Ends a call because the process is short of memory; one that runs is broken off. */
+function refuseCall(response: ServerResponse): void {
+    if (response.headersSent) {
+        response.destroy();
+        return;
+    }
+    closeBehind(response);
+    response.writeHead(503).end();
+}
+
 async function handleMessage(
     options: InternalServerOptions,
     message: IncomingMessage,
@@ -56,12 +74,19 @@
         response.writeHead(404).end();
         return;
     }
-    const body = await readBody(message, maxRpcBytes);
+    const reservation = options.memory.open(() => refuseCall(response));
+    response.on("close", () => reservation.close());
+    const body = await readBody(message, maxRpcBytes, reservation);
+    if (response.headersSent) {
+        return;
+    }
     if (body === undefined) {
+        closeBehind(response);
         response.writeHead(413).end();
         return;
     }
     const { environment, internalKeys, instance: target } = options.identity;
+    reservation.setStage(HoldingStage.running);
     const text = body.toString();
     const header = message.headers[authHeader] as string | undefined;
     if (!verifyCall(internalKeys, { environment, path, body: text, target }, header, Date.now())) {
