Descriptors of callers and upstreams: one budget; half heads in the account

Cause: a connect that fails at once (EMFILE) was placed anew in the same turn, without a bound, so that the event loop never got to timers and sockets again; nothing left descriptors for upstreams. The server does not tell of a request whose head is not complete, and its parsed lines take ten times their length.

Change: callers and upstreams share a budget that follows from the limit of descriptors (src/routing/connectionBudget.ts, apart from I/O); beyond it closes the connection whose request has stalled, then the longest idle one, never one with a whole request. After a connect that failed for want of descriptors, and after three that failed in a row, a request waits in the queue. Every 100 ms what connections have received of incomplete heads is charged to the account of the process. A half head behind a request that is being answered is not charged yet.

In a first try the timeouts of heads were checked every second, which closed new connections that had not sent anything for 4 s: taken back.

--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -4,6 +4,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { UpstreamTracker } from "../routing/upstreamTracker.js";
+import type { ConnectionGuard } from "../wire/connectionGuard.js";
 import type { DirectDispatch } from "./directDispatch.js";
 import type { AppliedNotice, NoticeRecorder } from "./noticeRecorder.js";
 import type { AppliedRateLimit, RateLimiter } from "./rateLimiter.js";
@@ -27,6 +28,7 @@
     codec: HeadCodec;
     upstreamTracker: UpstreamTracker;
     scheduler: Scheduler;
+    connections: Pick<ConnectionGuard, "trackUpstream" | "recordConnectFailure">;
     quarantine: Pick<
         RequestQuarantine,
         "find" | "computeDeferralMs" | "getLatestCrashes" | "recordAnswer" | "recordLoss"
--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -85,6 +85,7 @@
 
     private readonly actionHandlers: ActionHandlers = {
         place: () => this.context.scheduler.placeAfter(this, this.crashCheck),
+        wait: () => this.context.scheduler.enqueue(this),
         "wait-for-group": () => this.context.scheduler.enqueue(this),
         "relay-failure": () => this.relayUpstreamFailure(),
         refuse: () => this.refuse(),
@@ -209,7 +210,7 @@
         const run = beginRun(context, request, upstream, estimated);
         this.run = run;
         this.reservation.setStage(HoldingStage.running);
-        this.attempts.push(run.record);
+        this.recordAttempt(run.record);
         this.relay.beginAttempt();
         openRun(context, request, run, this.relay.getLastEventId(), {
             onFault: error => this.endWithFault(error),
@@ -239,7 +240,9 @@
             }),
             onFailure: this.contain((isConnected, reason, code) => {
                 this.crashCheck = recordRunFailure(context, run, isConnected, code);
-                this.handleFailure(run, isConnected ? AttemptEnd.lost : AttemptEnd.unconnected, reason);
+                const isExhausted = !isConnected && context.connections.recordConnectFailure(code);
+                const connectEnd = isExhausted ? AttemptEnd.exhausted : AttemptEnd.unconnected;
+                this.handleFailure(run, isConnected ? AttemptEnd.lost : connectEnd, reason);
             }),
         });
     }
@@ -250,6 +253,14 @@
         }
     }
 
+    /** Keeps one record of the connects in a row that failed. */
+    private recordAttempt(record: AttemptRecord): void {
+        if (this.state.failedConnects > 1) {
+            this.attempts.pop();
+        }
+        this.attempts.push(record);
+    }
+
     private handleFailure(run: UpstreamRun, end: AttemptEnd, reason: string): void {
         if (run === this.held?.run) {
             this.endHeld(AttemptEnd.lost, reason, false);
--- a/src/direct/requestState.ts
+++ b/src/direct/requestState.ts
@@ -8,6 +8,8 @@
 export const AttemptEnd = {
     /** No connection was made, so nothing was sent. */
     unconnected: "unconnected",
+    /** This process could not open a connection, whatever the upstream. */
+    exhausted: "exhausted",
     /** The upstream refused the request because it is at its limit. */
     full: "full",
     /** Another upstream now has the address. */
@@ -42,6 +44,8 @@
     runs: number;
     /** Number of attempts that were sent to an upstream. */
     sentAttempts: number;
+    /** Number of connects in a row that failed. */
+    failedConnects: number;
     /** Whether the head of a response has been sent to the caller. */
     hasSentHead: boolean;
     /** Whether a silent run is held open while another attempt is to show that it responds or continues the stream. */
@@ -90,7 +94,9 @@
 export type DirectRequestAction =
     /** Selects an upstream and sends the request, for the first time or as a retry. */
     | { kind: "place"; }
-    /** Waits until the pool's group runs again, then sends the request. */
+    /** Queues the request, then sends it. */
+    | { kind: "wait"; }
+    /** The same until the pool's group runs again. */
     | { kind: "wait-for-group"; }
     /** Relays the upstream's error response. */
     | { kind: "relay-failure"; }
@@ -109,6 +115,8 @@
     /** Releases the request's resources and logs it. */
     | { kind: "finish"; };
 
+/** Number of connects in a row that may fail before the request waits in the queue for the next one. */
+const maxImmediateConnects = 3;
 /** Maximum number of upstreams that a request is sent to, including those that refuse it. */
 const maxSentAttempts = 3;
 
@@ -121,7 +129,15 @@
 
 /** Creates the state of a request that has not been sent. */
 export function createDirectRequestState(options: RetryOptions): DirectRequestState {
-    return { ...options, runs: 0, sentAttempts: 0, hasSentHead: false, isMoving: false, isFinished: false };
+    return {
+        ...options,
+        runs: 0,
+        sentAttempts: 0,
+        failedConnects: 0,
+        hasSentHead: false,
+        isMoving: false,
+        isFinished: false,
+    };
 }
 
 type EventHandlers = {
@@ -133,6 +149,7 @@
 
 const eventHandlers: EventHandlers = {
     sent: state => {
+        state.failedConnects = 0;
         state.sentAttempts += 1;
         state.runs += 1;
         return [];
@@ -170,7 +187,11 @@
 type EndHandler = (state: DirectRequestState, conditions: RetryConditions) => DirectRequestAction[];
 
 const endHandlers: Record<AttemptEnd, EndHandler> = {
-    unconnected: () => [{ kind: "place" }],
+    unconnected: state => {
+        state.failedConnects += 1;
+        return [{ kind: state.failedConnects < maxImmediateConnects ? "place" : "wait" }];
+    },
+    exhausted: () => [{ kind: "wait" }],
     full: (state, { hasRetryBudget }) => retryRefused(state, hasRetryBudget),
     misdirected: (state, { hasRetryBudget }) => retryRefused(state, hasRetryBudget),
     "group-broken": state => {
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -53,6 +53,8 @@
     /** Returns a random number in [0, 1). */
     random: () => number;
     findPool: (name: string) => ServingPool | undefined;
+    /** Whether a connection to an upstream may be opened. */
+    hasUpstreamRoom: () => boolean;
     /** Time for which callers may still send requests after an upstream has said that it leaves, in milliseconds. */
     drainMs: number;
     noticeRecorder: Pick<NoticeRecorder, "listApplied">;
@@ -111,7 +113,7 @@
         }
         const now = options.now();
         const engine = findPool(request.pool)?.engine;
-        if (engine !== undefined && !isGroupOpen(groupTracker, request.pool, now)) {
+        if ((engine !== undefined && !isGroupOpen(groupTracker, request.pool, now)) || !options.hasUpstreamRoom()) {
             return false;
         }
         const maxQueued = dispatch.targetAt > now ? maxQueuedOnTime : maxQueuedLate;
--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -55,6 +55,7 @@
         // The deadline of a request ends its body.
         requestTimeout: 0,
     });
+    options.limits.guard.watch(server);
     const connectionCloser = createConnectionCloser(server);
     const takeRequest = (request: CallerRequest) => {
         const { response } = request;
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -254,6 +254,7 @@
         now,
         random,
         findPool: name => index?.pools.get(name),
+        hasUpstreamRoom: limits.guard.hasUpstreamRoom,
         rateLimiter,
     });
     const getRetryBudget = (pool: string) => {
@@ -266,6 +267,7 @@
         codec: options.codec,
         upstreamTracker,
         scheduler,
+        connections: limits.guard,
         quarantine,
         isQuarantineKnown: () =>
             (feed.state.quarantineEnd !== undefined && hasCollectedPending) || hasQuarantineWaitExpired(),
@@ -355,6 +357,7 @@
     }, { memory: limits.memory, listPending: quarantine.listPending });
     const internal = createServer(internalServerOptions, handleInternalRequest);
     const control = createServer(internalServerOptions, handleInternalRequest);
+    [readiness, internal, control].forEach(limits.guard.watch);
     const applyLeaderHeartbeat = (heartbeat: LeaderHeartbeat, delayMs: number) => {
         leader = { host: heartbeat.from, lastHeartbeatAt: now() };
         entryCount = Math.max(1, heartbeat.entryCount);
--- a/src/direct/startDirectSlot.ts
+++ b/src/direct/startDirectSlot.ts
@@ -351,13 +351,14 @@
         reportFault,
         onHeartbeat: heartbeat => heartbeatHandlers[heartbeat.kind](heartbeat as never),
     });
-    const { memory } = createCallerLimits(options.machine, now);
+    const { memory, guard } = createCallerLimits(options.machine, now);
     const handleInternalRequest = createInternalHandler(feed, metrics.registry, {
         [readMethod]: () => localRank.readReport(),
         [orderMethod]: ({ order, epoch }: { order: RankOrder | DeltaPrepare; epoch: number; }) =>
             orderLocalRank(order, epoch),
     }, { memory });
     const server = createServer(internalServerOptions, handleInternalRequest);
+    guard.watch(server);
     await listenOn(server, internal.host, internal.port);
     feed.start();
     logger.info("The slot listens.", { engine: `${engine.host}:${engine.port}` });
--- a/src/direct/tests/scheduler.test.ts
+++ b/src/direct/tests/scheduler.test.ts
@@ -25,6 +25,7 @@
         dataCentre: "a",
         now: () => time,
         random: () => 0,
+        hasUpstreamRoom: () => true,
         findPool: () => ({ name: pool, engine: { slots: 8 } }) as ServingPool,
         drainMs: 2000,
         noticeRecorder: { listApplied: () => [] },
--- a/src/direct/tests/timerFaults.test.ts
+++ b/src/direct/tests/timerFaults.test.ts
@@ -62,6 +62,7 @@
         dataCentre: "a",
         now,
         random,
+        hasUpstreamRoom: () => true,
         findPool: faultySteps.findPool.step,
         drainMs: 2000,
         noticeRecorder: { listApplied: () => [] },
--- a/src/direct/upstreamCall.ts
+++ b/src/direct/upstreamCall.ts
@@ -1,5 +1,6 @@
 /** Sends one request to one upstream on a new connection, so that no response to another request can arrive on it. */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import type { Socket } from "node:net";
 import { findInvalidHead } from "../wire/httpSyntax.js";
 import { ResetDetectingSocket } from "../wire/resetDetectingSocket.js";
 import { classifyFraming, findUndecodedCoding, type ResponseFraming } from "../wire/responseFraming.js";
@@ -20,6 +21,8 @@
     /** Encodes the header fields as alternating names and values. */
     encodeHeaders: () => string[];
     body: Body;
+    /** Called with the socket, before it connects. */
+    onSocket?: (socket: Socket) => void;
     listener: UpstreamListener;
 }
 
@@ -125,6 +128,7 @@
             listener.onFault(error as Error);
         }
     });
+    options.onSocket?.(socket);
     socket.connect(target).setNoDelay(true);
     return {
         cancel: () => {
--- a/src/direct/upstreamRun.ts
+++ b/src/direct/upstreamRun.ts
@@ -66,6 +66,7 @@
         path: request.target,
         encodeHeaders: () => encodeRequestHead(context, request, record.id, lastEventId),
         body: request.body,
+        onSocket: context.connections.trackUpstream,
         listener,
     });
 }
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -83,6 +83,7 @@
         maxHeaderSize: maxHeaderBytes,
         requireHostHeader: false,
     });
+    context.limits.guard.watch(server);
     const { closeListener, closeIdleConnections } = createConnectionCloser(server);
     const handle = (request: CallerRequest) => {
         const { message, response } = request;
--- a/src/entry/start.ts
+++ b/src/entry/start.ts
@@ -104,6 +104,7 @@
             }),
         },
     });
+    limits.guard.watch(internalServer);
     const port = await listenOn(server, listen.host, listen.port);
     const internalPort = await listenOn(internalServer, internal.host, internal.port);
 
--- a/src/slot/start.ts
+++ b/src/slot/start.ts
@@ -131,6 +131,7 @@
             ...createCancelMethods(store, runner),
         },
     });
+    limits.guard.watch(server);
     const port = await listenOn(server, internal.host, internal.port);
 
     configService.start(port);
--- a/src/wire/callerLimits.ts
+++ b/src/wire/callerLimits.ts
@@ -1,12 +1,14 @@
-/** What bounds the callers of a process: its memory. */
+/** What bounds the callers of a process: its memory and its descriptors. */
 import { Gauge, type Registry } from "prom-client";
 import { computeCallerBytes } from "../routing/memoryAccount.js";
 import { type CallerMemory, createCallerMemory } from "./callerMemory.js";
+import { type ConnectionGuard, createConnectionGuard } from "./connectionGuard.js";
 import type { MachineLimits } from "./machineLimits.js";
 
 /** Limits that all servers of a process share. */
 export interface CallerLimits {
     memory: CallerMemory;
+    guard: ConnectionGuard;
 }
 
 /** Where the metrics of the limits are registered, and what their names begin with. */
@@ -17,18 +19,19 @@
 
 /** Creates the limits of a process on a machine; `now` returns milliseconds. */
 export function createCallerLimits(
-    { memoryBytes }: MachineLimits,
+    { memoryBytes, descriptors }: MachineLimits,
     now: () => number,
     metrics?: LimitMetrics,
 ): CallerLimits {
-    const limits = { memory: createCallerMemory(computeCallerBytes(memoryBytes), now) };
+    const memory = createCallerMemory(computeCallerBytes(memoryBytes), now);
+    const limits = { memory, guard: createConnectionGuard(descriptors, memory, now) };
     if (metrics !== undefined) {
         registerMetrics(metrics, limits);
     }
     return limits;
 }
 
-function registerMetrics({ registry, prefix }: LimitMetrics, { memory }: CallerLimits): void {
+function registerMetrics({ registry, prefix }: LimitMetrics, { memory, guard }: CallerLimits): void {
     const registers = [registry];
     new Gauge({
         name: `${prefix}_caller_memory_bytes`,
@@ -46,4 +49,12 @@
             this.set(memory.countEvicted());
         },
     });
+    new Gauge({
+        name: `${prefix}_closed_connections`,
+        help: "Callers' connections closed for want of descriptors, since the start.",
+        registers,
+        collect() {
+            this.set(guard.countClosed());
+        },
+    });
 }
--- /dev/null
+++ b/src/wire/connectionGuard.ts
@@ -0,0 +1,162 @@
+/**
+ * Keeps the connections of a process within its descriptors, and counts what callers have sent of a request whose head is
+ * not complete, of which the HTTP server does not tell.
+ */
+import type { IncomingMessage, Server } from "node:http";
+import type { Socket } from "node:net";
+import {
+    addCaller,
+    type CallerConnection,
+    ConnectionState,
+    createConnectionBudget,
+    findCheapestConnection,
+    hasUpstreamRoom,
+    recordExhaustion,
+} from "../routing/connectionBudget.js";
+import type { CallerMemory, MemoryReservation } from "./callerMemory.js";
+import { drainAndClose } from "./lingeringClose.js";
+
+/** Interval at which connections are measured, in milliseconds. */
+const measureIntervalMs = 100;
+/** Memory of header fields that have been parsed, by byte on the wire; short ones take most. */
+const parsedBytesPerByte = 10;
+
+/** Error codes of a connect that fails because this process or its machine is out of descriptors. */
+const exhaustionCodes = new Set(["EMFILE", "ENFILE", "ENOBUFS"]);
+
+const headRefusal = [
+    "HTTP/1.1 503 Service Unavailable",
+    "Retry-After: 1",
+    "Content-Length: 0",
+    "Connection: close",
+    "",
+    "",
+].join("\r\n");
+
+export interface ConnectionGuard {
+    /** Guards the connections of callers to a server that does not listen yet. */
+    watch: (server: Server) => void;
+    /** Whether a connection to an upstream may be opened; closes the cheapest one of a caller if that is needed. */
+    hasUpstreamRoom: () => boolean;
+    /** Counts a connection to an upstream until it closes. */
+    trackUpstream: (socket: Socket) => void;
+    /** Whether a connect has failed for want of descriptors, as told by the code of its error. */
+    recordConnectFailure: (code: string | undefined) => boolean;
+    /** Returns the number of callers' connections that were closed for want of descriptors. */
+    countClosed: () => number;
+}
+
+/** Connection of a caller. */
+class GuardedConnection implements CallerConnection {
+    state: ConnectionState = ConnectionState.idle;
+    private pendingRequests = 0;
+    private lastMessage: IncomingMessage | undefined;
+    /** Bytes received at the last measurement, and up to the last request whose head was complete. */
+    private measuredBytes = 0;
+    private settledBytes = 0;
+    private head: MemoryReservation | undefined;
+    private headBytes = 0;
+
+    constructor(readonly socket: Socket, private readonly memory: CallerMemory, public idleSince: number) {}
+
+    beginRequest(message: IncomingMessage, now: number): void {
+        this.pendingRequests += 1;
+        this.lastMessage = message;
+        this.measure(now);
+    }
+
+    endRequest(now: number): void {
+        this.pendingRequests -= 1;
+        this.idleSince = now;
+        this.settledBytes = this.socket.bytesRead;
+        this.measure(now);
+    }
+
+    /** Updates the state and the memory of an incomplete head. */
+    measure(now: number): void {
+        const { bytesRead } = this.socket;
+        this.state = this.findState();
+        if (bytesRead > this.measuredBytes) {
+            this.measuredBytes = bytesRead;
+            this.idleSince = now;
+            this.head?.recordProgress();
+        }
+        // Bytes behind a request cannot be told from its body.
+        const headBytes = this.pendingRequests > 0 ? 0 : (bytesRead - this.settledBytes) * parsedBytesPerByte;
+        if (headBytes !== this.headBytes) {
+            this.head ??= this.memory.open(() => this.refuseHead());
+            this.head.add(headBytes - this.headBytes);
+            this.headBytes = headBytes;
+        }
+    }
+
+    close(): void {
+        this.head?.close();
+    }
+
+    private findState(): ConnectionState {
+        if (this.pendingRequests === 0) {
+            return this.socket.bytesRead > this.settledBytes ? ConnectionState.arriving : ConnectionState.idle;
+        }
+        const isArriving = this.pendingRequests === 1 && this.lastMessage?.complete === false;
+        return isArriving ? ConnectionState.arriving : ConnectionState.busy;
+    }
+
+    private refuseHead(): void {
+        this.socket.write(headRefusal);
+        drainAndClose(this.socket);
+    }
+}
+
+/** Creates the guard of a process that may open `descriptors`; `now` returns milliseconds. */
+export function createConnectionGuard(descriptors: number, memory: CallerMemory, now: () => number): ConnectionGuard {
+    const budget = createConnectionBudget(descriptors);
+    const connections = new Map<Socket, GuardedConnection>();
+    let closedCount = 0;
+    const measureAll = () => connections.forEach(connection => connection.measure(now()));
+    const closeConnection = (connection: CallerConnection | undefined) => {
+        if (connection !== undefined) {
+            closedCount += 1;
+            budget.callers.delete(connection);
+            (connection as GuardedConnection).socket.destroy();
+        }
+    };
+    setInterval(measureAll, measureIntervalMs).unref();
+    return {
+        watch: server => {
+            server.on("connection", (socket: Socket) => {
+                const connection = new GuardedConnection(socket, memory, now());
+                connections.set(socket, connection);
+                socket.on("close", () => {
+                    connections.delete(socket);
+                    budget.callers.delete(connection);
+                    connection.close();
+                });
+                closeConnection(addCaller(budget, connection, now()));
+            });
+            server.on("request", (message, response) => {
+                const connection = connections.get(message.socket);
+                connection?.beginRequest(message, now());
+                response.on("close", () => connection?.endRequest(now()));
+            });
+        },
+        hasUpstreamRoom: () => {
+            if (!hasUpstreamRoom(budget, now())) {
+                closeConnection(findCheapestConnection(budget, now()));
+            }
+            return hasUpstreamRoom(budget, now());
+        },
+        trackUpstream: socket => {
+            budget.upstreams += 1;
+            socket.once("close", () => budget.upstreams -= 1);
+        },
+        recordConnectFailure: code => {
+            const isExhausted = code !== undefined && exhaustionCodes.has(code);
+            if (isExhausted) {
+                recordExhaustion(budget, now());
+            }
+            return isExhausted;
+        },
+        countClosed: () => closedCount,
+    };
+}
