Requests with many header lines reach the upstream whole

What callers saw: of a request with more than 1,000 header lines the rest was dropped without a word, among them its key, its id or its length, though its size was within the limits.

Cause: the default limit of Node.js on the number of lines, which drops the lines beyond it.

Change: no limit on the number; the size of the headers is limited.

--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -55,6 +55,8 @@
         // The deadline of a request ends its body.
         requestTimeout: 0,
     });
+    // Node drops the header lines beyond its own limit and passes on the others.
+    server.maxHeadersCount = 0;
     options.limits.guard.watch(server);
     const connectionCloser = createConnectionCloser(server);
     const takeRequest = (request: CallerRequest) => {
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -83,6 +83,8 @@
         maxHeaderSize: maxHeaderBytes,
         requireHostHeader: false,
     });
+    // Node drops the header lines beyond its own limit and passes on the others.
+    server.maxHeadersCount = 0;
     context.limits.guard.watch(server);
     const { closeListener, closeIdleConnections } = createConnectionCloser(server);
     const handle = (request: CallerRequest) => {
