--- a/src/slot/upstreamCall.ts
+++ b/src/slot/upstreamCall.ts
@@ -1,6 +1,7 @@
 /** One HTTP request to an upstream, whose response body is read with bounded memory and time. */
 import type { Dispatcher } from "undici";
 import { CallError } from "../core/errors.js";
+import { isStatus } from "../wire/httpSyntax.js";
 
 /** Status, headers and body of a final response. */
 export interface CallResponse {
@@ -88,7 +89,10 @@
         status: number,
         headers: CallResponse["headers"],
     ): void {
-        if (status >= 200) {
+        if (!isStatus(status)) {
+            this.abort(new CallError(`status ${status} is invalid`));
+        }
+        else if (status >= 200) {
             const discard = () => this.abort(createUnreadError());
             this.resolve({ status, headers, body: this.readBody(), discard });
         }
--- a/src/wire/httpSyntax.ts
+++ b/src/wire/httpSyntax.ts
@@ -7,6 +7,7 @@
 const fieldValuePattern = /^[\t\x20-\x7e\x80-\xff]*$/;
 const targetPattern = /^[\x21-\x7e\x80-\xff]+$/;
 
+const minStatus = 100;
 const minFinalStatus = 200;
 const maxStatus = 599;
 
@@ -33,6 +34,11 @@
     return targetPattern.test(target);
 }
 
+/** Whether a number is a status code of HTTP, informational or final. */
+export function isStatus(status: number): boolean {
+    return status >= minStatus && status <= maxStatus;
+}
+
 /** Describes why the head of a final response is no HTTP/1.1; undefined if it is. */
 export function findInvalidHead(status: number, raw: string[]): string | undefined {
     return status >= minFinalStatus && status <= maxStatus ? findInvalidField(raw) : `status ${status} is invalid`;
