Limits of callers: what a second reading of the change found

- A request that is given up between its last byte and its dispatch had its refusal and would still have been sent: both steps now look whether it still holds memory.
- What arrives of a refused body was measured as a head and charged ten times over, which could take memory from others; a head is charged with 64 KiB at most.
- While the operating system had no descriptors, each look for room closed an idle connection; now each connect that fails closes one.
- The connection of a rejected request whose chunks had arrived with its head was closed; it goes on (a test).

--- a/src/direct/receiveRequest.ts
+++ b/src/direct/receiveRequest.ts
@@ -41,7 +41,7 @@
     const match = admitHead(options, received, receivedAt);
     const rejection = typeof match === "function" ? match : findOversize(getIndex()!, message);
     if (received === undefined || typeof match === "function" || rejection !== undefined) {
-        dropUnreadBody(response, reader);
+        await dropUnreadBody(response, reader);
         rejection?.(response);
         return undefined;
     }
@@ -51,7 +51,8 @@
     }
     const { maxBodyBytes } = getIndex()!.document.limits;
     const body = await readBodyBefore(match.deadlineAt - receivedAt, maxBodyBytes, response, reader);
-    if (body === undefined || response.destroyed) {
+    // A request that has been given up meanwhile has its answer.
+    if (body === undefined || response.destroyed || !reservation.isOpen()) {
         return undefined;
     }
     // The document may have changed while the body arrived.
@@ -110,14 +111,19 @@
     response: ServerResponse,
     reader: BodyReader,
 ): Promise<Body | undefined> {
+    let isExpired = false;
     const expire = () => {
-        dropUnreadBody(response, reader);
-        sendEmptyResponse(response, 408);
+        isExpired = true;
+        reader.discard();
     };
     const timer = setTimeout(expire, leftMs);
     const body = await reader.read(maxBytes);
     clearTimeout(timer);
-    if (body === undefined) {
+    if (isExpired) {
+        await dropUnreadBody(response, reader);
+        sendEmptyResponse(response, 408);
+    }
+    else if (body === undefined) {
         closeBehind(response);
         reader.discard();
         sendEmptyResponse(response, 413);
--- a/src/direct/server.ts
+++ b/src/direct/server.ts
@@ -71,7 +71,9 @@
             if (dispatch !== undefined && inFlight.has(response)) {
                 inFlight.set(response, dispatch);
             }
-            dispatch?.begin();
+            if (dispatch?.isReleased === false) {
+                dispatch.begin();
+            }
         }).catch((error: Error) => {
             options.context.reportFault(error);
             options.context.sendRefusal(response, startupRetryAfterMs);
--- a/src/entry/server.ts
+++ b/src/entry/server.ts
@@ -137,15 +137,15 @@
         }
     }
     catch (error) {
+        if (!exchange.response.headersSent) {
+            await dropUnreadBody(exchange.response, exchange.bodyReader);
+        }
         handleFilterError(context, exchange, error as Error);
     }
 }
 
 /** Responds with the error that a filter threw; one that is no `RefusalError` is logged and becomes status 500. */
 function handleFilterError(context: EntryContext, exchange: Exchange, error: Error): void {
-    if (!exchange.response.headersSent) {
-        dropUnreadBody(exchange.response, exchange.bodyReader);
-    }
     if (error instanceof RefusalError) {
         sendProblem(exchange.response, exchange.requestId, { ...error.details, title: error.message });
         context.metrics.requests.inc({ outcome: error.details.outcome });
--- a/src/routing/connectionBudget.ts
+++ b/src/routing/connectionBudget.ts
@@ -66,13 +66,18 @@
 ): CallerConnection | undefined {
     const { callers, maxCallers } = budget;
     callers.add(added);
-    const isFull = callers.size > maxCallers || countConnections(budget) > budget.maxConnections;
-    return isFull ? findCheapestConnection(budget, now, added) ?? added : undefined;
+    const isOver = callers.size > maxCallers || countConnections(budget) > budget.maxConnections;
+    return isOver ? findCheapestConnection(budget, now, added) ?? added : undefined;
+}
+
+/** Whether no connection may be opened unless another one closes. */
+export function isFull(budget: ConnectionBudget): boolean {
+    return countConnections(budget) >= budget.maxConnections;
 }
 
 /** Whether a connection to an upstream may be opened. */
 export function hasUpstreamRoom(budget: ConnectionBudget, now: number): boolean {
-    return countConnections(budget) < budget.maxConnections && now >= budget.exhaustedUntil;
+    return !isFull(budget) && now >= budget.exhaustedUntil;
 }
 
 /** Records that the operating system had no descriptor. */
--- a/src/wire/connectionGuard.ts
+++ b/src/wire/connectionGuard.ts
@@ -11,6 +11,7 @@
     createConnectionBudget,
     findCheapestConnection,
     hasUpstreamRoom,
+    isFull,
     recordExhaustion,
 } from "../routing/connectionBudget.js";
 import type { CallerMemory, MemoryReservation } from "./callerMemory.js";
@@ -21,6 +22,9 @@
 /** Memory of header fields that have been parsed, by byte on the wire; short ones take most. */
 const parsedBytesPerByte = 10;
 
+/** Maximum size of a head that the servers accept, in bytes. */
+const maxHeadBytes = 64 * 1024;
+
 /** Error codes of a connect that fails because this process or its machine is out of descriptors. */
 const exhaustionCodes = new Set(["EMFILE", "ENFILE", "ENOBUFS"]);
 
@@ -75,6 +79,10 @@
     /** Updates the state and the memory of an incomplete head. */
     measure(now: number): void {
         const { bytesRead } = this.socket;
+        if (this.lastMessage?.complete === false) {
+            // What arrives belongs to the body, also after it has been refused.
+            this.settledBytes = bytesRead;
+        }
         this.state = this.findState();
         if (bytesRead > this.measuredBytes) {
             this.measuredBytes = bytesRead;
@@ -82,7 +90,8 @@
             this.head?.recordProgress();
         }
         // Bytes behind a request cannot be told from its body.
-        const headBytes = this.pendingRequests > 0 ? 0 : (bytesRead - this.settledBytes) * parsedBytesPerByte;
+        const receivedBytes = this.pendingRequests > 0 ? 0 : Math.min(bytesRead - this.settledBytes, maxHeadBytes);
+        const headBytes = receivedBytes * parsedBytesPerByte;
         if (headBytes !== this.headBytes) {
             this.head ??= this.memory.open(() => this.refuseHead());
             this.head.add(headBytes - this.headBytes);
@@ -141,7 +150,7 @@
             });
         },
         hasUpstreamRoom: () => {
-            if (!hasUpstreamRoom(budget, now())) {
+            if (isFull(budget)) {
                 closeConnection(findCheapestConnection(budget, now()));
             }
             return hasUpstreamRoom(budget, now());
@@ -154,6 +163,7 @@
             const isExhausted = code !== undefined && exhaustionCodes.has(code);
             if (isExhausted) {
                 recordExhaustion(budget, now());
+                closeConnection(findCheapestConnection(budget, now()));
             }
             return isExhausted;
         },
--- a/src/wire/lingeringClose.ts
+++ b/src/wire/lingeringClose.ts
@@ -30,13 +30,15 @@
 
 /**
  * Prepares the end of a response to a request whose body is not wanted: a rest of known length is read and dropped; otherwise
- * the connection closes behind the response, in a way that the caller can read it. Must be called before the response is sent.
+ * the connection closes behind the response, in a way that the caller can read it. The response must be sent once it resolves.
  */
-export function dropUnreadBody(response: ServerResponse, body: BodyReader): void {
+export async function dropUnreadBody(response: ServerResponse, body: BodyReader): Promise<void> {
+    body.discard();
+    // The rest may have arrived with the head.
+    await new Promise(resolve => setImmediate(resolve));
     if (body.countMissingBytes() > drainLimits.bytes) {
         closeBehind(response);
     }
-    body.discard();
 }
 
 /** Lets the connection close behind a response, in a way that the caller can read it. */
