With slots: the fields of a request whose caller has left stay packed

Cause, by reading: the fields of each were unpacked for the refusal that nobody gets, 155 kB each, in one turn. That this ended the process is not shown; the case is listed. Now fields are unpacked only for a whole body.

--- a/src/entry/accept.ts
+++ b/src/entry/accept.ts
@@ -56,10 +56,10 @@
         if (response.headersSent) {
             return;
         }
-        fields.restore();
         if (body === undefined || isOversize(body)) {
             throw createBodyRefusal(exchange, maxBodyBytes);
         }
+        fields.restore();
         exchange.body = joinBody(body);
         bodyReader.discard();
         reservation.setStage(HoldingStage.queued);
