Calls that are given up let go of what has arrived

What callers saw: with many unfinished calls at the control or internal port an entry went over the memory of its machine, which ends it where the limit is hard.

Cause: a call whose memory was given up because another one grew was answered with 503, but its reader kept the body until the connection had closed, up to 2 s later, and nobody was charged for it. The path of callers drops the body at once; calls of processes had code of their own, and that of slots and entries with slots was the same. receiveCall ties the body to the memory of the call for both. A call that is being handled counts as running at the control port too, so that its answer is not overtaken.

--- a/src/wire/body.ts
+++ b/src/wire/body.ts
@@ -1,16 +1,43 @@
 /** Reads request bodies. */
 import type { Hash } from "node:crypto";
-import type { IncomingMessage } from "node:http";
-import type { MemoryReservation } from "./callerMemory.js";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { CallerMemory, MemoryReservation } from "./callerMemory.js";
 import { type Body, joinBody, SegmentedBody } from "./segmentedBody.js";
 
-/** Reads a request body; resolves to undefined if it is longer than `maxBytes`, incomplete or given up. */
-export async function readBody(
+/** Reads a request body; resolves to undefined if it is longer than `maxBytes` or incomplete. */
+export function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+    return readWhole(new BodyReader(message), maxBytes);
+}
+
+/** A call of another process. */
+export interface ReceivedCall {
+    /** Memory of the call until its response closes. */
+    reservation: MemoryReservation;
+    /** Resolves to undefined if the body is too long, incomplete or given up. */
+    body: Promise<Buffer | undefined>;
+}
+
+/** Reads the body of a call, up to `maxBytes`. `onEvicted` is called when the body has been given up for want of memory. */
+export function receiveCall(
     message: IncomingMessage,
-    maxBytes: number,
-    reservation?: MemoryReservation,
-): Promise<Buffer | undefined> {
-    const body = await new BodyReader(message, { reservation }).read(maxBytes);
+    response: ServerResponse,
+    { memory, maxBytes, onEvicted }: { memory: CallerMemory; maxBytes: number; onEvicted: () => void; },
+): ReceivedCall {
+    const reservation = memory.open(() => {
+        reader.discard();
+        onEvicted();
+    });
+    const reader = new BodyReader(message, { reservation });
+    // A response may close long before its connection, which keeps the message.
+    response.on("close", () => {
+        reservation.close();
+        reader.discard();
+    });
+    return { reservation, body: readWhole(reader, maxBytes) };
+}
+
+async function readWhole(reader: BodyReader, maxBytes: number): Promise<Buffer | undefined> {
+    const body = await reader.read(maxBytes);
     return body === undefined ? undefined : joinBody(body);
 }
 
--- a/src/wire/peerRpc.ts
+++ b/src/wire/peerRpc.ts
@@ -7,7 +7,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { deflateSync, inflateSync } from "node:zlib";
 import { CallError } from "../core/errors.js";
-import { readBody } from "./body.js";
+import { HoldingStage } from "../routing/memoryAccount.js";
+import { receiveCall } from "./body.js";
 import type { CallerMemory } from "./callerMemory.js";
 import { callHttp } from "./httpCall.js";
 import { closeBehind } from "./lingeringClose.js";
@@ -67,18 +68,19 @@
             fallback(message, response);
             return;
         }
-        const reservation = memory.open(() => {
+        const refuse = () => {
             closeBehind(response);
             response.writeHead(503).end();
-        });
-        response.on("close", () => reservation.close());
-        void readBody(message, maxMessageBytes, reservation).then(async body => {
+        };
+        const call = receiveCall(message, response, { memory, maxBytes: maxMessageBytes, onEvicted: refuse });
+        void call.body.then(async body => {
             if (response.headersSent) {
                 return;
             }
             if (body === undefined) {
                 closeBehind(response);
             }
+            call.reservation.setStage(HoldingStage.running);
             const text = body === undefined ? undefined : decodeMessage(message, body);
             const rpcResponse = text === undefined ? undefined : await server.receiveJSON(text);
             response.writeHead(rpcResponse === undefined ? 400 : 200, { "content-type": "application/json" });
--- a/src/wire/server.ts
+++ b/src/wire/server.ts
@@ -3,7 +3,7 @@
 import type { Registry } from "prom-client";
 import { HoldingStage } from "../routing/memoryAccount.js";
 import { authHeader, verifyCall } from "./auth.js";
-import { readBody } from "./body.js";
+import { receiveCall } from "./body.js";
 import type { CallerMemory } from "./callerMemory.js";
 import { closeBehind } from "./lingeringClose.js";
 import { createRpcServer, maxRpcBytes, type RpcIdentity, type RpcMethods } from "./rpc.js";
@@ -74,9 +74,13 @@
         response.writeHead(404).end();
         return;
     }
-    const reservation = options.memory.open(() => refuseCall(response));
-    response.on("close", () => reservation.close());
-    const body = await readBody(message, maxRpcBytes, reservation);
+    const { memory } = options;
+    const call = receiveCall(message, response, {
+        memory,
+        maxBytes: maxRpcBytes,
+        onEvicted: () => refuseCall(response),
+    });
+    const body = await call.body;
     if (response.headersSent) {
         return;
     }
@@ -86,7 +90,7 @@
         return;
     }
     const { environment, internalKeys, instance: target } = options.identity;
-    reservation.setStage(HoldingStage.running);
+    call.reservation.setStage(HoldingStage.running);
     const text = body.toString();
     const header = message.headers[authHeader] as string | undefined;
     if (!verifyCall(internalKeys, { environment, path, body: text, target }, header, Date.now())) {
