--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -216,6 +216,20 @@
     return applyListRecords(state, [...tombstones, ...current], end, decoders, now);
 }
 
+/**
+ * Drops the records of a peer that a snapshot of this mirror lacked: their upstreams have gone, and the tombstones that say so
+ * lie before all further reads. The peer had not read them when it sent the records.
+ */
+export function dropOutdatedRecords<Document>(
+    { entries, listSnapshotEnd }: MirrorState<Document>,
+    records: MirrorRecord[],
+): MirrorRecord[] {
+    const isListed = (key: string) => entries.get(key)?.record.value !== undefined;
+    return records.filter(({ key, offset, value }) =>
+        value === undefined || offset >= listSnapshotEnd || isListed(key)
+    );
+}
+
 /** Whether a record of a new era's first snapshot may be older than what is known: that the upstream is leaving or gone. */
 function isOutdated<Document>(
     known: ListEntry | undefined,
--- a/src/peers/tests/feed.test.ts
+++ b/src/peers/tests/feed.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
 import type { ServingDocument } from "../../config/serving.js";
 import { createFeed, type FeedBatch, type FeedOptions, type FeedSource, FeedTopic } from "../feed.js";
-import type { MirrorDecoders } from "../mirror.js";
+import { listUpstreams, type MirrorDecoders } from "../mirror.js";
 
 beforeEach(() => {
     vi.useFakeTimers();
@@ -146,6 +146,27 @@
         expect(revisions).toEqual([0, 6, 8]);
     });
 
+    test("does not bring back an upstream that its snapshot lacked when a peer hands over an older list", async () => {
+        const { feed } = startFeed({
+            readNewest: async topic => {
+                if (topic === FeedTopic.document) {
+                    throw new Error("down");
+                }
+                return { records: [{ key: "kept", offset: 2, value: "live" }], end: 4, isComplete: true };
+            },
+            read: async (topic, from) => ({ records: [], end: from, isComplete: false }),
+        }, {
+            fetchFromPeer: async () => {
+                await new Promise(resolve => setTimeout(resolve, 100));
+                const list = ["gone", "kept"].map((key, index) => ({ key, offset: index + 1, value: "live" }));
+                return { documents: [], documentEnd: 0, list, listEnd: 3 };
+            },
+        });
+        await vi.advanceTimersByTimeAsync(3000);
+        feed.stop();
+        expect(listUpstreams(feed.state).map(({ id }) => id)).toEqual(["kept"]);
+    });
+
     test("reads the newest records when the log has dropped some", async () => {
         const { log, source } = createLog();
         const { feed, revisions } = startFeed(source, { isContinuousReader: () => true });
--- a/src/peers/tests/mirror.test.ts
+++ b/src/peers/tests/mirror.test.ts
@@ -4,6 +4,7 @@
     applyDocumentRecords,
     applyListRecords,
     createMirror,
+    dropOutdatedRecords,
     expiryGraceMs,
     listRecordsSince,
     listUpstreams,
@@ -163,6 +164,30 @@
     expect(listUpstreams(receiver).map(({ id }) => id)).toEqual(["b"]);
 });
 
+describe("records of a peer that has not read the end of an upstream", () => {
+    const live = [record("a", 1, "h1 live"), record("b", 2, "h2 live")];
+
+    test.each([
+        ["which is not known", []],
+        ["which was known before", live],
+        ["which was written again meanwhile", [record("a", 0, "h1 live")]],
+    ])("do not bring back what a snapshot lacked, %s", (name, known) => {
+        const mirror = createMirror<Document>();
+        applyListRecords(mirror, known, 3, decoders, 0);
+        replaceList(mirror, [record("b", 2, "h2 live")], 4, decoders, expiryGraceMs);
+        applyListRecords(mirror, dropOutdatedRecords(mirror, live), 3, decoders, expiryGraceMs);
+        expect(listUpstreams(mirror).map(({ id }) => id)).toEqual(["b"]);
+    });
+
+    test("keep what the snapshot held, also as a whole list", () => {
+        const mirror = createMirror<Document>();
+        replaceList(mirror, live, 4, decoders, 0);
+        const handedOver = [...live, record("c", 5, "h3 live")];
+        replaceList(mirror, dropOutdatedRecords(mirror, handedOver), 6, decoders, 0);
+        expect(listUpstreams(mirror).map(({ id }) => id)).toEqual(["a", "b", "c"]);
+    });
+});
+
 test("an upstream that left takes the position at which the log of a new era says so too", () => {
     const mirror = createMirror<Document>();
     const position = createLogPosition(1, 1);
