Half heads behind other requests are charged

What callers saw: clients that sent a request and, behind it on the same connection, a head that they did not complete ended the entry: 800 of them with 16 kB of short header lines took more than its heap, both while the first request was at the upstream and after it had been answered.

Cause: the account measured an incomplete head as what a connection had received since its last request ended. What came with that request, or while it was answered, was taken for part of it. Node.js does not tell where a request ends in what was received. ParsedInput estimates it: the head from its fields, the body from its length or its chunks. Each further head corrects the estimate, so that unusual white space does not add up. Behind a request that is answered the connection closes, as the parser keeps the head until then and a refusal would end up in that answer.

--- a/src/wire/body.ts
+++ b/src/wire/body.ts
@@ -47,6 +47,29 @@
     return text === undefined ? undefined : Number(text);
 }
 
+/** Readers of the messages with chunks. */
+const chunkReaders = new WeakMap<IncomingMessage, BodyReader>();
+
+/** Estimates what the body of a message takes on the wire, in bytes, as far as it has been read. */
+export function estimateEncodedBytes(message: IncomingMessage): number {
+    const reader = chunkReaders.get(message);
+    return reader === undefined ? getContentLength(message) ?? 0 : reader.encodedBytes + lastChunkBytes;
+}
+
+/** Size of the chunk that ends a body. */
+const lastChunkBytes = "0\r\n\r\n".length;
+/** Size of the line breaks of a chunk. */
+const chunkBreakBytes = "\r\n\r\n".length;
+
+/** Counts the hexadecimal digits of a length. */
+function countHexDigits(length: number): number {
+    let digits = 1;
+    for (let rest = length >>> 4; rest > 0; rest >>>= 4) {
+        digits += 1;
+    }
+    return digits;
+}
+
 function hasChunks({ headers }: IncomingMessage): boolean {
     return headers["transfer-encoding"] !== undefined;
 }
@@ -77,6 +100,8 @@
     private resolve: ((body: Body | undefined) => void) | undefined;
     private hasEnded = false;
     private allocatedBytes = 0;
+    /** Estimated size on the wire of the chunks so far, in bytes. */
+    encodedBytes = 0;
     /** Length at which progress was last recorded, in bytes. */
     private progressBytes = 0;
 
@@ -87,6 +112,9 @@
             this.hash ??= options.createHash?.();
             this.hash?.update(segment);
         });
+        if (hasChunks(message)) {
+            chunkReaders.set(message, this);
+        }
     }
 
     /** Reads the body as it arrives. */
@@ -140,6 +168,7 @@
         this.parts.clear();
         this.reservation?.add(-this.allocatedBytes);
         this.allocatedBytes = 0;
+        this.start();
         this.message.resume();
         this.settle();
     }
@@ -160,6 +189,7 @@
     }
 
     private append(chunk: Buffer): void {
+        this.encodedBytes += chunk.length + countHexDigits(chunk.length) + chunkBreakBytes;
         if (this.isDiscarded) {
             return;
         }
--- a/src/wire/connectionGuard.ts
+++ b/src/wire/connectionGuard.ts
@@ -16,6 +16,7 @@
 } from "../routing/connectionBudget.js";
 import type { CallerMemory, MemoryReservation } from "./callerMemory.js";
 import { drainAndClose } from "./lingeringClose.js";
+import { ParsedInput } from "./parsedInput.js";
 
 /** Interval at which connections are measured, in milliseconds. */
 const measureIntervalMs = 100;
@@ -55,63 +56,71 @@
     state: ConnectionState = ConnectionState.idle;
     private pendingRequests = 0;
     private lastMessage: IncomingMessage | undefined;
-    /** Bytes received at the last measurement, and up to the last request whose head was complete. */
+    private readonly input: ParsedInput;
+    /** Bytes received at the last measurement. */
     private measuredBytes = 0;
-    private settledBytes = 0;
     private head: MemoryReservation | undefined;
-    private headBytes = 0;
+    private chargedBytes = 0;
 
-    constructor(readonly socket: Socket, private readonly memory: CallerMemory, public idleSince: number) {}
+    constructor(readonly socket: Socket, private readonly memory: CallerMemory, public idleSince: number) {
+        this.input = new ParsedInput(socket);
+    }
 
     beginRequest(message: IncomingMessage, now: number): void {
         this.pendingRequests += 1;
         this.lastMessage = message;
-        this.measure(now);
+        this.input.beginMessage(message);
+        this.update(now);
     }
 
     endRequest(now: number): void {
         this.pendingRequests -= 1;
         this.idleSince = now;
-        this.settledBytes = this.socket.bytesRead;
         this.measure(now);
     }
 
-    /** Updates the state and the memory of an incomplete head. */
+    /** Measures what has arrived; must not be called by an event of the parser. */
     measure(now: number): void {
+        this.input.observe();
+        this.update(now);
+    }
+
+    close(): void {
+        this.head?.close();
+    }
+
+    /** Updates the state and the memory of an incomplete head. */
+    private update(now: number): void {
         const { bytesRead } = this.socket;
-        if (this.lastMessage?.complete === false) {
-            // What arrives belongs to the body, also after it has been refused.
-            this.settledBytes = bytesRead;
-        }
-        this.state = this.findState();
+        const headBytes = Math.min(this.input.countHeadBytes(), maxHeadBytes);
+        this.state = this.findState(headBytes);
         if (bytesRead > this.measuredBytes) {
             this.measuredBytes = bytesRead;
             this.idleSince = now;
             this.head?.recordProgress();
         }
-        // Bytes behind a request cannot be told from its body.
-        const receivedBytes = this.pendingRequests > 0 ? 0 : Math.min(bytesRead - this.settledBytes, maxHeadBytes);
-        const headBytes = receivedBytes * parsedBytesPerByte;
-        if (headBytes !== this.headBytes) {
+        const bytes = headBytes * parsedBytesPerByte;
+        if (bytes !== this.chargedBytes) {
             this.head ??= this.memory.open(() => this.refuseHead());
-            this.head.add(headBytes - this.headBytes);
-            this.headBytes = headBytes;
+            this.head.add(bytes - this.chargedBytes);
+            this.chargedBytes = bytes;
         }
     }
 
-    close(): void {
-        this.head?.close();
-    }
-
-    private findState(): ConnectionState {
+    private findState(headBytes: number): ConnectionState {
         if (this.pendingRequests === 0) {
-            return this.socket.bytesRead > this.settledBytes ? ConnectionState.arriving : ConnectionState.idle;
+            return headBytes > 0 ? ConnectionState.arriving : ConnectionState.idle;
         }
         const isArriving = this.pendingRequests === 1 && this.lastMessage?.complete === false;
         return isArriving ? ConnectionState.arriving : ConnectionState.busy;
     }
 
     private refuseHead(): void {
+        if (this.pendingRequests > 0) {
+            // The parser keeps the head until the connection closes, and a refusal would end up in the response before it.
+            this.socket.destroy();
+            return;
+        }
         this.socket.write(headRefusal);
         drainAndClose(this.socket);
     }
@@ -143,7 +152,7 @@
                 });
                 closeConnection(addCaller(budget, connection, now()));
             });
-            server.on("request", (message, response) => {
+            server.prependListener("request", (message, response) => {
                 const connection = connections.get(message.socket);
                 connection?.beginRequest(message, now());
                 response.on("close", () => connection?.endRequest(now()));
--- a/src/wire/lingeringClose.ts
+++ b/src/wire/lingeringClose.ts
@@ -14,8 +14,17 @@
     ms: 2000,
 };
 
+/** Connections whose input is dropped. */
+const discardedSockets = new WeakSet<Socket>();
+
+/** Whether whatever arrives on a connection is dropped. */
+export function isInputDiscarded(socket: Socket): boolean {
+    return discardedSockets.has(socket);
+}
+
 /** Reads and drops whatever arrives on a connection, on which no further request is taken. */
 export function discardInput(socket: Socket): void {
+    discardedSockets.add(socket);
     // The parser would go on to create requests.
     socket.removeAllListeners("data");
     let bytes = 0;
