--- a/tests/integration/misbehavingClients.test.ts
+++ b/tests/integration/misbehavingClients.test.ts
@@ -22,6 +22,8 @@
 /** Limits of an entry for a request, in bytes. */
 const maxBodyBytes = 4 * 1024 * 1024;
 const maxHeaderBytes = 16_384;
+/** Size of the header lines of a request that is inside the limits, in bytes. */
+const headerSpace = maxHeaderBytes - 400;
 /** Duration of a call to the upstream, in milliseconds. */
 const serviceMs = 300;
 const caseTimeoutMs = 120_000;
@@ -107,16 +109,44 @@
         createParts: () =>
             Array.from(
                 { length: 300 },
-                () => formatHead([...createShortHeaderLines(maxHeaderBytes - 400), "Content-Length: 0"]),
+                () => formatHead([...createShortHeaderLines(headerSpace), "Content-Length: 0"]),
             ),
     },
     "unfinished requests with odd header lines": {
         clients: 1760,
         createParts: () => [
-            formatHead([...createOddHeaderLines(maxHeaderBytes - 400), "Content-Length: 10"]),
+            formatHead([...createOddHeaderLines(headerSpace), "Content-Length: 10"]),
             Buffer.from("12345"),
         ],
     },
+    "half heads with short header lines": {
+        clients: 1600,
+        createParts: () => [formatHead(createShortHeaderLines(headerSpace)).subarray(0, -2)],
+    },
+    "half heads with short header lines behind an answered request": {
+        clients: 800,
+        createParts: () => [
+            formatHead(["Content-Length: 0"]),
+            formatHead(createShortHeaderLines(headerSpace)).subarray(0, -2),
+        ],
+    },
+    "chunked bodies with trailers without end": {
+        clients: 30,
+        createParts: () => [
+            formatHead(["Transfer-Encoding: chunked"]),
+            encodeChunks(pattern(1000), 100),
+            Buffer.from("0\r\n"),
+            ...Array.from({ length: 200 }, () => Buffer.from(`${createOddHeaderLines(15_000).join("\r\n")}\r\n`)),
+        ],
+    },
+    "chunks with extensions without end": {
+        clients: 30,
+        createParts: () => [
+            formatHead(["Transfer-Encoding: chunked"]),
+            Buffer.from("5;a="),
+            Buffer.alloc(1_000_000, "b"),
+        ],
+    },
     "unfinished calls at the internal port of an entry": {
         clients: 60,
         createParts: () => [rpcHead(), pattern(maxBodyBytes)],
