Calls of processes are received in one place; smaller repetitions of the change

No behaviour changes. The two servers for calls had the same refusal and the same time limits, which move to receiveCall.ts with the reading of the body. ParsedInput holds the last request of a connection, which the guard held again. The requests dropped behind a refused one are no longer sliced twice, and the gauges of the limits are one list.

Left as they are: closeIdleConnections.ts and connectionGuard.ts both count the requests of a connection, with other uses of the count.

--- a/src/direct/peerLink.ts
+++ b/src/direct/peerLink.ts
@@ -131,13 +131,6 @@
     listPending?: () => PendingRecord[];
 }
 
-/** Time limits of the servers of internal addresses for receiving a request, in milliseconds. */
-export const internalServerOptions = {
-    headersTimeout: 5000,
-    requestTimeout: 10_000,
-    connectionsCheckingInterval: 1000,
-};
-
 /** Creates the handler of the internal address: serves hand-overs and `methods`, and metrics on any other request. */
 export function createInternalHandler(
     feed: Feed,
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -42,6 +42,7 @@
 import { createCallerLimits } from "../wire/callerLimits.js";
 import { type Address, listenOn } from "../wire/listen.js";
 import type { MachineLimits } from "../wire/machineLimits.js";
+import { callTimeouts } from "../wire/receiveCall.js";
 import type { DirectContext } from "./context.js";
 import { type Drain, startDrain } from "./drainServer.js";
 import { computeLogPositions, pickPeer } from "./logPositions.js";
@@ -53,7 +54,6 @@
     createSettingsHandlers,
     fetchHandOver,
     fetchPendingQuarantine,
-    internalServerOptions,
     parsePendingRecords,
     quarantineMethod,
     relayQuarantine,
@@ -346,7 +346,7 @@
     const { server } = directServer;
     const isReady = () => drain === undefined && index !== undefined && upstreamTracker.upstreams.size > 0;
     const readiness = createServer(
-        internalServerOptions,
+        callTimeouts,
         (message, response) => sendEmptyResponse(response, isReady() ? 200 : 503, []),
     );
     const handleInternalRequest = createInternalHandler(feed, metrics.registry, {
@@ -355,8 +355,8 @@
             return true;
         },
     }, { memory: limits.memory, listPending: quarantine.listPending });
-    const internal = createServer(internalServerOptions, handleInternalRequest);
-    const control = createServer(internalServerOptions, handleInternalRequest);
+    const internal = createServer(callTimeouts, handleInternalRequest);
+    const control = createServer(callTimeouts, handleInternalRequest);
     [readiness, internal, control].forEach(limits.guard.watch);
     const applyLeaderHeartbeat = (heartbeat: LeaderHeartbeat, delayMs: number) => {
         leader = { host: heartbeat.from, lastHeartbeatAt: now() };
--- a/src/direct/startDirectSlot.ts
+++ b/src/direct/startDirectSlot.ts
@@ -47,14 +47,9 @@
 import { type Address, listenOn } from "../wire/listen.js";
 import type { MachineLimits } from "../wire/machineLimits.js";
 import { callPeer } from "../wire/peerRpc.js";
+import { callTimeouts } from "../wire/receiveCall.js";
 import { computeLogPositions, pickPeer } from "./logPositions.js";
-import {
-    bindDatagrams,
-    createInternalHandler,
-    createSettingsHandlers,
-    fetchHandOver,
-    internalServerOptions,
-} from "./peerLink.js";
+import { bindDatagrams, createInternalHandler, createSettingsHandlers, fetchHandOver } from "./peerLink.js";
 
 export interface DirectSlotOptions {
     instance: string;
@@ -357,7 +352,7 @@
         [orderMethod]: ({ order, epoch }: { order: RankOrder | DeltaPrepare; epoch: number; }) =>
             orderLocalRank(order, epoch),
     }, { memory });
-    const server = createServer(internalServerOptions, handleInternalRequest);
+    const server = createServer(callTimeouts, handleInternalRequest);
     guard.watch(server);
     await listenOn(server, internal.host, internal.port);
     feed.start();
--- a/src/wire/body.ts
+++ b/src/wire/body.ts
@@ -1,7 +1,7 @@
 /** Reads request bodies. */
 import type { Hash } from "node:crypto";
-import type { IncomingMessage, ServerResponse } from "node:http";
-import type { CallerMemory, MemoryReservation } from "./callerMemory.js";
+import type { IncomingMessage } from "node:http";
+import type { MemoryReservation } from "./callerMemory.js";
 import { type Body, joinBody, SegmentedBody } from "./segmentedBody.js";
 
 /** Reads a request body; resolves to undefined if it is longer than `maxBytes` or incomplete. */
@@ -9,34 +9,8 @@
     return readWhole(new BodyReader(message), maxBytes);
 }
 
-/** A call of another process. */
-export interface ReceivedCall {
-    /** Memory of the call until its response closes. */
-    reservation: MemoryReservation;
-    /** Resolves to undefined if the body is too long, incomplete or given up. */
-    body: Promise<Buffer | undefined>;
-}
-
-/** Reads the body of a call, up to `maxBytes`. `onEvicted` is called when the body has been given up for want of memory. */
-export function receiveCall(
-    message: IncomingMessage,
-    response: ServerResponse,
-    { memory, maxBytes, onEvicted }: { memory: CallerMemory; maxBytes: number; onEvicted: () => void; },
-): ReceivedCall {
-    const reservation = memory.open(() => {
-        reader.discard();
-        onEvicted();
-    });
-    const reader = new BodyReader(message, { reservation });
-    // A response may close long before its connection, which keeps the message.
-    response.on("close", () => {
-        reservation.close();
-        reader.discard();
-    });
-    return { reservation, body: readWhole(reader, maxBytes) };
-}
-
-async function readWhole(reader: BodyReader, maxBytes: number): Promise<Buffer | undefined> {
+/** Reads the rest of a body; resolves to undefined if it is longer than `maxBytes`, incomplete or discarded. */
+export async function readWhole(reader: BodyReader, maxBytes: number): Promise<Buffer | undefined> {
     const body = await reader.read(maxBytes);
     return body === undefined ? undefined : joinBody(body);
 }
@@ -47,6 +21,11 @@
     return text === undefined ? undefined : Number(text);
 }
 
+/** Size of the chunk that ends a body. */
+const lastChunkBytes = "0\r\n\r\n".length;
+/** Size of the line breaks of a chunk. */
+const chunkBreakBytes = "\r\n\r\n".length;
+
 /** Readers of the messages with chunks. */
 const chunkReaders = new WeakMap<IncomingMessage, BodyReader>();
 
@@ -56,11 +35,6 @@
     return reader === undefined ? 0 : reader.encodedBytes + lastChunkBytes;
 }
 
-/** Size of the chunk that ends a body. */
-const lastChunkBytes = "0\r\n\r\n".length;
-/** Size of the line breaks of a chunk. */
-const chunkBreakBytes = "\r\n\r\n".length;
-
 /** Counts the hexadecimal digits of a length. */
 function countHexDigits(length: number): number {
     let digits = 1;
--- a/src/wire/callerLimits.ts
+++ b/src/wire/callerLimits.ts
@@ -32,29 +32,27 @@
 }
 
 function registerMetrics({ registry, prefix }: LimitMetrics, { memory, guard }: CallerLimits): void {
-    const registers = [registry];
-    new Gauge({
-        name: `${prefix}_caller_memory_bytes`,
-        help: "Memory held for callers.",
-        registers,
-        collect() {
-            this.set(memory.getUsedBytes());
-        },
-    });
-    new Gauge({
-        name: `${prefix}_evicted_requests`,
-        help: "Requests and responses given up for want of memory, since the start.",
-        registers,
-        collect() {
-            this.set(memory.countEvicted());
-        },
-    });
-    new Gauge({
-        name: `${prefix}_closed_connections`,
-        help: "Callers' connections closed for want of descriptors, since the start.",
-        registers,
-        collect() {
-            this.set(guard.countClosed());
-        },
-    });
+    const gauges: [name: string, help: string, read: () => number][] = [
+        ["caller_memory_bytes", "Memory held for callers.", memory.getUsedBytes],
+        [
+            "evicted_requests",
+            "Requests and responses given up for want of memory, since the start.",
+            memory.countEvicted,
+        ],
+        [
+            "closed_connections",
+            "Callers' connections closed for want of descriptors, since the start.",
+            guard.countClosed,
+        ],
+    ];
+    for (const [name, help, read] of gauges) {
+        new Gauge({
+            name: `${prefix}_${name}`,
+            help,
+            registers: [registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
 }
--- a/src/wire/connectionGuard.ts
+++ b/src/wire/connectionGuard.ts
@@ -55,7 +55,6 @@
 class GuardedConnection implements CallerConnection {
     state: ConnectionState = ConnectionState.idle;
     private pendingRequests = 0;
-    private lastMessage: IncomingMessage | undefined;
     private readonly input: ParsedInput;
     /** Bytes received at the last measurement. */
     private measuredBytes = 0;
@@ -68,7 +67,6 @@
 
     beginRequest(message: IncomingMessage, now: number): void {
         this.pendingRequests += 1;
-        this.lastMessage = message;
         this.input.beginMessage(message);
         this.update(now);
     }
@@ -111,7 +109,7 @@
         if (this.pendingRequests === 0) {
             return headBytes > 0 ? ConnectionState.arriving : ConnectionState.idle;
         }
-        const isArriving = this.pendingRequests === 1 && this.lastMessage?.complete === false;
+        const isArriving = this.pendingRequests === 1 && this.input.isBodyArriving();
         return isArriving ? ConnectionState.arriving : ConnectionState.busy;
     }
 
--- a/src/wire/parsedInput.ts
+++ b/src/wire/parsedInput.ts
@@ -44,9 +44,14 @@
         this.observedBytes = this.socket.bytesRead;
     }
 
+    /** Whether the body of the last request has not arrived whole. */
+    isBodyArriving(): boolean {
+        return this.lastMessage?.complete === false;
+    }
+
     /** Counts the bytes of a head that is not complete. */
     countHeadBytes(): number {
-        if (this.lastMessage?.complete === false || isInputDiscarded(this.socket)) {
+        if (this.isBodyArriving() || isInputDiscarded(this.socket)) {
             return 0;
         }
         const bytes = this.socket.bytesRead - this.computeEnd();
--- a/src/wire/peerRpc.ts
+++ b/src/wire/peerRpc.ts
@@ -8,10 +8,10 @@
 import { deflateSync, inflateSync } from "node:zlib";
 import { CallError } from "../core/errors.js";
 import { HoldingStage } from "../routing/memoryAccount.js";
-import { receiveCall } from "./body.js";
 import type { CallerMemory } from "./callerMemory.js";
 import { callHttp } from "./httpCall.js";
 import { closeBehind } from "./lingeringClose.js";
+import { receiveCall } from "./receiveCall.js";
 
 const rpcPath = "/rpc";
 /** Maximum size of a message in bytes, also after decompression; the largest ones hand over a document. */
@@ -68,11 +68,7 @@
             fallback(message, response);
             return;
         }
-        const refuse = () => {
-            closeBehind(response);
-            response.writeHead(503).end();
-        };
-        const call = receiveCall(message, response, { memory, maxBytes: maxMessageBytes, onEvicted: refuse });
+        const call = receiveCall(message, response, memory, maxMessageBytes);
         void call.body.then(async body => {
             if (response.headersSent) {
                 return;
--- a/src/wire/sequentialRequests.ts
+++ b/src/wire/sequentialRequests.ts
@@ -59,10 +59,13 @@
 
     /** Drops the requests of a connection from position `first` on, the first of which is refused in its turn. */
     const dropFrom = (connection: Connection, socket: Socket, first: number) => {
-        const dropped = connection.exchanges.splice(first);
+        const refused = connection.exchanges.at(first);
+        const dropped = connection.exchanges.splice(first + 1);
         connection.isClosing = true;
-        connection.exchanges.push(...dropped.slice(0, 1));
-        dropped.slice(0, 1).forEach(exchange => exchange.isRefused = true);
+        if (refused !== undefined) {
+            refused.isRefused = true;
+            refused.body.discard();
+        }
         dropped.forEach(exchange => exchange.body.discard());
         discardInput(socket);
     };
--- a/src/wire/server.ts
+++ b/src/wire/server.ts
@@ -3,9 +3,9 @@
 import type { Registry } from "prom-client";
 import { HoldingStage } from "../routing/memoryAccount.js";
 import { authHeader, verifyCall } from "./auth.js";
-import { receiveCall } from "./body.js";
 import type { CallerMemory } from "./callerMemory.js";
 import { closeBehind } from "./lingeringClose.js";
+import { callTimeouts, receiveCall } from "./receiveCall.js";
 import { createRpcServer, maxRpcBytes, type RpcIdentity, type RpcMethods } from "./rpc.js";
 
 /** Handles a call whose signature has been verified. */
@@ -20,12 +20,9 @@
     handlers: Record<string, InternalHandler>;
 }
 
-/** Time limits for receiving a call, in milliseconds. */
-const receiveTimeouts = { headersTimeout: 5000, requestTimeout: 10_000, connectionsCheckingInterval: 1000 };
-
 /** Creates the server; the caller binds it to an address. */
 export function createInternalServer(options: InternalServerOptions): Server {
-    return createServer(receiveTimeouts, (message, response) => {
+    return createServer(callTimeouts, (message, response) => {
         response.sendDate = false;
         handleMessage(options, message, response).catch(() => {
             if (response.headersSent) {
@@ -47,16 +44,6 @@
     };
 }
 
-/** Ends a call because the process is short of memory; one that runs is broken off. */
-function refuseCall(response: ServerResponse): void {
-    if (response.headersSent) {
-        response.destroy();
-        return;
-    }
-    closeBehind(response);
-    response.writeHead(503).end();
-}
-
 async function handleMessage(
     options: InternalServerOptions,
     message: IncomingMessage,
@@ -74,12 +61,7 @@
         response.writeHead(404).end();
         return;
     }
-    const { memory } = options;
-    const call = receiveCall(message, response, {
-        memory,
-        maxBytes: maxRpcBytes,
-        onEvicted: () => refuseCall(response),
-    });
+    const call = receiveCall(message, response, options.memory, maxRpcBytes);
     const body = await call.body;
     if (response.headersSent) {
         return;
