A late response of the log does not bring back a server that is gone

What callers would see (DRAIN): an entry that has just started sends requests to a server whose entry was removed, for good. Seen in tests of the modules, not in a run with real processes.

A read of the log that began before a hand-over and ends after it brings the same records: the hand-over is complete and lacks the server, the mirror keeps no tombstone of it, and the next read begins behind the tombstone.

--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -14,7 +14,6 @@
     applyListRecords,
     applyQuarantineBatch,
     createMirror,
-    dropOutdatedRecords,
     type MirrorDecoders,
     type MirrorRecord,
     type MirrorState,
@@ -391,7 +390,7 @@
             topics[topic].end = Math.max(topics[topic].end ?? 0, end);
         };
         apply(FeedTopic.document, documents, documentEnd);
-        apply(FeedTopic.list, dropOutdatedRecords(state, list), listEnd, isListComplete);
+        apply(FeedTopic.list, list, listEnd, isListComplete);
         if (quarantineEnd !== undefined) {
             apply(FeedTopic.quarantine, quarantine, quarantineEnd);
         }
--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -163,6 +163,20 @@
     return true;
 }
 
+/**
+ * Drops the records of keys that a snapshot up to `snapshotEnd` lacked: they have been deleted, and the tombstones that say so
+ * lie before all further reads. A peer or a late response of the log that brings such a record precedes the snapshot.
+ */
+function dropDeletedRecords(
+    records: MirrorRecord[],
+    snapshotEnd: number,
+    findKnown: (key: string) => MirrorRecord | undefined,
+): MirrorRecord[] {
+    return records.filter(({ key, offset, value }) =>
+        value === undefined || offset >= snapshotEnd || findKnown(key)?.value !== undefined
+    );
+}
+
 /** Applies records of the list; `end` is the offset after the last of them. Returns whether the list changed. */
 export function applyListRecords<Document>(
     state: MirrorState<Document>,
@@ -170,6 +184,23 @@
     end: number,
     decoders: MirrorDecoders<Document>,
     now: number,
+): boolean {
+    return applyNewestRecords(state, dropDeletedListRecords(state, records), end, decoders, now);
+}
+
+function dropDeletedListRecords<Document>(
+    { entries, listSnapshotEnd }: MirrorState<Document>,
+    records: MirrorRecord[],
+): MirrorRecord[] {
+    return dropDeletedRecords(records, listSnapshotEnd, key => entries.get(key)?.record);
+}
+
+function applyNewestRecords<Document>(
+    state: MirrorState<Document>,
+    records: MirrorRecord[],
+    end: number,
+    decoders: MirrorDecoders<Document>,
+    now: number,
 ): boolean {
     let hasChanged = false;
     for (const record of records) {
@@ -209,25 +240,12 @@
         offset: isInEra ? end - 0.5 : offset + 0.5,
         isLost: isNewEra && value !== undefined ? true : isLost,
     }));
+    const known = end < state.listSnapshotEnd ? dropDeletedListRecords(state, records) : records;
     const current = isNewEra ?
-        records.filter(record => !isOutdated(state.entries.get(record.key), record, decoders)) :
-        records;
+        known.filter(record => !isOutdated(state.entries.get(record.key), record, decoders)) :
+        known;
     state.listSnapshotEnd = Math.max(state.listSnapshotEnd, end);
-    return applyListRecords(state, [...tombstones, ...current], end, decoders, now);
-}
-
-/**
- * Drops the records of a peer that a snapshot of this mirror lacked: their upstreams have gone, and the tombstones that say so
- * lie before all further reads. The peer had not read them when it sent the records.
- */
-export function dropOutdatedRecords<Document>(
-    { entries, listSnapshotEnd }: MirrorState<Document>,
-    records: MirrorRecord[],
-): MirrorRecord[] {
-    const isListed = (key: string) => entries.get(key)?.record.value !== undefined;
-    return records.filter(({ key, offset, value }) =>
-        value === undefined || offset >= listSnapshotEnd || isListed(key)
-    );
+    return applyNewestRecords(state, [...tombstones, ...current], end, decoders, now);
 }
 
 /** Whether a record of a new era's first snapshot may be older than what is known: that the upstream is leaving or gone. */
--- a/src/peers/tests/feed.test.ts
+++ b/src/peers/tests/feed.test.ts
@@ -146,6 +146,7 @@
         expect(revisions).toEqual([0, 6, 8]);
     });
 
+    // Guards against review case 9 (DRAIN): requests to a server that is gone, for good, after a late hand-over.
     test("does not bring back an upstream that its snapshot lacked when a peer hands over an older list", async () => {
         const { feed } = startFeed({
             readNewest: async topic => {
@@ -167,6 +168,29 @@
         expect(listUpstreams(feed.state).map(({ id }) => id)).toEqual(["kept"]);
     });
 
+    // Guards against requests to a server that is gone (DRAIN): the first snapshot ends after a hand-over that is newer.
+    test("does not bring back an upstream that a hand-over lacked when its own snapshot arrives late", async () => {
+        const { feed } = startFeed({
+            readNewest: async topic => {
+                if (topic === FeedTopic.document) {
+                    throw new Error("down");
+                }
+                await new Promise(resolve => setTimeout(resolve, 400));
+                const records = ["gone", "kept"].map((key, index) => ({ key, offset: index + 1, value: "live" }));
+                return { records, end: 3, isComplete: true };
+            },
+            read: async (topic, from) => ({ records: [], end: from, isComplete: false }),
+        }, {
+            fetchFromPeer: async () => {
+                const list = [{ key: "kept", offset: 2, value: "live" }];
+                return { documents: [], documentEnd: 0, list, listEnd: 4, isListComplete: true };
+            },
+        });
+        await vi.advanceTimersByTimeAsync(3000);
+        feed.stop();
+        expect(listUpstreams(feed.state).map(({ id }) => id)).toEqual(["kept"]);
+    });
+
     test("reads the newest records when the log has dropped some", async () => {
         const { log, source } = createLog();
         const { feed, revisions } = startFeed(source, { isContinuousReader: () => true });
--- a/src/peers/tests/mirror.test.ts
+++ b/src/peers/tests/mirror.test.ts
@@ -4,7 +4,6 @@
     applyDocumentRecords,
     applyListRecords,
     createMirror,
-    dropOutdatedRecords,
     expiryGraceMs,
     listRecordsSince,
     listUpstreams,
@@ -164,6 +163,24 @@
     expect(listUpstreams(receiver).map(({ id }) => id)).toEqual(["b"]);
 });
 
+// Guards against requests to an upstream that is gone (DRAIN): a read that began before a hand-over ends after it.
+test.each([
+    ["snapshot", replaceList],
+    ["records", applyListRecords],
+])("%s of the log that arrive late do not bring back what a newer snapshot lacked", (name, apply) => {
+    const mirror = createMirror<Document>();
+    replaceList(mirror, [record("b", 2, "h2 live")], 6, decoders, 0);
+    apply(mirror, [record("a", 1, "h1 live"), record("b", 2, "h2 live")], 4, decoders, 0);
+    expect(listUpstreams(mirror).map(({ id }) => id)).toEqual(["b"]);
+});
+
+test("a snapshot of the log that is newer than the last one is taken as it is", () => {
+    const mirror = createMirror<Document>();
+    replaceList(mirror, [record("b", 2, "h2 live")], 4, decoders, 0);
+    replaceList(mirror, [record("a", 1, "h1 live"), record("b", 2, "h2 live")], 6, decoders, 0);
+    expect(listUpstreams(mirror).map(({ id }) => id)).toEqual(["b", "a"]);
+});
+
 describe("records of a peer that has not read the end of an upstream", () => {
     const live = [record("a", 1, "h1 live"), record("b", 2, "h2 live")];
 
@@ -175,7 +192,7 @@
         const mirror = createMirror<Document>();
         applyListRecords(mirror, known, 3, decoders, 0);
         replaceList(mirror, [record("b", 2, "h2 live")], 4, decoders, expiryGraceMs);
-        applyListRecords(mirror, dropOutdatedRecords(mirror, live), 3, decoders, expiryGraceMs);
+        applyListRecords(mirror, live, 3, decoders, expiryGraceMs);
         expect(listUpstreams(mirror).map(({ id }) => id)).toEqual(["b"]);
     });
 
@@ -183,7 +200,7 @@
         const mirror = createMirror<Document>();
         replaceList(mirror, live, 4, decoders, 0);
         const handedOver = [...live, record("c", 5, "h3 live")];
-        replaceList(mirror, dropOutdatedRecords(mirror, handedOver), 6, decoders, 0);
+        replaceList(mirror, handedOver, 6, decoders, 0);
         expect(listUpstreams(mirror).map(({ id }) => id)).toEqual(["a", "b", "c"]);
     });
 });
@@ -220,8 +237,9 @@
     const mirror = createMirror<Document>();
     applyListRecords(mirror, [record("a", 1, "h1 live")], 2, decoders, 0);
     [3, 4, 5].forEach(end => replaceList(mirror, [], end, decoders, 0));
-    applyListRecords(mirror, [record("a", 2, "h1 leaving")], 5, decoders, 0);
-    expect(listUpstreams(mirror).map(({ id }) => id)).toEqual(["a"]);
+    const [{ offset }] = listRecordsSince(mirror, 0, 0, 0).list;
+    applyListRecords(mirror, [record("a", 5, "h1 leaving")], 6, decoders, 0);
+    expect([offset, listUpstreams(mirror).map(({ id }) => id)]).toEqual([1.5, ["a"]]);
 });
 
 describe("the document", () => {
