A whole list of a peer deletes what its older tombstones delete

What callers would see (DRAIN): requests at a server that is gone, for good, or at one that is leaving. Found by reading and shown by a test of the module, not in a run with real processes.

Its tombstone stands half an offset above the last record that it knew. It hands that over in its whole list; a receiver that has read the newer record takes the key for present in the list, as it has a record, and the tombstone for outdated. The end of the list lies behind the true tombstone.

A key of which a whole list has only a tombstone older than the known record is absent from it, and deleted; the grace period of the peer holds.

--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -177,6 +177,23 @@
     );
 }
 
+/**
+ * Finds the known records whose keys a snapshot up to `end` lacks. A peer that began with a snapshot itself may send a tombstone
+ * which is older than the record, as it has read neither the record nor the one that deleted it.
+ */
+function findAbsent(
+    known: MirrorRecord[],
+    snapshot: MirrorRecord[],
+    end: number,
+): { record: MirrorRecord; tombstone: MirrorRecord | undefined; }[] {
+    const received = new Map(snapshot.map(record => [record.key, record]));
+    return known.flatMap(record => {
+        const other = received.get(record.key);
+        const isAbsent = other === undefined || (other.value === undefined && other.offset < record.offset);
+        return isAbsent && record.offset < end ? [{ record, tombstone: other }] : [];
+    });
+}
+
 /** Applies records of the list; `end` is the offset after the last of them. Returns whether the list changed. */
 export function applyListRecords<Document>(
     state: MirrorState<Document>,
@@ -228,22 +245,21 @@
     if (isNewEra && state.listEnd > 0) {
         recordLogFailure(state, now);
     }
-    const present = new Set(records.map(({ key }) => key));
     // Half an offset above the record: newer than the record itself, older than any later record of its key. In a new era
     // the tombstone is of that era too, so that peers which are cut off from the log are handed it.
     const isInEra = isNewEra && getOffset(end) > 0;
-    const absent = [...state.entries.values()].map(({ record }) => record).filter(({ key, offset, value }) =>
-        !present.has(key) && offset < end && (value !== undefined || isInEra)
-    );
-    const tombstones = absent.map(({ key, offset, value, isLost }): MirrorRecord => ({
+    const known = [...state.entries.values()].map(({ record }) => record);
+    const absent = findAbsent(known, records, end).filter(({ record: { value } }) => value !== undefined || isInEra);
+    const tombstones = absent.map(({ record: { key, offset, value, isLost }, tombstone }): MirrorRecord => ({
         key,
         offset: isInEra ? end - 0.5 : offset + 0.5,
+        graceMs: tombstone?.graceMs,
         isLost: isNewEra && value !== undefined ? true : isLost,
     }));
-    const known = end < state.listSnapshotEnd ? dropDeletedListRecords(state, records) : records;
+    const undeleted = end < state.listSnapshotEnd ? dropDeletedListRecords(state, records) : records;
     const current = isNewEra ?
-        known.filter(record => !isOutdated(state.entries.get(record.key), record, decoders)) :
-        known;
+        undeleted.filter(record => !isOutdated(state.entries.get(record.key), record, decoders)) :
+        undeleted;
     state.listSnapshotEnd = Math.max(state.listSnapshotEnd, end);
     return applyNewestRecords(state, [...tombstones, ...current], end, decoders, now);
 }
--- a/src/peers/tests/mirror.test.ts
+++ b/src/peers/tests/mirror.test.ts
@@ -163,6 +163,20 @@
     expect(listUpstreams(receiver).map(({ id }) => id)).toEqual(["b"]);
 });
 
+// Guards against requests to an upstream that is gone (DRAIN): the peer's tombstone is older than the record it deletes.
+test("a peer that began with a snapshot hands over that an upstream which it knew before has gone", () => {
+    const cutOff = createMirror<Document>();
+    const receiver = createMirror<Document>();
+    const live = [record("a", 1, "h1 live"), record("b", 2, "h2 live")];
+    [cutOff, receiver].forEach(mirror => applyListRecords(mirror, live, 3, decoders, 0));
+    // The log continues with "a" written again at 3 and its tombstone at 4; the peer reads a snapshot behind them.
+    replaceList(cutOff, [record("b", 2, "h2 live")], 5, decoders, 0);
+    applyListRecords(receiver, [record("a", 3, "h1 live")], 4, decoders, 0);
+    const { list, isListComplete } = listRecordsSince(cutOff, 0, 4, 0);
+    replaceList(receiver, list, cutOff.listEnd, decoders, 0);
+    expect([isListComplete, listUpstreams(receiver).map(({ id }) => id)]).toEqual([true, ["b"]]);
+});
+
 // Guards against requests to an upstream that is gone (DRAIN): a read that began before a hand-over ends after it.
 test.each([
     ["snapshot", replaceList],
