--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -62,6 +62,8 @@
     logFailedAt: number;
     /** Offset after the newest processed record of the quarantine's topic; undefined before the first one. */
     quarantineEnd: number | undefined;
+    /** End of the last snapshot of the quarantine, or of the records that were dropped; see `listSnapshotEnd`. */
+    quarantineSnapshotEnd: number;
     /** Newest records of the quarantine, by key. */
     quarantineRecords: Map<string, MirrorRecord>;
 }
@@ -93,6 +95,7 @@
         entries: new Map(),
         logFailedAt: -Infinity,
         quarantineEnd: undefined,
+        quarantineSnapshotEnd: 0,
         quarantineRecords: new Map(),
     };
 }
@@ -111,16 +114,22 @@
     end: number,
     isComplete: boolean,
 ): { changes: MirrorRecord[]; lost: MirrorRecord[]; } {
-    const { quarantineRecords } = state;
+    const { quarantineRecords, quarantineSnapshotEnd } = state;
     const isNewEra = getEra(end) > getEra(state.quarantineEnd ?? 0);
-    const present = new Set(records.map(({ key }) => key));
-    const absent = [...quarantineRecords.values()].filter(({ key, offset, value }) =>
-        isComplete && !present.has(key) && offset < end && value !== undefined
-    );
-    const lost = isNewEra ? absent : [];
-    const deleted = isNewEra ? [] : absent;
+    const absent = isComplete ?
+        findAbsent([...quarantineRecords.values()], records, end).map(({ record }) => record) :
+        [];
+    const live = absent.filter(({ value }) => value !== undefined);
+    const lost = isNewEra ? live : [];
+    const deleted = isNewEra ? [] : live;
     const tombstones = deleted.map(({ key, offset }): MirrorRecord => ({ key, offset: offset + 0.5 }));
-    const changes = [...tombstones, ...records].filter(record => {
+    const undeleted = isComplete && end >= quarantineSnapshotEnd ?
+        records :
+        dropDeletedRecords(records, quarantineSnapshotEnd, key => quarantineRecords.get(key));
+    if (isComplete) {
+        state.quarantineSnapshotEnd = Math.max(quarantineSnapshotEnd, end);
+    }
+    const changes = [...tombstones, ...undeleted].filter(record => {
         const known = quarantineRecords.get(record.key);
         if (known !== undefined && known.offset >= record.offset) {
             return false;
@@ -132,6 +141,7 @@
     if (excess > 0) {
         const oldest = [...quarantineRecords.values()].sort((a, b) => a.offset - b.offset).slice(0, excess);
         oldest.forEach(({ key }) => quarantineRecords.delete(key));
+        state.quarantineSnapshotEnd = Math.max(state.quarantineSnapshotEnd, oldest.at(-1)!.offset + 1);
     }
     state.quarantineEnd = Math.max(state.quarantineEnd ?? 0, end);
     return { changes, lost };
--- a/src/peers/tests/mirror.test.ts
+++ b/src/peers/tests/mirror.test.ts
@@ -3,6 +3,7 @@
 import {
     applyDocumentRecords,
     applyListRecords,
+    applyQuarantineBatch,
     createMirror,
     expiryGraceMs,
     listRecordsSince,
@@ -219,6 +220,46 @@
     });
 });
 
+describe("the quarantine", () => {
+    const createMirrorAt = (end: number, records: MirrorRecord[]) => {
+        const mirror = createMirror<Document>();
+        applyQuarantineBatch(mirror, records, end, true);
+        return mirror;
+    };
+    const getKeys = ({ quarantineRecords }: ReturnType<typeof createMirror>) =>
+        [...quarantineRecords.values()].filter(({ value }) => value !== undefined).map(({ key }) => key).sort();
+    const reports = [record("a", 1, "report"), record("b", 2, "report")];
+
+    // Guards against sound requests that are rejected for good: a peer has not read that the operators lifted a quarantine.
+    test.each<[string, MirrorRecord[], boolean]>([
+        ["records of a peer", reports, false],
+        ["a late snapshot", reports, true],
+        ["a record that was written again meanwhile", [record("a", 3, "report")], false],
+    ])("does not take back what a snapshot lacked, %s", (name, records, isComplete) => {
+        const mirror = createMirrorAt(3, reports);
+        // The log continues with "a" written again at 3 and its tombstone at 4.
+        applyQuarantineBatch(mirror, [record("b", 2, "report")], 5, true);
+        const late = applyQuarantineBatch(mirror, records, 4, isComplete);
+        const empty = createMirrorAt(5, [record("b", 2, "report")]);
+        applyQuarantineBatch(empty, records, 4, isComplete);
+        expect([getKeys(mirror), late.changes, getKeys(empty)]).toEqual([["b"], [], ["b"]]);
+    });
+
+    test("does not take back what it has dropped beyond its maximum", () => {
+        const mirror = createMirror<Document>();
+        applyQuarantineBatch(mirror, [record("a", 0, "report"), record("a", 1)], 2, false);
+        const others = Array.from({ length: 1024 }, (ignored, index) => record(`b${index}`, 2 + index, "report"));
+        applyQuarantineBatch(mirror, others, 1026, false);
+        expect(applyQuarantineBatch(mirror, [record("a", 0, "report")], 1, false).changes).toEqual([]);
+    });
+
+    test("takes what a newer snapshot holds", () => {
+        const mirror = createMirrorAt(3, [record("b", 2, "report")]);
+        applyQuarantineBatch(mirror, reports, 5, true);
+        expect(getKeys(mirror)).toEqual(["a", "b"]);
+    });
+});
+
 test("an upstream that left takes the position at which the log of a new era says so too", () => {
     const mirror = createMirror<Document>();
     const position = createLogPosition(1, 1);
