A hand-over tells that a quarantine was lifted before its sender began

What callers would see: sound requests rejected for good at an entry, after the operators have lifted a quarantine.

Its hand-over held the records from the receiver's position on, and its end, which lies behind the tombstone: the receiver kept the record and never read that it was deleted.

Hand-overs of the quarantine are whole in the same case, and say so (isQuarantineComplete, which earlier versions ignore).

--- a/src/peers/feed.ts
+++ b/src/peers/feed.ts
@@ -121,6 +121,8 @@
     /** Missing from peers that do not follow the quarantine or have not read it. */
     quarantine?: MirrorRecord[];
     quarantineEnd?: number;
+    /** Whether `quarantine` is a snapshot; missing from peers of earlier versions. */
+    isQuarantineComplete?: boolean;
     /** Time since the log was last known to serve the list to a process, in milliseconds; missing if it never was. */
     listServedAgeMs?: number;
 }
@@ -383,7 +385,8 @@
         isFetchingFromPeer = false;
     };
     const applyPeerRecords = (records: PeerRecords) => {
-        const { documents, documentEnd, list, listEnd, isListComplete, quarantine = [], quarantineEnd } = records;
+        const { documents, documentEnd, list, listEnd, isListComplete } = records;
+        const { quarantine = [], quarantineEnd, isQuarantineComplete } = records;
         const apply = (topic: FeedTopic, topicRecords: MirrorRecord[], end: number, isComplete = false) => {
             const batch = { records: topicRecords, end, isComplete };
             batchAppliers[topic](batch, { reason: "hand-over" });
@@ -392,7 +395,7 @@
         apply(FeedTopic.document, documents, documentEnd);
         apply(FeedTopic.list, list, listEnd, isListComplete);
         if (quarantineEnd !== undefined) {
-            apply(FeedTopic.quarantine, quarantine, quarantineEnd);
+            apply(FeedTopic.quarantine, quarantine, quarantineEnd, isQuarantineComplete);
         }
     };
     const findReadReason = (topic: FeedTopic, { end }: TopicState, isCatchUpDue: boolean): ReadReason => {
--- a/src/peers/handOver.ts
+++ b/src/peers/handOver.ts
@@ -5,7 +5,7 @@
 import { z } from "zod/mini";
 import type { Feed, PeerRecords } from "./feed.js";
 import { decodeLogPosition, encodeLogPosition, type WirePosition, WirePositionSchema } from "./logPosition.js";
-import { listRecordsSince, type MirrorRecord } from "./mirror.js";
+import { listQuarantineSince, listRecordsSince, type MirrorRecord } from "./mirror.js";
 
 const HandOverParamsSchema = z.object({
     documentEnd: z.optional(WirePositionSchema),
@@ -31,6 +31,7 @@
     listEnd: WirePositionSchema,
     isListComplete: z.optional(z.boolean()),
     quarantine: z.optional(z.array(WireRecordSchema)),
+    isQuarantineComplete: z.optional(z.boolean()),
     quarantineEnd: z.optional(WirePositionSchema),
     listServedAgeMs: z.optional(z.number()),
 });
@@ -78,11 +79,11 @@
     if (quarantineEnd === undefined || state.quarantineEnd === undefined) {
         return result;
     }
-    const from = decodeEnd(quarantineEnd);
-    const quarantine = [...state.quarantineRecords.values()].filter(({ offset }) => offset >= from);
+    const { quarantine, isQuarantineComplete } = listQuarantineSince(state, decodeEnd(quarantineEnd));
     return {
         ...result,
         quarantine: quarantine.map(encodeRecord),
+        isQuarantineComplete,
         quarantineEnd: encodeLogPosition(state.quarantineEnd),
     };
 }
@@ -94,17 +95,17 @@
 
 /** Decodes the response of a peer; throws if it is invalid. */
 export function decodeHandOver(result: unknown): PeerRecords {
-    const { documents, documentEnd, list, listEnd, isListComplete, quarantine, quarantineEnd, listServedAgeMs } =
-        HandOverResultSchema.parse(result);
+    const { documents, documentEnd, list, listEnd, quarantine, quarantineEnd, ...others } = HandOverResultSchema.parse(
+        result,
+    );
     return {
+        ...others,
         documents: documents.map(decodeRecord),
         documentEnd: decodeLogPosition(documentEnd),
         list: list.map(decodeRecord),
         listEnd: decodeLogPosition(listEnd),
-        isListComplete,
         quarantine: quarantine?.map(decodeRecord),
         quarantineEnd: quarantineEnd === undefined ? undefined : decodeLogPosition(quarantineEnd),
-        listServedAgeMs,
     };
 }
 
--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -342,6 +342,21 @@
     return (a.upstream.startedAt ?? 0) - (b.upstream.startedAt ?? 0) || a.offset - b.offset;
 }
 
+/**
+ * Lists the records of the quarantine at or after an offset, for a peer that has read up to there; all, as a snapshot, if this
+ * mirror may lack tombstones from there on.
+ */
+export function listQuarantineSince<Document>(
+    { quarantineRecords, quarantineSnapshotEnd }: MirrorState<Document>,
+    quarantineEnd: number,
+): { quarantine: MirrorRecord[]; isQuarantineComplete: boolean; } {
+    const isQuarantineComplete = quarantineEnd < quarantineSnapshotEnd;
+    const quarantine = [...quarantineRecords.values()].filter(({ offset }) =>
+        isQuarantineComplete || offset >= quarantineEnd
+    );
+    return { quarantine, isQuarantineComplete };
+}
+
 /**
  * Lists the records at or after the given offsets, for a peer that has read up to there at `now`; of the list all, as a
  * snapshot, if this mirror may lack tombstones from there on.
