A crash report that the log has deleted is not taken over from a peer

What callers would see: sound requests rejected again after the operators have lifted a quarantine, now by a new record.

Cause: an entry whose append fails passes its crash reports on, and other entries append them. While it stays cut off from the log it still holds them as pending, and hands them over on each call. An entry that had read the tombstone took the report for a new one, as its state holds no deleted keys, and appended it.

A pending report of a crash whose key the mirror knows to be deleted is not taken; an incarnation crashes once, so that such a report is no news. Other records still are, as a part may be answered again. isQuarantineLost is the function that startDirectEntry.ts had in line.

--- a/src/direct/requestQuarantine.ts
+++ b/src/direct/requestQuarantine.ts
@@ -16,6 +16,7 @@
     formatRequestPart,
     getRecordKey,
     isAnswerTelling,
+    isCrashKey,
     isRequestAnswerTelling,
     isWronglyReported,
     type KeyedRecord,
@@ -83,6 +84,8 @@
     logger: Logger;
     append: (records: PendingRecord[]) => Promise<number>;
     relay: (records: PendingRecord[]) => void;
+    /** Whether the log is known to have deleted a key; missing if peers hand over no records. */
+    isDeleted?: (key: string) => boolean;
     onCrash: () => void;
     /** Called when the quarantine has changed. */
     onChange: (quarantined: QuarantineVerdict[]) => void;
@@ -103,7 +106,7 @@
 
 /** Creates the quarantine of an entry, without records. */
 export function createRequestQuarantine(options: RequestQuarantineOptions): RequestQuarantine {
-    const { instance, now, random, logger, reportFault } = options;
+    const { instance, now, random, logger, reportFault, isDeleted = () => false } = options;
     const state = createQuarantine();
     const history = createPartHistory();
     const answeredDigests = createPartHistory();
@@ -234,8 +237,10 @@
             publishKnownAnswers();
         },
         acceptRecords: records => {
+            // An incarnation crashes once: a report that has been deleted is not news, unlike another answer.
             const unknown = records.filter(({ key }) =>
-                !state.records.has(key) && !sharing.listPending().some(pending => pending.key === key)
+                !state.records.has(key) && !sharing.listPending().some(pending => pending.key === key) &&
+                !(isCrashKey(key) && isDeleted(key))
             );
             if (unknown.length > 0) {
                 sharing.publish(unknown);
--- a/src/direct/startDirectEntry.ts
+++ b/src/direct/startDirectEntry.ts
@@ -11,8 +11,7 @@
 import { createFeed, type FeedSource, FeedTopic } from "../peers/feed.js";
 import { createHandOverParams } from "../peers/handOver.js";
 import { encodeDatagram, type LeaderHeartbeat, unpackRankLoads } from "../peers/heartbeat.js";
-import { getEra } from "../peers/logPosition.js";
-import { listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
+import { isQuarantineDeleted, isQuarantineLost, listUpstreams, type MirrorDecoders } from "../peers/mirror.js";
 import { entryFeedTiming } from "../peers/pacing.js";
 import { estimateServiceMs } from "../routing/engineLatency.js";
 import {
@@ -182,11 +181,7 @@
         },
         onList: () => updateUpstreams(),
         onQuarantine: records => quarantine.applyRecords(records),
-        onQuarantineLost: records =>
-            quarantine.restoreRecords(records, key => {
-                const { quarantineEnd = 0, quarantineRecords } = feed.state;
-                return getEra(quarantineRecords.get(key)?.offset ?? 0) < getEra(quarantineEnd);
-            }),
+        onQuarantineLost: records => quarantine.restoreRecords(records, key => isQuarantineLost(feed.state, key)),
         onEra: era => {
             metrics.logEra.set(era);
             metrics.logEraChanges.inc();
@@ -211,6 +206,7 @@
         logger,
         append: records => options.source.appendQuarantine(records),
         relay: records => relayQuarantine([...listOtherSeeds(), ...listPresentEntries()], records),
+        isDeleted: key => isQuarantineDeleted(feed.state, key),
         onCrash: () => metrics.upstreamCrashes.inc(),
         reportFault,
         onChange: quarantined => {
--- a/src/direct/tests/requestQuarantine.test.ts
+++ b/src/direct/tests/requestQuarantine.test.ts
@@ -6,7 +6,7 @@
 
 const logger = { debug: () => undefined, info: () => undefined, warn: () => undefined, error: () => undefined };
 
-function createQuarantine() {
+function createQuarantine(isDeleted: (key: string) => boolean = () => false) {
     return createRequestQuarantine({
         instance: "e",
         now: () => Date.now(),
@@ -14,6 +14,7 @@
         logger,
         append: async records => await Promise.resolve(records.length),
         relay: () => undefined,
+        isDeleted,
         onCrash: () => undefined,
         onChange: () => undefined,
         reportFault: error => {
@@ -49,3 +50,24 @@
     const after = quarantine.computeDeferralMs(createRequest("copy"), false);
     expect([before, after]).toEqual([6000, 0]);
 });
+
+// Guards against sound requests that are rejected for good: a peer that is cut off from the log still holds a report that another
+// entry has appended for it and the operators have deleted.
+test("crash reports that the log has deleted are not taken over from a peer", () => {
+    const report = JSON.stringify({
+        kind: "crash",
+        upstream: "u@1",
+        requests: [],
+        answeredParts: [],
+        isExperienced: true,
+    });
+    const answer = JSON.stringify({ kind: "answered", part: "p", request: "r" });
+    const records = [
+        { key: "crash/u@1/e2", value: report },
+        { key: "crash/u@2/e2", value: report },
+        { key: "answered/p", value: answer },
+    ];
+    const quarantine = createQuarantine(key => key !== "crash/u@2/e2");
+    quarantine.acceptRecords(records);
+    expect(quarantine.listPending().map(({ key }) => key)).toEqual(["crash/u@2/e2", "answered/p"]);
+});
--- a/src/peers/mirror.ts
+++ b/src/peers/mirror.ts
@@ -147,6 +147,20 @@
     return { changes, lost };
 }
 
+/** Whether the log has deleted a key of the quarantine, as far as this mirror knows. */
+export function isQuarantineDeleted<Document>({ quarantineRecords }: MirrorState<Document>, key: string): boolean {
+    const known = quarantineRecords.get(key);
+    return known !== undefined && known.value === undefined;
+}
+
+/** Whether the newest record of a key of the quarantine, if there is one, is from before the era of the log. */
+export function isQuarantineLost<Document>(
+    { quarantineRecords, quarantineEnd = 0 }: MirrorState<Document>,
+    key: string,
+): boolean {
+    return getEra(quarantineRecords.get(key)?.offset ?? 0) < getEra(quarantineEnd);
+}
+
 /**
  * Applies records of the document's topic; `end` is the offset after the last of them. Ignores a document that is not
  * valid or has a lower revision. Returns whether the document changed.
--- a/src/routing/quarantine.ts
+++ b/src/routing/quarantine.ts
@@ -153,6 +153,11 @@
     return keys[record.kind]();
 }
 
+/** Whether records with the key report crashes. */
+export function isCrashKey(key: string): boolean {
+    return key.startsWith("crash/");
+}
+
 /** Decodes the value of a record; undefined if it is not valid. */
 export function decodeQuarantineRecord(value: string): QuarantineRecord | undefined {
     try {
