A slot that the list has dropped is not brought back by gossip

What callers would see (path with slots): an entry that has started since sends requests to a slot that is gone, as long as the slot's process runs on and talks to anybody.

Cause: an entry adds live slots that its own list has never shown, as the list lags. One that started after the list had dropped the slot has never seen it there, and took what peers or the slot itself told for news.

A member that the list of a process has shown and dropped is marked, and gossip spreads the mark for that incarnation. A process whose own list shows the slot ignores the mark; a restart ends it.

Tests of the module; not played with real processes. Without a peer that saw the slot on the list nothing can tell.

--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -129,7 +129,14 @@
         }
     }
     for (const member of state.members.values()) {
+        const wasListed = member.isListed;
         member.isListed = names.has(member.instance);
+        if (member.isListed) {
+            member.isDropped = undefined;
+        }
+        else if (wasListed) {
+            markDropped(state, member);
+        }
         if (!member.isListed && now - member.lastMessageAt > memberRetentionMs) {
             removeMember(state, member);
         }
@@ -153,6 +160,14 @@
     }
 }
 
+/** Marks a member that the list has dropped, and tells peers that may never have seen it on the list. */
+function markDropped(state: GossipState, member: Member): void {
+    member.isDropped = true;
+    if (member.pool !== undefined && member.state === InstanceState.live) {
+        queueMemberUpdate(state, member);
+    }
+}
+
 function addMember(state: GossipState, info: MemberInfo, now: number): Member | undefined {
     if (state.members.size >= maxMembers) {
         state.dropped += 1;
@@ -209,18 +224,23 @@
     return { sender: self, revision, digest, load, news };
 }
 
-function toMemberInfo({ instance, incarnation, state, role, dataCentre, url, pool }: Member): MemberInfo {
-    return { instance, incarnation, state, role, dataCentre, url, pool };
+function toMemberInfo(member: Member): MemberInfo {
+    const { instance, incarnation, state, role, dataCentre, url, pool, isDropped } = member;
+    return { instance, incarnation, state, role, dataCentre, url, pool, isDropped };
 }
 
-/** Merges the platform's list with gossip: adds leaving states, and live slots that have never been on the list. */
+/**
+ * Merges the platform's list with gossip: adds leaving states, and live slots that have never been on a list of this process
+ * and that no peer's list has dropped.
+ */
 export function combineInstances(state: GossipState, listed: InstanceRecord[]): InstanceRecord[] {
     const isLeaving = (name: string) => state.members.get(name)?.state === InstanceState.leaving;
     const merged = listed.map(record =>
         isLeaving(record.instance) ? { ...record, state: InstanceState.leaving } : record
     );
     const unlisted = [...state.members.values()].filter(member =>
-        member.pool !== undefined && member.state === InstanceState.live && member.listedState === undefined
+        member.pool !== undefined && member.state === InstanceState.live && member.listedState === undefined &&
+        member.isDropped === undefined
     );
     return [
         ...merged,
@@ -266,12 +286,17 @@
     if (isNewer || isNowLeaving) {
         const wasListOnly = known !== undefined && known.incarnation === 0;
         const wasMarkedLeaving = wasListOnly && known.state === InstanceState.leaving;
-        Object.assign(member, info, wasMarkedLeaving ? { state: InstanceState.leaving } : {});
+        const isDropped = member.isListed ? undefined : info.isDropped;
+        Object.assign(member, info, { isDropped }, wasMarkedLeaving ? { state: InstanceState.leaving } : {});
         member.backoffUntil = now;
         if (!wasListOnly || member.state === InstanceState.leaving) {
             queueMemberUpdate(state, member);
         }
     }
+    const isDroppedByPeer = info.incarnation === member.incarnation && info.isDropped === true;
+    if (isDroppedByPeer && !member.isListed && member.isDropped === undefined) {
+        markDropped(state, member);
+    }
     return member;
 }
 
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -14,6 +14,8 @@
     url: InstanceUrlSchema,
     /** Upstream pool of a slot. */
     pool: z.string().max(64).optional(),
+    /** Set if an instance list has shown this incarnation and dropped it. */
+    isDropped: z.literal(true).optional(),
 });
 /** Information about one member of the gossip cluster. */
 export type MemberInfo = z.infer<typeof MemberInfoSchema>;
