Paths of waiting requests are in the memory account

What callers saw: 100 callers that pipeline GETs for a path without a route, 12 kB each, up to 400, and read no answer end an entry of the deploy file (272 MB, heap of 128 MB) within seconds.

Cause: the account of a request that waits counts its fields, which are packed into a buffer. The heap reached its limit before the account did.

The target is packed, counted and restored with the fields.

Evidence: requestFields.test.ts failed before.

--- a/src/wire/requestFields.ts
+++ b/src/wire/requestFields.ts
@@ -1,4 +1,4 @@
-/** Header fields of a request that is received. As strings, short fields take several times their length. */
+/** Target and header fields of a request that is received. As strings, short fields take several times their length. */
 import type { IncomingMessage } from "node:http";
 import type { MemoryReservation } from "./callerMemory.js";
 import { packFields, unpackFields } from "./packedFields.js";
@@ -6,7 +6,7 @@
 /** Memory of a parsed field, with the message's index of fields, in bytes. */
 const parsedFieldBytes = 180;
 
-/** Header fields of one message, and the memory that they take. */
+/** Target and header fields of one message, and the memory that they take. */
 export class RequestFields {
     private packed: Buffer | undefined;
     private reservation: MemoryReservation | undefined;
@@ -23,10 +23,11 @@
         reservation.add(this.bytes);
     }
 
-    /** Packs the fields until `restore`; meanwhile the message has none. */
+    /** Packs target and fields until `restore`; meanwhile the message has none. */
     pack(): void {
         if (this.packed === undefined) {
-            this.packed = packFields(this.message.rawHeaders);
+            this.packed = packFields([this.message.url ?? "", ...this.message.rawHeaders]);
+            this.message.url = "";
             this.clear();
             this.setBytes(this.packed.length);
         }
@@ -35,7 +36,9 @@
     /** Gives the message its fields back; does nothing if they are not packed. */
     restore(): void {
         if (this.packed !== undefined) {
-            this.message.rawHeaders = unpackFields(this.packed);
+            const [target, ...rawHeaders] = unpackFields(this.packed);
+            this.message.url = target;
+            this.message.rawHeaders = rawHeaders;
             // The parsed headers are computed anew when they are read.
             Reflect.set(this.message, "headers", undefined);
             this.packed = undefined;
@@ -56,7 +59,8 @@
     }
 
     private countParsedBytes(): number {
-        return this.message.rawHeaders.length / 2 * parsedFieldBytes;
+        const { url = "", rawHeaders } = this.message;
+        return url.length + rawHeaders.length / 2 * parsedFieldBytes;
     }
 
     private setBytes(bytes: number): void {
