A connection goes on behind a rejected request whose chunks have arrived

Cause: Node.js runs the tick queue after each part of a body, so that the next tick comes before the end of the message; a body of unknown length then counts as unfinished. dropUnreadBody now waits for the end of the message, and for one turn of the event loop only if that has not arrived.

--- a/src/wire/body.ts
+++ b/src/wire/body.ts
@@ -119,6 +119,20 @@
         return (this.expectedBytes ?? Infinity) - this.parts.length;
     }
 
+    /** Waits until the body has ended, or else until everything that has arrived has been read. */
+    waitForArrived(): Promise<void> {
+        if (this.hasEnded) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const turn = setImmediate(resolve);
+            this.message.once("end", () => {
+                clearImmediate(turn);
+                resolve();
+            });
+        });
+    }
+
     /** Resolves to the body; to undefined if it is longer than `maxBytes`, incomplete or discarded. */
     read(maxBytes: number): Promise<Body | undefined> {
         return new Promise(resolve => {
--- a/src/wire/lingeringClose.ts
+++ b/src/wire/lingeringClose.ts
@@ -43,8 +43,8 @@
  */
 export async function dropUnreadBody(response: ServerResponse, body: BodyReader): Promise<void> {
     body.discard();
-    // The rest may have arrived with the head. Nothing more is read meanwhile: requests behind this one would pile up.
-    await new Promise<void>(resolve => process.nextTick(resolve));
+    // The rest may have arrived with the head. In a turn of the event loop more is read: requests behind this one would pile up.
+    await body.waitForArrived();
     if (body.countMissingBytes() > drainLimits.bytes) {
         closeBehind(response);
     }
--- a/src/wire/tests/sequentialRequests.test.ts
+++ b/src/wire/tests/sequentialRequests.test.ts
@@ -15,9 +15,10 @@
 
 // Guards against an entry that reads requests faster than it rejects them: the callers that it then has to give up.
 test.each([
-    ["without a body", "GET", ""],
-    ["with a short body", "POST", "12345"],
-])("pipelined requests that are rejected do not pile up, %s", async (name, method, body) => {
+    ["without a body", "GET", "Content-Length: 0", ""],
+    ["with a short body", "POST", "Content-Length: 5", "12345"],
+    ["with a chunk", "POST", "Transfer-Encoding: chunked", "5\r\n12345\r\n0\r\n\r\n"],
+])("pipelined requests that are rejected do not pile up, %s", async (name, method, framing, body) => {
     const memory = createCallerMemory(2 ** 30, () => performance.now());
     let peakBytes = 0;
     const server = createServer();
@@ -35,7 +36,7 @@
         `${method} / HTTP/1.1`,
         "Host: h",
         `X-Long: ${"x".repeat(12_000)}`,
-        `Content-Length: ${body.length}`,
+        framing,
     ];
     socket.write(`${lines.join("\r\n")}\r\n\r\n${body}`.repeat(requestCount));
     let text = "";
