--- a/review/tries-3/lost-side-machines.js
+++ b/review/tries-3/lost-side-machines.js
@@ -100,8 +100,10 @@
         putConfig(1);
         const [internalPort] = await findPorts(getHost(2), 1);
         const entries = await Promise.all(
-            Array.from({ length: entryCount }, (ignored, index) =>
-                fleet.startEntry(`front-${index}`, getHost(2 + index), internalPort)),
+            Array.from(
+                { length: entryCount },
+                (ignored, index) => fleet.startEntry(`front-${index}`, getHost(2 + index), internalPort),
+            ),
         );
         const slots = await Promise.all(
             group.ranks.map(({ host, port, rank }) =>
