A stale report of an earlier switch does not release the hold of another rollout

What callers saw: nothing yet. Cause: with a hold of another process, the version that it arms was read from whichever rank reports one. A rank whose report is from before its last switch still shows the active version as armed, and all others have that version active, so that all ranks counted as ready and the step was released in the middle of a later rollout. The test fails on the code before: it sends go. Fix: the version is that of the rank that holds the step, whose report is read together with the hold.

--- a/src/group/rollout.ts
+++ b/src/group/rollout.ts
@@ -400,7 +400,7 @@
     const step = holder.heldStep!;
     const { epoch } = holder;
     const isOwn = state.plan !== undefined && state.ownHoldStep === step;
-    const version = isOwn ? state.plan!.version : reports.find(({ armed }) => armed !== undefined)?.armed?.version;
+    const version = isOwn ? state.plan!.version : holder.armed?.version;
     const isReady = (report: TimestampedReport) => report.armed?.version === version || report.mapVersion === version;
     if (version !== undefined && reports.every(isReady)) {
         return [{ rank: holder.rank, epoch, order: { kind: "go", step } }];
--- a/src/group/tests/round.test.ts
+++ b/src/group/tests/round.test.ts
@@ -1,6 +1,5 @@
 import { describe, expect, test } from "vitest";
 import { createRandom, type Random } from "../../core/random.js";
-import type { ArmedMap, RankOrder, RankReport } from "../rankTypes.js";
 import { OrderOutcome, rankOrderTimeoutMs } from "../rankTypes.js";
 import {
     type AddressedOrder,
@@ -8,120 +7,19 @@
     createVersion,
     decideOrders,
     isRolloutIdle,
+    lockRank,
     recordOrderResult,
     type RolloutState,
     type TimestampedReport,
 } from "../rollout.js";
+import { beginStep, createGroup, executeOrder, ranks, readReport } from "./simulatedGroup.js";
 
-const ranks = 5;
 const stepMs = 60;
 const reportMs = 200;
 const runMs = 30_000;
 /** Number of simulated schedules per case. */
 const seeds = 60;
 
-interface Engine {
-    mapVersion: number;
-    highest: number;
-    prepared?: number;
-    armed?: ArmedMap;
-    held?: number;
-}
-
-/** Simulated engines of one group. */
-interface Group {
-    step: number;
-    engines: Engine[];
-    /** Steps that began while ranks had different maps. */
-    mixed: number[];
-    isIdle: boolean;
-}
-
-const orderHandlers: {
-    [K in RankOrder["kind"]]: (group: Group, engine: Engine, order: Extract<RankOrder, { kind: K; }>) => boolean;
-} = {
-    prepare: (group, engine, { version }) => {
-        if (engine.prepared === version) {
-            return true;
-        }
-        if (version <= engine.highest || engine.armed !== undefined) {
-            return false;
-        }
-        engine.highest = version;
-        engine.prepared = version;
-        return true;
-    },
-    arm: (group, engine, { version, step }) => {
-        if (engine.armed?.version === version && engine.armed.step === step) {
-            return true;
-        }
-        if (engine.prepared !== version || step <= group.step || engine.armed !== undefined) {
-            return false;
-        }
-        engine.armed = { version, step };
-        return true;
-    },
-    disarm: (group, engine, { version }) => {
-        if (engine.mapVersion === version) {
-            return false;
-        }
-        engine.armed = engine.armed?.version === version ? undefined : engine.armed;
-        return true;
-    },
-    hold: (group, engine, { step }) => {
-        if (engine.held === step) {
-            return true;
-        }
-        if (engine.held !== undefined || step <= group.step) {
-            return false;
-        }
-        engine.held = step;
-        return true;
-    },
-    go: (group, engine, { step }) => {
-        if (engine.held === step) {
-            engine.held = undefined;
-        }
-        return true;
-    },
-};
-
-function beginStep(group: Group): void {
-    const next = group.step + 1;
-    if (group.isIdle || group.engines.some(({ held }) => held !== undefined && held <= next)) {
-        return;
-    }
-    group.step = next;
-    for (const engine of group.engines) {
-        if (engine.armed?.step === next) {
-            engine.mapVersion = engine.armed.version;
-            engine.armed = undefined;
-        }
-    }
-    if (new Set(group.engines.map(({ mapVersion }) => mapVersion)).size > 1) {
-        group.mixed.push(next);
-    }
-}
-
-function readReport(group: Group, rank: number): RankReport {
-    const { mapVersion, prepared, armed, held } = group.engines[rank];
-    return {
-        epoch: 1,
-        rank,
-        size: ranks,
-        isOpen: true,
-        step: group.step,
-        mapVersion,
-        preparedVersion: prepared,
-        armed: armed && { ...armed },
-        heldStep: held,
-        running: 1,
-        queued: 0,
-        memoryShare: 0,
-        pace: 1,
-    };
-}
-
 /** A process that may lead; it serves the rank of the same number. */
 interface SimulatedLeader {
     rank: number;
@@ -148,12 +46,7 @@
 /** Simulates one schedule; returns the mixed steps, the changes and the times for which the group was held. */
 function simulateSchedule(seed: number, faults: Faults, decide: Decide = decideOrders) {
     const random = createRandom(seed);
-    const group: Group = {
-        step: 0,
-        engines: Array.from({ length: ranks }, () => ({ mapVersion: 0, highest: 0 })),
-        mixed: [],
-        isIdle: false,
-    };
+    const group = createGroup();
     const leaders = [1, 2].map((rank): SimulatedLeader => ({
         rank,
         rollout: createRollout(),
@@ -190,10 +83,10 @@
             scheduleResult(isFrozen(rank, arrivesAt) ? undefined : OrderOutcome.accepted, arrivesAt + 2);
             return;
         }
-        const executeOrder = () => orderHandlers[order.kind](group, group.engines[rank], order as never);
+        const execute = () => executeOrder(group, rank, order);
         if (random.next() < faults.unanswered) {
             const isLate = random.next() < faults.late;
-            schedule(isLate ? now + 2000 + random.next() * 10_000 : arrivesAt, executeOrder);
+            schedule(isLate ? now + 2000 + random.next() * 10_000 : arrivesAt, execute);
             scheduleResult(OrderOutcome.unanswered, now + rankOrderTimeoutMs);
             return;
         }
@@ -203,7 +96,7 @@
                 scheduleResult(undefined, time + 350);
                 return;
             }
-            const outcome = executeOrder() ? OrderOutcome.accepted : OrderOutcome.refused;
+            const outcome = execute() ? OrderOutcome.accepted : OrderOutcome.refused;
             // Only two processes are simulated, so one has to stay running; in a real group, another one takes over.
             const mayFreeze = faults.freezesAfterHold && freezeCount < 3 &&
                 leaders.every(candidate => candidate.frozenUntil <= time);
@@ -360,6 +253,25 @@
     });
 });
 
+test("a report of an armed rank from before its switch does not release the hold of a later rollout", () => {
+    const [active, prepared] = [2048 + 1, 4096 + 2];
+    const group = createGroup();
+    group.step = 16;
+    group.engines.forEach(engine => Object.assign(engine, { mapVersion: active, prepared }));
+    group.engines[lockRank].held = 20;
+    const reports = group.engines.map((engine, rank) => ({ ...readReport(group, rank), readAt: 1000 }));
+    reports[3] = {
+        ...reports[3],
+        step: 9,
+        mapVersion: 0,
+        preparedVersion: active,
+        armed: { version: active, step: 10 },
+    };
+    const context = { ownRank: 1, lostRank: undefined, random: 0, loadedPlan: [] };
+    const orders = decideOrders(createRollout(), reports, context, 1000);
+    expect(orders.filter(({ order }) => order.kind === "go")).toEqual([]);
+});
+
 test("a version of one process is never one of another or of an earlier life", () => {
     const report = { mapVersion: 5000, preparedVersion: 7171 } as TimestampedReport;
     const random: Random = createRandom(1);
