The rank that holds a step shows the state of the rollout to whoever leads

Cause: without the report of the lost leader's rank, the release was inferred from the makers of the versions that the other ranks had prepared. The successor had replaced these by its own fences, so that its rank, still armed for the first leader's version, counted as the one that is armed last. The same with versions of the deciding process's own rank, which counted as harmless although a restart loses which hold it had armed ranks for. Fix: rank 0, which holds the step, is armed before any other one and disarmed after all others are fenced. While it has a fence and is not armed, no rank can be armed, reported or not. While it is armed, its report names the process that arms the ranks, whose own rank is the only one to be inferred. Nothing depends on who led or on what a restart loses. A leader that does not know its own rank plans and arms nothing.

--- a/src/group/rebalancer.ts
+++ b/src/group/rebalancer.ts
@@ -63,7 +63,7 @@
     /** Reads the report of the rank at `host` through its slot. */
     read: (host: string) => Promise<RankReport>;
     /** Returns the rank of this slot and that of the previous leader, if it was lost. */
-    getLeaderContext: () => Pick<LeaderContext, "ownRank" | "lostRank">;
+    getLeaderContext: () => Pick<LeaderContext, "ownRank"> & { lostRank: number | undefined; };
     /** Finds a plan that was prepared earlier, by version. */
     findPlan: (version: number) => ExpertPlan | undefined;
     /** Reads the report of the rank at `host` directly, which costs more than through its slot. */
@@ -165,12 +165,12 @@
         return { outcome, report: known.isSlotSilent ? undefined : await options.read(known.host) };
     };
     const advanceRollout = () => {
-        const leader = options.getLeaderContext();
+        const { ownRank, lostRank } = options.getLeaderContext();
         const reports = listReports().filter(({ rank, readAt }) =>
-            rank !== leader.lostRank || now() - readAt < lostRankMaxAgeMs
+            rank !== lostRank || now() - readAt < lostRankMaxAgeMs
         );
         const previousPlan = rollout.plan;
-        const context = { ...leader, random: random(), loadedPlan: findLoadedPlan(reports) };
+        const context = { ownRank, random: random(), loadedPlan: findLoadedPlan(reports) };
         decideOrders(rollout, reports, context, now()).forEach(sendOrder);
         if (previousPlan !== undefined && rollout.plan === undefined) {
             logger.info("The expert map rollout has ended.", {
@@ -214,7 +214,8 @@
     };
     const planNextRebalance = (parameters: ExpertParameters, reports: TimestampedReport[]) => {
         const current = collectCurrentPlan(parameters, reports);
-        if (popularity === undefined || popularity.weight === 0 || current === undefined) {
+        const { ownRank } = options.getLeaderContext();
+        if (popularity === undefined || popularity.weight === 0 || current === undefined || ownRank === undefined) {
             return;
         }
         const input = { current, shares: popularity.shares, ...parameters };
@@ -230,7 +231,7 @@
             return;
         }
         plannedAt = now();
-        const version = createVersion(reports, options.getLeaderContext().ownRank ?? reports[0].rank, random());
+        const version = createVersion(reports, ownRank, random());
         rollout.plan = { version, epoch: reports[0].epoch, plan: planned.plan };
         metrics.plans.inc();
         metrics.moves.inc(planned.moves);
--- a/src/group/rollout.ts
+++ b/src/group/rollout.ts
@@ -6,8 +6,11 @@
  * There is no agreement on the leader, orders may be executed late, and a leader may stop at any point. Decisions
  * therefore rely only on facts that cannot become false: a rank that is not armed and has prepared a newer version can
  * never be armed for an older one. If all ranks are armed, none has been fenced this way and the step may begin.
- * To cancel the rollout of another process, every rank that is not armed is fenced, the others are disarmed, and only
- * then is the step released, on the old map.
+ *
+ * The rank that holds the step is armed before any other one. To cancel the rollout of another process while that rank is
+ * not armed, it is fenced, and the step is released on the old map: no rank can be armed. Otherwise every other rank
+ * is fenced first, those that are armed after they were disarmed, and that rank is the last one. Whoever has begun to
+ * cancel a rollout, its state therefore shows in the report of that rank.
  */
 import { type ExpertPlan, OrderOutcome, type RankOrder, type RankReport } from "./rankTypes.js";
 
@@ -32,8 +35,6 @@
     since: number;
     /** Version that fences the ranks if the rollout is cancelled. */
     fenceVersion: number;
-    /** Ranks of the processes that created the versions prepared or armed when the hold was first observed. */
-    proposers: Set<number>;
 }
 
 /** State of the rollouts of one process; changed by the functions of this module. */
@@ -46,8 +47,6 @@
     preparing: Set<number>;
     /** Step of the hold that this process has requested. */
     ownHoldStep: number | undefined;
-    /** Last hold during which this process ordered ranks to arm. */
-    lastArmedHold: { epoch: number; step: number; };
     /** Hold of another process, or one of this process whose rollout was fenced. */
     foreignHold: ForeignHold | undefined;
     /** Step from which on a hold may be requested. No step is held twice: a late `go` would release the second hold. */
@@ -68,10 +67,8 @@
 
 /** What the deciding process knows besides the reports. */
 export interface LeaderContext {
-    /** Rank served by the deciding process. */
+    /** Rank served by the deciding process; no rank is armed while it is unknown. */
     ownRank: number | undefined;
-    /** Rank served by the previous leader, which has stopped responding. */
-    lostRank: number | undefined;
     /** A random number in [0, 1). */
     random: number;
     /** The active map, or another one that all ranks have in memory; undefined if none is known. */
@@ -104,7 +101,7 @@
 const foreignGraceMs = 300;
 /** Maximum age of the reports that a hold or the last arm relies on, in milliseconds; about one report interval. */
 const reportMaxAgeMs = 250;
-/** Rank whose hold serves as the lock. */
+/** Rank whose hold serves as the lock, and which is the first one to be armed and the last one to be disarmed. */
 export const lockRank = 0;
 
 /** Creates the state of a process that rolls out nothing. */
@@ -114,7 +111,6 @@
         lastSentAt: new Map(),
         preparing: new Set(),
         ownHoldStep: undefined,
-        lastArmedHold: { epoch: -1, step: -1 },
         foreignHold: undefined,
         holdAllowedFrom: { epoch: -1, step: 0 },
         lastDecisionAt: -Infinity,
@@ -136,6 +132,11 @@
     return allocateVersion(reports, rank, random, 0);
 }
 
+/** Returns the rank of the process that created a version. */
+function getCreator(version: number): number {
+    return version % versionModulus;
+}
+
 /** Creates a version that is never armed: a rank that has prepared it can no longer be armed for an older one. */
 function createFenceVersion(reports: TimestampedReport[], rank: number, random: number): number {
     return allocateVersion(reports, rank, random, 1);
@@ -201,7 +202,7 @@
             decideWithHold(state, reports, holder, leader, now) :
         holder === undefined ?
         [] :
-        decideWithoutLostRank(state, reports, holder, leader, now);
+        settleForeignHold(state, reports, holder, leader, now);
     return orders.filter(({ rank, order }) => admitOrder(state, rank, order.kind, now));
 }
 
@@ -226,50 +227,55 @@
 }
 
 /**
- * Resumes a held group without a report of the rank served by the lost leader. A leader arms its own rank last, so that
- * rank is not armed for the leader's version while any other rank is not; the rollout is then cancelled on the others.
+ * Releases a hold that this process cannot complete. Ranks without a report keep the hold in place only if their state does
+ * not follow from the other reports.
  */
-function decideWithoutLostRank(
+function settleForeignHold(
     state: RolloutState,
     reports: TimestampedReport[],
     holder: TimestampedReport,
     leader: LeaderContext,
     now: number,
 ): AddressedOrder[] {
-    const { lostRank } = leader;
-    const isOnlyLost = reports.length === holder.size - 1 && reports.every(({ rank }) => rank !== lostRank);
-    if (lostRank === undefined || !isOnlyLost) {
-        return [];
-    }
     const dueReads = observeForeignHold(state, reports, holder, leader, now);
-    const hasArmed = state.lastArmedHold.epoch === holder.epoch && state.lastArmedHold.step === holder.heldStep;
-    const isFromOthers = hasArmed ||
-        [...state.foreignHold!.proposers].some(rank => rank !== lostRank && rank !== leader.ownRank);
-    if (dueReads.length > 0 || isFromOthers || reports.every(({ armed }) => armed !== undefined)) {
+    if (dueReads.length > 0) {
         return dueReads;
     }
-    return cancelRollout(state, reports, holder, leader);
+    return isEveryRankArmed(reports) ? [createGoOrder(holder)] : cancelRollout(state, reports, holder, leader);
 }
 
 /**
- * Gives another process a grace period to complete its rollout. Returns the reads that are due until every report was
- * read after that period; the rollout may be settled once there are none.
+ * Whether all ranks are armed for the same version, including those without a report: the process that arms them has armed
+ * its own rank, which is the last one.
+ */
+function isEveryRankArmed(reports: TimestampedReport[]): boolean {
+    const version = reports[0].armed?.version;
+    if (version === undefined || reports.some(({ armed }) => armed?.version !== version)) {
+        return false;
+    }
+    const creator = getCreator(version);
+    return creator !== lockRank && reports.some(({ rank }) => rank === creator);
+}
+
+/**
+ * Gives another process a grace period to complete its rollout. Returns the reads that are due until every report that
+ * matters was read after that period; the rollout may be settled once there are none.
  */
 function observeForeignHold(
     state: RolloutState,
     reports: TimestampedReport[],
-    { epoch, heldStep }: TimestampedReport,
+    holder: TimestampedReport,
     { ownRank, random }: LeaderContext,
     now: number,
 ): AddressedOrder[] {
+    const { epoch, heldStep } = holder;
     if (state.foreignHold?.epoch !== epoch || state.foreignHold.step !== heldStep) {
         const fenceVersion = createFenceVersion(reports, ownRank ?? 0, random);
-        const versions = reports.flatMap(r => [r.preparedVersion, r.armed?.version]).filter(v => v !== undefined);
-        const proposers = new Set(versions.map(version => version % versionModulus));
-        state.foreignHold = { epoch, step: heldStep!, since: now, fenceVersion, proposers };
+        state.foreignHold = { epoch, step: heldStep!, since: now, fenceVersion };
     }
     const graceEndsAt = state.foreignHold.since + foreignGraceMs;
-    return reports.filter(({ readAt }) => readAt < graceEndsAt).map(createReadOrder);
+    const relevant = holder.armed === undefined ? [holder] : reports;
+    return relevant.filter(({ readAt }) => readAt < graceEndsAt).map(createReadOrder);
 }
 
 /** Cancels a rollout: no rank may be armed for the held step when it is released. */
@@ -277,26 +283,60 @@
     state: RolloutState,
     reports: TimestampedReport[],
     holder: TimestampedReport,
+    leader: LeaderContext,
+): AddressedOrder[] {
+    if (holder.armed === undefined) {
+        return isFenceVersion(holder.preparedVersion) ?
+            [createGoOrder(holder)] :
+            createFenceOrders(state, reports, [holder], leader);
+    }
+    const { version } = holder.armed;
+    if (holder.mapVersion === version) {
+        // All ranks have switched to the map before.
+        return [createGoOrder(holder)];
+    }
+    const others = reports.filter(report => report !== holder);
+    const armed = others.filter(report => report.armed !== undefined);
+    const unarmed = others.filter(report => report.armed === undefined);
+    const unfenced = unarmed.filter(({ preparedVersion }) => (preparedVersion ?? 0) <= version);
+    // A rank may be disarmed only if another one can never be armed: the rollout can then no longer be completed.
+    if (!isUnreportedRankUnarmed(reports, holder.size, version) || unarmed.length === unfenced.length) {
+        return createFenceOrders(state, reports, unfenced, leader);
+    }
+    return armed.length === 0 && unfenced.length === 0 ?
+        [createDisarmOrder(holder)] :
+        [...createFenceOrders(state, reports, unfenced, leader), ...armed.map(createDisarmOrder)];
+}
+
+/**
+ * Whether no rank without a report is armed for `version` as long as another one can never be: there is none, or only that
+ * of the process that arms the ranks, which arms its own rank last.
+ */
+function isUnreportedRankUnarmed(reports: TimestampedReport[], size: number, version: number): boolean {
+    const isCreatorReported = reports.some(({ rank }) => rank === getCreator(version));
+    return reports.length === size || (reports.length === size - 1 && !isCreatorReported);
+}
+
+/** Creates the orders after which `ranks` can no longer be armed for an older version. */
+function createFenceOrders(
+    state: RolloutState,
+    reports: TimestampedReport[],
+    ranks: TimestampedReport[],
     { loadedPlan, ownRank, random }: LeaderContext,
 ): AddressedOrder[] {
     const hold = state.foreignHold!;
-    const { epoch } = holder;
-    const isFenced = (version: number) =>
-        reports.some(({ armed, preparedVersion }) => armed === undefined && (preparedVersion ?? 0) > version);
-    const armed = reports.filter(report => report.armed !== undefined);
-    const unfenced = reports.filter(report => report.armed === undefined && !isFenceVersion(report.preparedVersion));
-    if (armed.length === 0 && unfenced.length === 0) {
-        return [{ rank: holder.rank, epoch, order: { kind: "go", step: holder.heldStep! } }];
-    }
-    if (unfenced.some(({ preparedVersion }) => (preparedVersion ?? 0) > hold.fenceVersion)) {
+    if (ranks.some(({ preparedVersion }) => (preparedVersion ?? 0) > hold.fenceVersion)) {
         hold.fenceVersion = createFenceVersion(reports, ownRank ?? 0, random);
     }
-    const prepares = loadedPlan === undefined ? [] : unfenced.map(({ rank }): AddressedOrder => ({
+    return loadedPlan === undefined ? [] : ranks.map(({ rank, epoch }): AddressedOrder => ({
         rank,
         epoch,
         order: { kind: "prepare", version: hold.fenceVersion, plan: loadedPlan },
     }));
-    return [...prepares, ...armed.filter(report => isFenced(report.armed!.version)).map(createDisarmOrder)];
+}
+
+function createGoOrder({ rank, epoch, heldStep }: TimestampedReport): AddressedOrder {
+    return { rank, epoch, order: { kind: "go", step: heldStep! } };
 }
 
 function createReadOrder({ rank, epoch }: TimestampedReport): AddressedOrder {
@@ -389,7 +429,7 @@
     return baseHoldSteps + Math.floor(ranks / ranksPerExtraStep);
 }
 
-/** Arms every rank for the held step, the own one last, then releases it; cancels a rollout that cannot complete. */
+/** Arms every rank for the held step, then releases it; cancels a rollout that cannot complete. */
 function decideWithHold(
     state: RolloutState,
     reports: TimestampedReport[],
@@ -398,26 +438,26 @@
     now: number,
 ): AddressedOrder[] {
     const step = holder.heldStep!;
-    const { epoch } = holder;
     const isOwn = state.plan !== undefined && state.ownHoldStep === step;
     const version = isOwn ? state.plan!.version : holder.armed?.version;
     const isReady = (report: TimestampedReport) => report.armed?.version === version || report.mapVersion === version;
     if (version !== undefined && reports.every(isReady)) {
-        return [{ rank: holder.rank, epoch, order: { kind: "go", step } }];
+        return [createGoOrder(holder)];
     }
     const isFenced = reports.some(report => !isReady(report) && report.preparedVersion !== version);
     if (isOwn && !isFenced) {
-        state.lastArmedHold = { epoch, step };
         return createArmOrders(reports, isReady, { version: version!, step }, leader, now);
     }
     if (isOwn) {
         abandonPlan(state);
     }
-    const dueReads = observeForeignHold(state, reports, holder, leader, now);
-    return dueReads.length > 0 ? dueReads : cancelRollout(state, reports, holder, leader);
+    return settleForeignHold(state, reports, holder, leader, now);
 }
 
-/** Arms the ranks that are not armed; the own rank only once recent reports show all others armed. */
+/**
+ * Arms the ranks that are not armed: the one that holds the step first, the own rank only once recent reports show all others
+ * armed.
+ */
 function createArmOrders(
     reports: TimestampedReport[],
     isReady: (report: TimestampedReport) => boolean,
@@ -426,11 +466,15 @@
     now: number,
 ): AddressedOrder[] {
     const unarmed = reports.filter(report => !isReady(report) && report.armed === undefined);
+    if (ownRank === undefined) {
+        return [];
+    }
+    const lock = unarmed.filter(({ rank }) => rank === lockRank);
     const others = unarmed.filter(({ rank }) => rank !== ownRank);
     const stale = reports.filter(({ readAt }) => now - readAt > reportMaxAgeMs);
     if (others.length === 0 && stale.length > 0) {
         return stale.map(createReadOrder);
     }
-    const next = others.length > 0 ? others : unarmed;
+    const next = [lock, others, unarmed].find(({ length }) => length > 0) ?? [];
     return next.map(({ rank, epoch }) => ({ rank, epoch, order: { kind: "arm", version, step } }));
 }
--- a/src/group/tests/round.test.ts
+++ b/src/group/tests/round.test.ts
@@ -121,7 +121,6 @@
         }
         decide(leader.rollout, fresh, {
             ownRank: leader.rank,
-            lostRank: leader.lostRank,
             random: random.next(),
             loadedPlan: [],
         }, now)
@@ -267,7 +266,7 @@
         preparedVersion: active,
         armed: { version: active, step: 10 },
     };
-    const context = { ownRank: 1, lostRank: undefined, random: 0, loadedPlan: [] };
+    const context = { ownRank: 1, random: 0, loadedPlan: [] };
     const orders = decideOrders(createRollout(), reports, context, 1000);
     expect(orders.filter(({ order }) => order.kind === "go")).toEqual([]);
 });
