No run begins for a request that has one or has ended

Cause: when the second run of a stream whose first one is held loses its connection, the next placement waits up to 60 ms for the crash check. If the held run sends data meanwhile, the request goes on with it and leaves the queue, but the placement waits elsewhere and asked only whether the request had ended. It sent the request to a third upstream beside the run in progress, and the events of both went to the caller. Fix: one rule where a run begins, for whatever the request has waited: it has not ended, and no run feeds its response. With slots in the path the same does not occur: choosing another slot waits for nothing, a resumption concerns the same run, and its timer ends with the request.

--- a/src/direct/directDispatch.ts
+++ b/src/direct/directDispatch.ts
@@ -189,6 +189,14 @@
         };
     }
 
+    /**
+     * Whether a run may begin: the request has not ended, and no other run feeds its response. A run that is held feeds it
+     * only once it has sent data again, and is the current one from then on.
+     */
+    needsRun(): boolean {
+        return !this.isReleased && this.run === undefined;
+    }
+
     /** Ends the request if the quarantine does not let it go to an upstream; returns whether it did. */
     endIfQuarantined(): boolean {
         this.obstacle = findSendObstacle(this.context, this.request, this.state.runs > 0);
--- a/src/direct/scheduler.ts
+++ b/src/direct/scheduler.ts
@@ -95,10 +95,13 @@
         capacityShares.set(pool, share);
         return share;
     };
-    /** Sends a request if possible; returns whether it does not have to wait, also because an error has ended it. */
+    /**
+     * Sends a request if possible; returns whether it does not have to wait. That is also the case if it needs no run any more:
+     * whatever it has waited for, it may have ended or gone on with a run that was held.
+     */
     const trySend = (dispatch: DirectDispatch): boolean => {
         try {
-            return sendIfPossible(dispatch);
+            return !dispatch.needsRun() || sendIfPossible(dispatch);
         }
         catch (error) {
             dispatch.endWithFault(error as Error);
@@ -209,12 +212,7 @@
                 place(dispatch);
                 return;
             }
-            const placeUnlessEnded = () => {
-                if (!dispatch.isReleased) {
-                    place(dispatch);
-                }
-            };
-            check.then(placeUnlessEnded).catch((error: Error) => dispatch.endWithFault(error));
+            check.then(() => place(dispatch)).catch((error: Error) => dispatch.endWithFault(error));
         },
         enqueue,
         remove: dispatch => {
--- a/src/direct/tests/scheduler.test.ts
+++ b/src/direct/tests/scheduler.test.ts
@@ -51,12 +51,14 @@
             targetAt: 0,
             latestSendAt,
             rateLimits: [],
+            needsRun: () => true,
             endIfQuarantined: () => false,
             expire: () => expired.push(latestSendAt),
         };
         scheduler.place(dispatch as unknown as DirectDispatch);
     };
     return {
+        scheduler,
         place,
         expired,
         advance: (at: number) => {
@@ -82,3 +84,17 @@
     advance(14_100);
     expect(expired).toEqual([14_000]);
 });
+
+test("a request that needs no run any more after a check is not ended, sent or queued", async () => {
+    const { expired, scheduler } = createBrokenGroup();
+    const dispatch = {
+        request: { pool },
+        latestSendAt: 0,
+        needsRun: () => false,
+        endIfQuarantined: () => expired.push(0) > 0,
+        expire: () => expired.push(0),
+    } as unknown as DirectDispatch;
+    scheduler.placeAfter(dispatch, Promise.resolve());
+    await vi.advanceTimersByTimeAsync(0);
+    expect([expired, scheduler.listWaiting(pool)]).toEqual([[], []]);
+});
--- a/src/direct/tests/timerFaults.test.ts
+++ b/src/direct/tests/timerFaults.test.ts
@@ -82,6 +82,7 @@
         scheduler.place({
             request: { pool: "p", id },
             latestSendAt,
+            needsRun: () => true,
             endIfQuarantined: () => false,
             endWithFault: () => ended.push(id),
             expire: () => ended.push(id),
