Tests: clusters of engines are ready once each entry knows all slots

The entry logs that its upstreams are known as soon as all slots of the list that it has read so far have reported, which may be one; the cluster was ready then. startEngineCluster now waits until each entry has logged each slot. Test, bounds and waits are as they were.

--- a/src/standin/engineCluster.ts
+++ b/src/standin/engineCluster.ts
@@ -4,7 +4,10 @@
 import type { FakeUpstream } from "./engine.js";
 import { publishDocument } from "./publish.js";
 
-/** Starts the cluster; each slot calls its engine directly, so that a lost engine refuses connections. */
+/**
+ * Starts the cluster; each slot calls its engine directly, so that a lost engine refuses connections. Resolves once each
+ * entry knows all slots.
+ */
 export async function startEngineCluster(engines: FakeUpstream[]): Promise<Cluster> {
     const cluster = await startCluster(
         ["entry-1", "entry-2"].map(instance => ({ instance, dataCentre: "dc-a" })),
@@ -18,5 +21,14 @@
         })),
     );
     await publishDocument(cluster, createDemoDocument());
+    await Promise.all(
+        cluster.entries.flatMap(({ process }) =>
+            cluster.slots.map(({ options }) =>
+                process.waitForLine(({ msg, upstream }) =>
+                    msg.endsWith("An upstream is known.") && upstream === options.instance
+                )
+            )
+        ),
+    );
     return cluster;
 }
