--- a/src/group/rollout.ts
+++ b/src/group/rollout.ts
@@ -7,10 +7,10 @@
  * therefore rely only on facts that cannot become false: a rank that is not armed and has prepared a newer version can
  * never be armed for an older one. If all ranks are armed, none has been fenced this way and the step may begin.
  *
- * The rank that holds the step is armed before any other one. To cancel the rollout of another process while that rank is
- * not armed, it is fenced, and the step is released on the old map: no rank can be armed. Otherwise every other rank
- * is fenced first, those that are armed after they were disarmed, and that rank is the last one. Whoever has begun to
- * cancel a rollout, its state therefore shows in the report of that rank.
+ * The rank that holds the step is armed before and disarmed after all others, so that its report shows the state of a
+ * rollout, whichever processes have led. To cancel the rollout of another process while that rank is not armed, it is
+ * fenced, and the step is released on the old map: no other rank can be armed. Otherwise all other ranks are fenced before,
+ * those that are armed once they are disarmed.
  */
 import { type ExpertPlan, OrderOutcome, type RankOrder, type RankReport } from "./rankTypes.js";
 
@@ -465,10 +465,10 @@
     { ownRank }: LeaderContext,
     now: number,
 ): AddressedOrder[] {
-    const unarmed = reports.filter(report => !isReady(report) && report.armed === undefined);
     if (ownRank === undefined) {
         return [];
     }
+    const unarmed = reports.filter(report => !isReady(report) && report.armed === undefined);
     const lock = unarmed.filter(({ rank }) => rank === lockRank);
     const others = unarmed.filter(({ rank }) => rank !== ownRank);
     const stale = reports.filter(({ readAt }) => now - readAt > reportMaxAgeMs);
